--- /dev/null
+++ b/snapshot/snapshot.go
@@ -0,0 +1,271 @@
+// Package snapshot holds the configuration in force: an immutable catalogue compiled for look-ups, together with the
+// instances known, swapped as one by a single atomic pointer.
+//
+// Invariants: the revision of the catalogue in force never falls; every reference in a snapshot resolves within it; a
+// snapshot is never changed after it was built, so a request that pins one sees one configuration for its whole life.
+package snapshot
+
+import (
+	"cmp"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/chervilwell/chervilwell/catalogue"
+	"github.com/chervilwell/chervilwell/document"
+	"github.com/chervilwell/chervilwell/platform"
+)
+
+// Config is a catalogue compiled for look-ups.
+type Config struct {
+	version       document.Version
+	organisations map[string]*catalogue.Organisation
+	services      map[string]*catalogue.Service
+	routes        []*Route
+	regionOf      map[string]string
+	domainsOut    map[string]bool
+	instancesOut  map[string]bool
+	regions       []string
+	links         map[[2]string]int64
+}
+
+// Route is a compiled route with its references resolved.
+type Route struct {
+	catalogue.Route
+	// Target is the service that the route names.
+	Target *catalogue.Service
+	// Regions are the regions in which a request of the route may be served, sent and stored. Nil means any.
+	// They are the intersection of the home regions of the route, its owner and its service.
+	Regions map[string]bool
+	methods map[string]bool
+}
+
+// Allows reports whether a request of the route may be in region.
+func (r *Route) Allows(region string) bool { return r.Regions == nil || r.Regions[region] }
+
+// Compile checks the catalogue of doc as a whole and builds its look-up tables.
+func Compile(doc *document.Document) (*Config, error) {
+	cat, err := catalogue.Decode(doc)
+	if err != nil {
+		return nil, err
+	}
+	if err := catalogue.Check(cat); err != nil {
+		return nil, err
+	}
+	return build(cat, doc.Version())
+}
+
+func build(cat *catalogue.Catalogue, version document.Version) (*Config, error) {
+	c := &Config{
+		version:       version,
+		organisations: make(map[string]*catalogue.Organisation, len(cat.Organisations)),
+		services:      make(map[string]*catalogue.Service, len(cat.Services)),
+		regionOf:      map[string]string{},
+		domainsOut:    map[string]bool{},
+		instancesOut:  map[string]bool{},
+		links:         map[[2]string]int64{},
+	}
+	for i := range cat.Organisations {
+		c.organisations[cat.Organisations[i].Name] = &cat.Organisations[i]
+	}
+	for _, r := range cat.Regions {
+		c.regions = append(c.regions, r.Name)
+		for _, d := range r.FailureDomains {
+			c.regionOf[d.Name] = r.Name
+			c.domainsOut[d.Name] = d.State == catalogue.Out
+		}
+	}
+	slices.Sort(c.regions)
+	for _, l := range cat.Links {
+		c.links[[2]string{l.Between[0], l.Between[1]}] = l.BytesPerSecond
+		c.links[[2]string{l.Between[1], l.Between[0]}] = l.BytesPerSecond
+	}
+	for _, i := range cat.Instances {
+		c.instancesOut[i.Name] = i.State == catalogue.Out
+	}
+	for i := range cat.Services {
+		c.services[cat.Services[i].Name] = &cat.Services[i]
+	}
+	return c, c.compileRoutes(cat)
+}
+
+func (c *Config) compileRoutes(cat *catalogue.Catalogue) error {
+	for _, r := range cat.Routes {
+		service := c.services[r.Service]
+		owner := c.organisations[r.Owner]
+		if service == nil || owner == nil {
+			return errors.Errorf("route %q refers to what the catalogue lacks; add service %q and organisation %q", r.Name, r.Service, r.Owner)
+		}
+		route := &Route{Route: r, Target: service, Regions: intersect(r.HomeRegions, owner.HomeRegions, service.HomeRegions)}
+		if len(r.Match.Methods) > 0 {
+			route.methods = make(map[string]bool, len(r.Match.Methods))
+			for _, m := range r.Match.Methods {
+				route.methods[m] = true
+			}
+		}
+		c.routes = append(c.routes, route)
+	}
+	// Longest prefix first, then routes that name methods, then by name: the order of the file has no meaning.
+	slices.SortFunc(c.routes, func(a, b *Route) int {
+		return cmp.Or(
+			cmp.Compare(len(b.Match.PathPrefix), len(a.Match.PathPrefix)),
+			cmp.Compare(a.Match.PathPrefix, b.Match.PathPrefix),
+			cmp.Compare(len(b.methods), len(a.methods)),
+			cmp.Compare(a.Name, b.Name))
+	})
+	return nil
+}
+
+// intersect returns the regions common to all non-empty lists, or nil if all lists are empty.
+func intersect(lists ...[]string) map[string]bool {
+	var out map[string]bool
+	for _, list := range lists {
+		if len(list) == 0 {
+			continue
+		}
+		next := map[string]bool{}
+		for _, r := range list {
+			if out == nil || out[r] {
+				next[r] = true
+			}
+		}
+		out = next
+	}
+	return out
+}
+
+// Version returns revision and digest of the catalogue.
+func (c *Config) Version() document.Version { return c.version }
+
+// Match returns the route for a request, or nil. The longest matching prefix that takes the method wins.
+func (c *Config) Match(method, path string) *Route {
+	for _, r := range c.routes {
+		if strings.HasPrefix(path, r.Match.PathPrefix) && (r.methods == nil || r.methods[method]) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Organisation returns an organisation by name, or nil.
+func (c *Config) Organisation(name string) *catalogue.Organisation { return c.organisations[name] }
+
+// Organisations returns all organisations by name. The caller must not change the map.
+func (c *Config) Organisations() map[string]*catalogue.Organisation { return c.organisations }
+
+// Service returns a service by name, or nil.
+func (c *Config) Service(name string) *catalogue.Service { return c.services[name] }
+
+// Route returns a route by name, or nil.
+func (c *Config) Route(name string) *Route {
+	for _, r := range c.routes {
+		if r.Name == name {
+			return r
+		}
+	}
+	return nil
+}
+
+// Routes returns the routes in matching order. The caller must not change the slice.
+func (c *Config) Routes() []*Route { return c.routes }
+
+// RegionOf returns the region of a failure domain, or "" if the catalogue lacks it.
+func (c *Config) RegionOf(failureDomain string) string { return c.regionOf[failureDomain] }
+
+// Regions returns the names of the regions in order.
+func (c *Config) Regions() []string { return c.regions }
+
+// FailureDomains returns the names of all failure domains in order.
+func (c *Config) FailureDomains() []string {
+	out := make([]string, 0, len(c.regionOf))
+	for d := range c.regionOf {
+		out = append(out, d)
+	}
+	slices.Sort(out)
+	return out
+}
+
+// DomainInService reports whether operators have the failure domain in service.
+func (c *Config) DomainInService(failureDomain string) bool {
+	_, known := c.regionOf[failureDomain]
+	return known && !c.domainsOut[failureDomain]
+}
+
+// InstanceInService reports whether operators have the instance itself in service.
+func (c *Config) InstanceInService(name string) bool { return !c.instancesOut[name] }
+
+// LinkBytesPerSecond returns the capacity of the link between two regions, or 0 if it is not limited.
+func (c *Config) LinkBytesPerSecond(from, to string) int64 { return c.links[[2]string{from, to}] }
+
+// Endpoints are the instances known, indexed by service. The zero value knows none.
+type Endpoints struct {
+	byService map[string][]platform.Instance
+	byName    map[string]platform.Instance
+	versions  map[string]document.Version
+}
+
+// CompileEndpoints indexes the instances of the given documents, one for each failure domain.
+func CompileEndpoints(docs []*document.Document) (*Endpoints, error) {
+	e := &Endpoints{
+		byService: map[string][]platform.Instance{},
+		byName:    map[string]platform.Instance{},
+		versions:  map[string]document.Version{},
+	}
+	for _, doc := range docs {
+		e.versions[doc.Name()] = doc.Version()
+		var err error
+		doc.All(func(entry document.Entry) bool {
+			var inst platform.Instance
+			if err = document.Unmarshal(entry.Value, &inst); err != nil {
+				err = errors.Wrapf(err, "document %q entry %q", doc.Name(), entry.Key)
+				return false
+			}
+			e.byService[inst.Service] = append(e.byService[inst.Service], inst)
+			e.byName[inst.Name] = inst
+			return true
+		})
+		if err != nil {
+			return nil, err
+		}
+	}
+	return e, nil
+}
+
+// EncodeInstances returns the platform's list of a failure domain as a document.
+func EncodeInstances(list platform.InstanceList) (*document.Document, error) {
+	entries := make([]document.Entry, 0, len(list.Instances))
+	for _, inst := range list.Instances {
+		data, err := document.Marshal(inst)
+		if err != nil {
+			return nil, errors.Wrapf(err, "instance %q", inst.Name)
+		}
+		entries = append(entries, document.Entry{Key: inst.Name, Value: data})
+	}
+	return document.New(platform.InstancesDocument(list.FailureDomain), list.Version, document.DefaultChunks, entries)
+}
+
+// ForService returns the instances of a service. The caller must not change the slice.
+func (e *Endpoints) ForService(name string) []platform.Instance {
+	if e == nil {
+		return nil
+	}
+	return e.byService[name]
+}
+
+// Instance returns an instance by name.
+func (e *Endpoints) Instance(name string) (platform.Instance, bool) {
+	if e == nil {
+		return platform.Instance{}, false
+	}
+	inst, ok := e.byName[name]
+	return inst, ok
+}
+
+// Len returns the number of instances known.
+func (e *Endpoints) Len() int {
+	if e == nil {
+		return 0
+	}
+	return len(e.byName)
+}
