--- /dev/null
+++ b/internal/refusal/refusal.go
@@ -0,0 +1,166 @@
+// Package refusal defines the typed refusals that callers get: what was refused, whether the request may have run, and the
+// remedy.
+package refusal
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/chervilwell/chervilwell/internal/headers"
+)
+
+// Kind names the cause of a refusal.
+type Kind string
+
+// The kinds of refusals.
+const (
+	BadRequest     Kind = "bad-request"
+	NoUpgrade      Kind = "no-upgrade"
+	NoOrganisation Kind = "no-organisation"
+	NoRoute        Kind = "no-route"
+	WrongRegion    Kind = "wrong-region"
+	BodyTooLarge   Kind = "body-too-large"
+	RouteBusy      Kind = "route-busy"
+	LinkBusy       Kind = "link-busy"
+	NotReady       Kind = "not-ready"
+	Leaving        Kind = "leaving"
+	OutOfService   Kind = "out-of-service"
+	NoTarget       Kind = "no-target"
+	WrongTarget    Kind = "wrong-target"
+	QueueFull      Kind = "queue-full"
+	TooLate        Kind = "too-late"
+	Timeout        Kind = "timeout"
+	Cancelled      Kind = "cancelled"
+	Unreachable    Kind = "unreachable"
+	BrokenAnswer   Kind = "broken-answer"
+	Quarantined    Kind = "quarantined"
+	KeyRequired    Kind = "key-invalid"
+	KeyRunning     Kind = "key-running"
+	KeyUnknown     Kind = "key-unknown"
+	PeerRefused    Kind = "peer-refused"
+)
+
+// StatusCancelled is the status of a request whose caller went away; nobody reads it but logs and metrics.
+const StatusCancelled = 499
+
+type meaning struct {
+	status int
+	remedy string
+}
+
+var meanings = map[Kind]meaning{
+	BadRequest:     {http.StatusBadRequest, "send a request that follows RFC 9112: one Content-Length or one chunked Transfer-Encoding"},
+	NoUpgrade:      {http.StatusNotImplemented, "send the request without CONNECT or Upgrade; only plain requests are carried"},
+	NoOrganisation: {http.StatusForbidden, "present a client certificate whose Organization is in the catalogue"},
+	NoRoute:        {http.StatusNotFound, "check path and method against the catalogue's routes"},
+	WrongRegion:    {http.StatusMisdirectedRequest, "send the request to an instance in one of the route's home regions"},
+	BodyTooLarge:   {http.StatusRequestEntityTooLarge, "send a body within the route's bodyBytes"},
+	RouteBusy:      {http.StatusTooManyRequests, "retry after a backoff, or raise the route's concurrency"},
+	LinkBusy:       {http.StatusServiceUnavailable, "retry after a backoff; the organisation's share of the link between regions is used up"},
+	NotReady:       {http.StatusServiceUnavailable, "retry at another instance; this one holds no configuration yet"},
+	Leaving:        {http.StatusServiceUnavailable, "retry at another instance; this one is leaving"},
+	OutOfService:   {http.StatusServiceUnavailable, "retry at another instance; operators took this one out of service"},
+	NoTarget:       {http.StatusServiceUnavailable, "retry after a backoff; no target of the service can take the request now"},
+	WrongTarget:    {http.StatusMisdirectedRequest, "retry; the instance runs another service than the list of instances says"},
+	QueueFull:      {http.StatusServiceUnavailable, "retry after a backoff; the target's queue is full"},
+	TooLate:        {http.StatusGatewayTimeout, "allow the request more time; it would have ended after its deadline"},
+	Timeout:        {http.StatusGatewayTimeout, "allow the request more time, or check the target's latency"},
+	Cancelled:      {StatusCancelled, "none; the caller cancelled the request"},
+	Unreachable:    {http.StatusBadGateway, "retry if the request may be repeated; the connection to the target failed"},
+	BrokenAnswer:   {http.StatusBadGateway, "retry if the request may be repeated; the target's answer was cut or has no verifiable length"},
+	Quarantined:    {http.StatusUnprocessableEntity, "do not send this request again; it crashed its targets"},
+	KeyRequired:    {http.StatusBadRequest, "send one Idempotency-Key of at most 255 bytes"},
+	KeyRunning:     {http.StatusConflict, "wait for the first request with this Idempotency-Key to end"},
+	KeyUnknown:     {http.StatusConflict, "ask the service whether the request ran; its executor's memory is gone"},
+	PeerRefused:    {http.StatusForbidden, "connect with the certificate of an instance (CommonName instance, OrganizationalUnit failure domain)"},
+}
+
+// Kinds returns the status and the remedy of every kind, for documentation and checks.
+func Kinds() map[Kind]int {
+	out := make(map[Kind]int, len(meanings))
+	for k, m := range meanings {
+		out[k] = m.status
+	}
+	return out
+}
+
+// Refusal is a typed error that is also an HTTP answer.
+type Refusal struct {
+	Kind Kind `json:"kind"`
+	// Run says whether the request may have run.
+	Run headers.RunState `json:"run"`
+	// Detail says what is wrong in this case.
+	Detail string `json:"detail"`
+	// Remedy says what the caller can do.
+	Remedy string `json:"remedy"`
+	// RetryAfter is the time to wait before a retry; 0 means unsaid.
+	RetryAfter time.Duration `json:"-"`
+}
+
+// New returns a refusal of a request of which no byte went to a target.
+func New(kind Kind, format string, args ...any) *Refusal {
+	return &Refusal{Kind: kind, Run: headers.NotRun, Detail: fmt.Sprintf(format, args...), Remedy: meanings[kind].remedy}
+}
+
+// Unknown returns a refusal of a request that may have run.
+func Unknown(kind Kind, format string, args ...any) *Refusal {
+	r := New(kind, format, args...)
+	r.Run = headers.Unknown
+	return r
+}
+
+// Error implements error.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("%s (%s): %s; %s", r.Kind, r.Run, r.Detail, r.Remedy)
+}
+
+// Status returns the HTTP status of the refusal.
+func (r *Refusal) Status() int {
+	if m, ok := meanings[r.Kind]; ok {
+		return m.status
+	}
+	return http.StatusBadGateway
+}
+
+// Write answers a request with the refusal.
+func (r *Refusal) Write(w http.ResponseWriter) {
+	body, err := json.Marshal(r)
+	if err != nil {
+		body = []byte("{}")
+	}
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Content-Length", strconv.Itoa(len(body)))
+	h.Set("Cache-Control", "no-store")
+	h.Set(headers.Run, string(r.Run))
+	if r.RetryAfter > 0 {
+		h.Set("Retry-After", strconv.Itoa(int((r.RetryAfter+time.Second-1)/time.Second)))
+	}
+	w.WriteHeader(r.Status())
+	_, _ = w.Write(body)
+}
+
+// maxBytes bounds the body of a refusal that is read from a peer.
+const maxBytes = 16 << 10
+
+// FromResponse reads a refusal from a peer's answer and closes the answer's body. It returns nil if the answer is none.
+func FromResponse(resp *http.Response) *Refusal {
+	run := resp.Header.Get(headers.Run)
+	if run == "" {
+		return nil
+	}
+	defer resp.Body.Close()
+	r := &Refusal{Kind: Unreachable, Detail: "peer refused without a reason"}
+	if err := json.NewDecoder(io.LimitReader(resp.Body, maxBytes)).Decode(r); err != nil {
+		r.Detail = "peer refused with an unreadable reason"
+	}
+	r.Run = headers.ParseRun(run)
+	if s, err := strconv.Atoi(resp.Header.Get("Retry-After")); err == nil && s > 0 {
+		r.RetryAfter = time.Duration(min(s, 3600)) * time.Second
+	}
+	return r
+}
