--- a/jsonc/problem.go
+++ b/jsonc/problem.go
@@ -106,3 +106,33 @@
 		}
 	}
 }
+
+// Unreported returns the later problems whose places no earlier problem is about: a value that could not be decoded keeps
+// its zero value, and what a checker says of that is no news.
+func (p *Positions) Unreported(later, earlier Problems) Problems {
+	bad := make(map[string]bool, len(earlier))
+	for _, e := range earlier {
+		bad[e.Path] = true
+	}
+	if bad[""] {
+		return nil
+	}
+	var out Problems
+	for _, l := range later {
+		if !covered(bad, l.Path) {
+			out = append(out, l)
+		}
+	}
+	return out
+}
+
+// covered reports whether a place or one that encloses it is in the set.
+func covered(places map[string]bool, path string) bool {
+	for path != "" {
+		if places[path] {
+			return true
+		}
+		path = path[:max(0, strings.LastIndexAny(path, ".["))]
+	}
+	return false
+}
