pick: choice of targets by locality, load and health

Cause: load must stay near its callers without overloading near targets, and a failing target must lose its work. Change: package pick keeps the loads that answers carry, chooses by power of two choices within the nearest usable tier, spills over with hysteresis before overload, ejects failing targets within a bound and probes them.

--- /dev/null
+++ b/pick/pick.go
@@ -0,0 +1,289 @@
+// Package pick chooses the target of a request.
+//
+// A Chooser keeps what its process knows of the targets: the load that came back with their answers, what it has in flight
+// at them itself, and who failed. It is a pure decision: time and randomness come in as arguments; the caller serializes.
+//
+// Invariants:
+//   - A target is picked only in a region that the route allows.
+//   - A target is not picked while its failure domain or instance is out of service, or after it or the platform said that
+//     it is leaving.
+//   - At most MaxEjected of a service's targets are ejected for errors at the same time.
+//   - A farther tier is used only while the nearer ones are near their limits or can't be used.
+package pick
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/snapshot"
+)
+
+// Tier is the distance of a target.
+type Tier uint8
+
+// The tiers, nearest first.
+const (
+	OwnDomain Tier = iota
+	OwnRegion
+	OtherRegion
+	tiers
+)
+
+// String returns the tier's name.
+func (t Tier) String() string {
+	switch t {
+	case OwnDomain:
+		return "own-failure-domain"
+	case OwnRegion:
+		return "own-region"
+	case OtherRegion:
+		return "other-region"
+	}
+	return "unknown"
+}
+
+// Reason says why a target can't be picked, or why none can.
+type Reason string
+
+// The reasons.
+const (
+	// Usable is the verdict on a target that may be picked.
+	Usable Reason = "usable"
+	// RegionForbidden targets are outside the route's home regions.
+	RegionForbidden Reason = "region-forbidden"
+	// DomainUnknown targets are in a failure domain that the catalogue lacks.
+	DomainUnknown Reason = "failure-domain-unknown"
+	// DomainOut targets are in a failure domain out of service.
+	DomainOut Reason = "failure-domain-out"
+	// InstanceOut targets are on an instance out of service.
+	InstanceOut Reason = "instance-out"
+	// ListedLeaving targets are leaving by the platform's list.
+	ListedLeaving Reason = "leaving-by-list"
+	// SaidLeaving targets said themselves that they are leaving.
+	SaidLeaving Reason = "leaving-by-own-word"
+	// Unreachable targets refused or dropped the last connection and wait for a probe.
+	Unreachable Reason = "unreachable"
+	// Ejected targets gave errors in a row and wait for a probe.
+	Ejected Reason = "ejected"
+	// Probing targets have one request in flight that decides on their return.
+	Probing Reason = "probing"
+	// Tried targets were already given this request.
+	Tried Reason = "already-tried"
+	// NoTargets says that the service has no instance.
+	NoTargets Reason = "no-targets"
+	// NoneUsable says that no target can be picked, for differing reasons.
+	NoneUsable Reason = "none-usable"
+)
+
+// Remedy returns what an operator or a caller can do.
+func (r Reason) Remedy() string {
+	switch r {
+	case RegionForbidden:
+		return "bring targets into service in the route's home regions, or widen its homeRegions in the catalogue"
+	case DomainUnknown:
+		return "add the failure domain to a region of the catalogue"
+	case DomainOut:
+		return "set the failure domain's state to \"in\" in the catalogue"
+	case InstanceOut:
+		return "set the instance's state to \"in\" in the catalogue"
+	case ListedLeaving, SaidLeaving:
+		return "none; the target is leaving, use another"
+	case Unreachable:
+		return "check the instance's daemon and the network; it is probed again by itself"
+	case Ejected, Probing:
+		return "check the target's errors; it is probed again by itself"
+	case Tried:
+		return "retry after a backoff"
+	case NoTargets:
+		return "start instances of the service or wait until the platform's list shows them"
+	case NoneUsable:
+		return "run chervilwellctl explain for each target's verdict; retry after a backoff"
+	}
+	return "none"
+}
+
+// Refusal says that no target can be picked. No byte of the request went anywhere.
+type Refusal struct {
+	Service string
+	Reason  Reason
+}
+
+// Error implements error and names the remedy.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("service %q has no usable target (%s); %s", r.Service, r.Reason, r.Reason.Remedy())
+}
+
+// Choice is the target picked.
+type Choice struct {
+	Instance platform.Instance
+	Tier     Tier
+	// Probe says that the target is on trial after it was unreachable or ejected.
+	Probe bool
+}
+
+// Self names the place of the process that picks.
+type Self struct {
+	Instance      string
+	FailureDomain string
+}
+
+// Times and bounds of the choice.
+const (
+	// spillFrom is the utilisation of a tier from which on a growing part of the requests goes to the next one; below
+	// spillUntil none does.
+	spillFrom  = 0.80
+	spillUntil = 0.65
+	// spillRegionFrom and spillRegionUntil are the same for the step to another region, whose link is paid for.
+	spillRegionFrom  = 0.90
+	spillRegionUntil = 0.75
+	// loadHalfLife is the age at which a reported load counts half.
+	loadHalfLife = time.Second
+	// sampleTargets is the number of targets from which a tier's utilisation is estimated.
+	sampleTargets = 16
+)
+
+// Chooser picks targets for one process.
+type Chooser struct {
+	self    Self
+	state   *snapshot.State
+	tables  map[string]*table
+	targets map[string]*target
+}
+
+// New returns a chooser that knows nothing of any target.
+func New(self Self) *Chooser {
+	return &Chooser{self: self, tables: map[string]*table{}, targets: map[string]*target{}}
+}
+
+// Pick chooses a target for a request of the route. The instances in tried are left out.
+// The error is a *Refusal. Call Started when the request is sent and Ended when it is over.
+func (c *Chooser) Pick(now time.Time, rng *rand.Rand, state *snapshot.State, route *snapshot.Route, tried []string) (Choice, error) {
+	t := c.table(state, route)
+	tier, ok := c.chooseTier(now, rng, t, tried)
+	if !ok {
+		return c.lastResort(now, t, tried)
+	}
+	cand := c.chooseTarget(now, rng, t, tier, tried)
+	return Choice{Instance: cand.instance, Tier: tier, Probe: cand.target.onTrial(now)}, nil
+}
+
+// chooseTier walks outwards from the nearest usable tier while the tier is loaded and the next one is less so.
+func (c *Chooser) chooseTier(now time.Time, rng *rand.Rand, t *table, tried []string) (Tier, bool) {
+	chosen, found := tiers, false
+	var load float64
+	for tier := OwnDomain; tier < tiers; tier++ {
+		u, usable := c.utilisation(now, rng, t, tier, tried)
+		if !usable {
+			continue
+		}
+		if !found {
+			chosen, load, found = tier, u, true
+		} else if t.spills(chosen, tier, load, rng) && u < load {
+			chosen, load = tier, u
+		} else {
+			break
+		}
+	}
+	return chosen, found
+}
+
+// utilisation returns the load of a tier's usable targets against their limits.
+func (c *Chooser) utilisation(now time.Time, rng *rand.Rand, t *table, tier Tier, tried []string) (float64, bool) {
+	list := t.tiers[tier]
+	step, offset := 1, 0
+	if len(list) > sampleTargets {
+		step = len(list) / sampleTargets
+		offset = rng.IntN(step)
+	}
+	var load, limit float64
+	for i := offset; i < len(list); i += step {
+		if c.judge(now, t, &list[i], tried) != Usable {
+			continue
+		}
+		l, m := list[i].target.estimate(now, t.coldSlots)
+		load += l
+		limit += m
+	}
+	if limit == 0 && step > 1 {
+		return 1, c.anyUsable(now, t, tier, tried)
+	}
+	if limit == 0 {
+		return 0, false
+	}
+	return load / limit, true
+}
+
+func (c *Chooser) anyUsable(now time.Time, t *table, tier Tier, tried []string) bool {
+	for i := range t.tiers[tier] {
+		if c.judge(now, t, &t.tiers[tier][i], tried) == Usable {
+			return true
+		}
+	}
+	return false
+}
+
+// chooseTarget takes the less loaded of two usable targets. The own instance's target is always one of the two, because it
+// needs no network.
+func (c *Chooser) chooseTarget(now time.Time, rng *rand.Rand, t *table, tier Tier, tried []string) *candidate {
+	list := t.tiers[tier]
+	start := rng.IntN(len(list))
+	var best *candidate
+	if t.own >= 0 && tier == OwnDomain && c.judge(now, t, &list[t.own], tried) == Usable {
+		best = &list[t.own]
+	}
+	want := 2
+	if best != nil {
+		want = 1
+	}
+	stride := 1
+	if len(list) > 2 {
+		stride = 1 + rng.IntN(len(list)-1)
+	}
+	for i, n := 0, 0; i < len(list) && n < want; i++ {
+		cand := &list[t.step(start, stride, i, len(list))]
+		if cand == best || c.judge(now, t, cand, tried) != Usable {
+			continue
+		}
+		n++
+		if best == nil || cand.target.score(now, t.coldSlots) < best.target.score(now, t.coldSlots) {
+			best = cand
+		}
+	}
+	return best
+}
+
+// lastResort picks the target whose ejection ends first if nothing but ejections stands in the way.
+func (c *Chooser) lastResort(now time.Time, t *table, tried []string) (Choice, error) {
+	var best *candidate
+	for tier := range t.tiers {
+		for i := range t.tiers[tier] {
+			cand := &t.tiers[tier][i]
+			verdict := c.judge(now, t, cand, tried)
+			if verdict != Unreachable && verdict != Ejected {
+				continue
+			}
+			if best == nil || cand.target.until.Before(best.target.until) {
+				best = cand
+			}
+		}
+	}
+	if best == nil {
+		return Choice{}, &Refusal{Service: t.service, Reason: c.commonReason(now, t, tried)}
+	}
+	return Choice{Instance: best.instance, Tier: best.tier, Probe: true}, nil
+}
+
+// commonReason returns the verdict that all targets share.
+func (c *Chooser) commonReason(now time.Time, t *table, tried []string) Reason {
+	reason := NoTargets
+	for i := range t.all {
+		verdict := c.judge(now, t, &t.all[i], tried)
+		if reason != NoTargets && verdict != reason {
+			return NoneUsable
+		}
+		reason = verdict
+	}
+	return reason
+}
