--- /dev/null
+++ b/distribution/accept.go
@@ -0,0 +1,182 @@
+package distribution
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/chervilwell/chervilwell/document"
+	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/snapshot"
+)
+
+// Bounds of what peers may make this process hold.
+const (
+	maxChunks    = 1 << 12
+	maxDocuments = 256
+	maxRefused   = 64
+)
+
+// onPush applies deltas, each on the base that it names.
+func (c *Core) onPush(now time.Time, from Address, p *Push) {
+	for _, data := range p.Deltas {
+		var d document.Delta
+		if err := document.Unpack(data, &d); err != nil {
+			c.reportDamaged(from, DocumentVersion{}, err)
+			continue
+		}
+		c.acceptDelta(now, from, d)
+	}
+}
+
+func (c *Core) reportDamaged(from Address, v DocumentVersion, err error) {
+	v.Name = "damaged/" + from.Name
+	c.reportOnce(v, Report{
+		Kind: ReportRefused, Subject: from.Name, Detail: "delta from peer refused: " + err.Error(),
+		Remedy: "check the peer's version and the network between",
+	})
+}
+
+func (c *Core) acceptDelta(now time.Time, from Address, d document.Delta) {
+	if !allowedName(d.Name) || d.Chunks > maxChunks || (c.store.docs[d.Name] == nil && len(c.store.docs) >= maxDocuments) {
+		c.reportDamaged(from, DocumentVersion{}, errors.Errorf("document %q is not distributed", d.Name))
+		return
+	}
+	if ch := c.relay.children[from.Name]; ch != nil {
+		ch.known[d.Name] = compact(d.Name, d.Target)
+	}
+	if !c.follows(d.Name, d.Target, "peer "+from.Name) {
+		return
+	}
+	doc, err := document.Apply(c.store.exact(d.Name, d.Base), d)
+	if errors.Is(err, document.ErrBaseMismatch) {
+		c.send(from, Message{Pull: &Pull{Held: []DocumentVersion{c.store.version(d.Name)}}})
+		return
+	}
+	if err != nil {
+		delete(c.relay.pulls, d.Name)
+		c.reportDamaged(from, compact(d.Name, d.Target), err)
+		return
+	}
+	c.accept(now, doc, from.Name)
+}
+
+func compact(name string, v document.Version) DocumentVersion {
+	out := DocumentVersion{Name: name, Revision: v.Revision}
+	for _, b := range v.Digest[:8] {
+		out.Digest = out.Digest<<8 | uint64(b)
+	}
+	return out
+}
+
+// follows reports whether a version may replace the one held, and reports it if it must not. A version that is held
+// already is not news and yields false.
+func (c *Core) follows(name string, next document.Version, origin string) bool {
+	current := c.store.get(name)
+	if c.refused[compact(name, next)] {
+		return false
+	}
+	if current == nil {
+		return next.Revision > 0
+	}
+	if current.Version() == next {
+		return false
+	}
+	err := snapshot.Follows(current.Version(), next)
+	switch {
+	case err == nil:
+		return true
+	case errors.Is(err, snapshot.ErrConflict):
+		c.reportOnce(compact(name, next), Report{
+			Kind: ReportConflict, Subject: name, Version: next, Detail: origin + " offers the revision held with another digest",
+			Remedy: "publish the wanted content under a higher revision",
+		})
+	default:
+		c.reportOnce(compact(name, next), Report{
+			Kind: ReportOlder, Subject: name, Version: next, Detail: origin + " offers an older revision than the one held",
+			Remedy: "wait until the source has caught up, or publish the content under a higher revision",
+		})
+	}
+	return false
+}
+
+// accept holds a verified document that follows the one held, once it passed its check, and forwards it.
+func (c *Core) accept(now time.Time, doc *document.Document, origin string) {
+	previous := c.store.get(doc.Name())
+	if err := c.check(now, doc, previous); err != nil {
+		c.refuse(doc, origin, err)
+		return
+	}
+	c.store.put(doc)
+	delete(c.relay.pulls, doc.Name())
+	c.emit(Applied{Document: doc, Previous: previous})
+	c.forward(now, doc.Name(), origin)
+	c.joinApplied(now, doc)
+}
+
+// check puts a catalogue in force, or takes a list of instances into the membership.
+func (c *Core) check(now time.Time, doc, previous *document.Document) error {
+	if doc.Name() == catalogueName {
+		if c.cfg.Check == nil {
+			return nil
+		}
+		topology, err := c.cfg.Check(doc)
+		if err == nil {
+			c.topology = topology
+		}
+		return err
+	}
+	return c.takeList(now, doc, previous)
+}
+
+// takeList updates the membership by the difference between two versions of a list.
+func (c *Core) takeList(now time.Time, doc, previous *document.Document) error {
+	diff := document.Diff(previous, doc)
+	set := make([]platform.Instance, len(diff.Set))
+	for i, e := range diff.Set {
+		if err := document.Unmarshal(e.Value, &set[i]); err != nil {
+			return errors.Wrapf(err, "instance %q", e.Key)
+		}
+		if set[i].Name != e.Key || platform.InstancesDocument(set[i].FailureDomain) != doc.Name() {
+			return errors.Errorf("instance %q is listed as %q of failure domain %q; correct the list", e.Key, set[i].Name, set[i].FailureDomain)
+		}
+	}
+	c.members.List(now, set, diff.Removed)
+	return nil
+}
+
+// refuse remembers a bad version, so that it is neither fetched nor checked again.
+func (c *Core) refuse(doc *document.Document, origin string, err error) {
+	if len(c.refused) >= maxRefused {
+		clear(c.refused)
+	}
+	c.refused[versionOf(doc)] = true
+	c.emit(Report{
+		Kind: ReportRefused, Subject: doc.Name(), Version: doc.Version(),
+		Detail: "version from " + origin + " refused as a whole: " + err.Error(),
+		Remedy: "correct the entry named and publish under a higher revision",
+	})
+}
+
+// forward pushes the current version of a document to the children that lack it, each on the base that it holds.
+func (c *Core) forward(now time.Time, name, origin string) {
+	version := c.store.version(name)
+	for _, id := range sortedNames(c.relay.children) {
+		ch := c.relay.children[id]
+		if id == origin {
+			ch.known[name] = version
+			continue
+		}
+		base, ok := ch.known[name]
+		if (!ok && !ch.synced) || base.Revision >= version.Revision {
+			continue
+		}
+		if !ok {
+			base = DocumentVersion{Name: name}
+		}
+		if push := c.appendDelta(now, nil, base); len(push) > 0 {
+			ch.known[name] = version
+			c.send(ch.to, Message{Push: &Push{Deltas: push}})
+		}
+	}
+}
--- /dev/null
+++ b/distribution/distribution_test.go
@@ -0,0 +1,38 @@
+package distribution
+
+import (
+	"testing"
+	"time"
+)
+
+// requireConverged fails unless all instances hold the revision and the lists within the limit.
+func requireConverged(t fatalf, f *fleet, revision uint64, limit time.Duration) time.Duration {
+	start := f.now
+	for f.now.Sub(start) < limit {
+		if len(f.behind(revision)) == 0 {
+			return f.now.Sub(start)
+		}
+		f.run(20 * time.Millisecond)
+	}
+	if list := f.behind(revision); len(list) > 0 {
+		n := f.nodes[list[0]]
+		t.Fatalf("%d instances are behind revision %d after %v: %v; first: %+v", len(list), revision, limit, list[:min(len(list), 8)], n.Status(f.now))
+	}
+	return limit
+}
+
+func TestFleetStartsAndFollows(t *testing.T) {
+	f := newFleet(t, 1, 25)
+	took := requireConverged(t, f, 1, 10*time.Second)
+	t.Logf("start of %d instances: %v, %d reads", len(f.names), took, f.reads)
+	f.run(5 * time.Second)
+	reads := f.reads
+	clear(f.bytes)
+	for revision := uint64(2); revision <= 11; revision++ {
+		f.publish(revision)
+		took := requireConverged(t, f, revision, time.Second)
+		t.Logf("revision %d: %v", revision, took)
+		f.run(time.Second)
+	}
+	t.Logf("reads for 10 changes: %d; bytes between regions: %v", f.reads-reads, f.bytes)
+}
--- /dev/null
+++ b/distribution/fleet_test.go
@@ -0,0 +1,452 @@
+package distribution
+
+import (
+	"container/heap"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/chervilwell/chervilwell/catalogue"
+	"github.com/chervilwell/chervilwell/document"
+	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/snapshot"
+)
+
+// fatalf is what the fleet reports a broken invariant with.
+type fatalf interface {
+	Fatalf(format string, args ...any)
+}
+
+// fleet runs many cores over a small network in virtual time.
+type fleet struct {
+	t     fatalf
+	rng   *rand.Rand
+	now   time.Time
+	seq   int
+	queue timeline
+
+	nodes map[string]*node
+	names []string
+	seeds []string
+
+	// Faults of the network, as probabilities, and cuts between failure domains.
+	loss, duplicate, corrupt float64
+	cut                      map[[2]string]bool
+
+	// The platform.
+	versions  []*document.Document // every catalogue published
+	published *document.Document
+	chunks    map[document.Digest][]document.Entry
+	lists     map[string]*document.Document
+	down      bool
+	cutStore  map[string]bool
+	reads     int
+	readTimes []time.Time
+	waiting   []waitingRead
+	bytes     map[[2]string]int // by region pair
+}
+
+type node struct {
+	*Core
+	inst   platform.Instance
+	holder *snapshot.Holder
+	// life numbers the lives of the instance; events of an earlier one are void.
+	life    uint64
+	paused  bool
+	backlog []func()
+	applied []uint64
+	reports []Report
+	notices []Notice
+}
+
+type waitingRead struct {
+	n      *node
+	life   uint64
+	action Action
+}
+
+type scheduled struct {
+	at  time.Time
+	seq int
+	run func()
+}
+
+type timeline []scheduled
+
+func (q timeline) Len() int { return len(q) }
+func (q timeline) Less(i, j int) bool {
+	return q[i].at.Before(q[j].at) || (q[i].at.Equal(q[j].at) && q[i].seq < q[j].seq)
+}
+func (q timeline) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *timeline) Push(x any)   { *q = append(*q, x.(scheduled)) }
+func (q *timeline) Pop() any {
+	last := (*q)[len(*q)-1]
+	*q = (*q)[:len(*q)-1]
+	return last
+}
+
+var domains = []string{"obb-muc", "obb-ro", "nbb-la", "nbb-pa"}
+
+func regionOf(fd string) string { return fd[:3] }
+
+// newFleet starts perDomain instances in each failure domain, all at once. Revision 1 is published.
+func newFleet(t fatalf, seed uint64, perDomain int) *fleet {
+	f := &fleet{
+		t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1_000_000, 0),
+		nodes: map[string]*node{}, cut: map[[2]string]bool{}, chunks: map[document.Digest][]document.Entry{},
+		lists: map[string]*document.Document{}, cutStore: map[string]bool{}, bytes: map[[2]string]int{},
+	}
+	for i := range perDomain {
+		for _, fd := range domains {
+			name := fmt.Sprintf("%s-%d", fd, i)
+			f.names = append(f.names, name)
+			f.nodes[name] = &node{inst: instance(name)}
+			if i == 0 {
+				f.seeds = append(f.seeds, name)
+			}
+		}
+	}
+	f.publish(1)
+	for _, fd := range domains {
+		f.list(fd, 1, f.names...)
+	}
+	for _, name := range f.names {
+		f.start(name)
+	}
+	return f
+}
+
+func instance(name string) platform.Instance {
+	return platform.Instance{
+		Name: name, FailureDomain: name[:strings.LastIndex(name, "-")], Service: "lagerstand",
+		PeerAddr: name, RequestAddr: name, State: platform.Live,
+	}
+}
+
+// start begins a new life of an instance.
+func (f *fleet) start(name string) {
+	n := f.nodes[name]
+	n.life++
+	n.holder = snapshot.NewHolder()
+	n.paused, n.backlog, n.applied = false, nil, nil
+	n.Core = New(Config{
+		Self: n.inst, Incarnation: n.life, Region: regionOf(n.inst.FailureDomain), StoreRegions: []string{"obb"},
+		Seeds: f.seeds, HasSource: true, FleetSize: len(f.names), Check: n.check(),
+		Rand: rand.New(rand.NewPCG(f.rng.Uint64(), 3)),
+	})
+	f.tick(n, n.life)
+}
+
+// stop ends the life of an instance without notice.
+func (f *fleet) stop(name string) { f.nodes[name].life++ }
+
+func (n *node) check() func(*document.Document) (Topology, error) {
+	holder := n.holder
+	return func(doc *document.Document) (Topology, error) {
+		if err := holder.Accept(doc); err != nil {
+			return Topology{}, err
+		}
+		config := holder.Load().Config
+		var t Topology
+		for _, region := range config.Regions() {
+			r := Region{Name: region}
+			for _, fd := range config.FailureDomains() {
+				if config.RegionOf(fd) == region {
+					r.FailureDomains = append(r.FailureDomains, fd)
+				}
+			}
+			t.Regions = append(t.Regions, r)
+		}
+		return t, nil
+	}
+}
+
+func (f *fleet) at(d time.Duration, run func()) {
+	f.seq++
+	heap.Push(&f.queue, scheduled{f.now.Add(d), f.seq, run})
+}
+
+// run lets virtual time pass.
+func (f *fleet) run(d time.Duration) {
+	end := f.now.Add(d)
+	for len(f.queue) > 0 && !f.queue[0].at.After(end) {
+		next := heap.Pop(&f.queue).(scheduled)
+		f.now = next.at
+		next.run()
+	}
+	f.now = end
+}
+
+func (f *fleet) tick(n *node, life uint64) {
+	if n.life != life {
+		return
+	}
+	f.step(n, life, Tick{})
+	f.at(95*time.Millisecond+time.Duration(f.rng.Int64N(int64(10*time.Millisecond))), func() { f.tick(n, life) })
+}
+
+// step passes an event to a node, or keeps it while the node is paused.
+func (f *fleet) step(n *node, life uint64, e Event) {
+	if n.life != life {
+		return
+	}
+	if n.paused {
+		if _, ok := e.(Tick); !ok {
+			n.backlog = append(n.backlog, func() { f.step(n, life, e) })
+		}
+		return
+	}
+	for _, a := range n.Step(f.now, e) {
+		f.perform(n, a)
+	}
+}
+
+// wake ends a pause: what came meanwhile is handled first, as by a process that was stopped.
+func (f *fleet) wake(n *node) {
+	n.paused = false
+	backlog := n.backlog
+	n.backlog = nil
+	for _, run := range backlog {
+		run()
+	}
+}
+
+func (f *fleet) perform(n *node, a Action) {
+	switch act := a.(type) {
+	case Send:
+		f.send(n, act)
+	case Applied:
+		f.checkApplied(n, act)
+	case Report:
+		n.reports = append(n.reports, act)
+	case Deliver:
+		n.notices = append(n.notices, act.Notice)
+	case StopManifest, StopList:
+		f.waiting = deleteRead(f.waiting, n, a)
+	default:
+		f.read(n, a)
+	}
+}
+
+func (f *fleet) checkApplied(n *node, act Applied) {
+	if act.Previous != nil && act.Previous.Revision() >= act.Document.Revision() {
+		f.t.Fatalf("%s: %s went from revision %d to %d", n.inst.Name, act.Document.Name(), act.Previous.Revision(), act.Document.Revision())
+	}
+	if act.Document.Name() != catalogueName {
+		return
+	}
+	n.applied = append(n.applied, act.Document.Revision())
+	config := n.holder.Load().Config
+	for _, r := range config.Routes() {
+		if config.Service(r.Service) == nil || config.Organisation(r.Owner) == nil {
+			f.t.Fatalf("%s: route %q points at what revision %d lacks", n.inst.Name, r.Name, act.Document.Revision())
+		}
+	}
+}
+
+// send carries one message with the faults set.
+func (f *fleet) send(n *node, s Send) {
+	to := f.nodes[s.To.Addr]
+	data, err := Encode(s.Message)
+	if err != nil {
+		f.t.Fatalf("encode: %v", err)
+	}
+	ra, rb := regionOf(n.inst.FailureDomain), regionOf(to.inst.FailureDomain)
+	f.bytes[[2]string{ra, rb}] += len(data)
+	delay := time.Millisecond + time.Duration(f.rng.Int64N(int64(time.Millisecond)))
+	if ra != rb {
+		delay += 11 * time.Millisecond
+	}
+	copies := 1
+	if f.rng.Float64() < f.duplicate {
+		copies++
+	}
+	for range copies {
+		if f.rng.Float64() < f.loss {
+			continue
+		}
+		arrived := data
+		if f.rng.Float64() < f.corrupt {
+			arrived = append([]byte(nil), data...)
+			arrived[f.rng.IntN(len(arrived))] ^= byte(1 + f.rng.IntN(255))
+		}
+		// Reordering: a tenth of the messages is late.
+		late := time.Duration(0)
+		if f.loss > 0 && f.rng.IntN(10) == 0 {
+			late = time.Duration(f.rng.Int64N(int64(300 * time.Millisecond)))
+		}
+		f.at(delay+late, func() { f.arrive(n, to, arrived) })
+	}
+}
+
+func (f *fleet) arrive(from, to *node, data []byte) {
+	if f.cut[[2]string{from.inst.FailureDomain, to.inst.FailureDomain}] {
+		return
+	}
+	m, err := Decode(data)
+	if err != nil {
+		return
+	}
+	f.step(to, to.life, Received{From: Address{Name: from.inst.Name, Addr: from.inst.PeerAddr}, Message: m})
+}
+
+// sever cuts or heals the links between the failure domains of two groups.
+func (f *fleet) sever(a, b []string, cut bool) {
+	for _, x := range a {
+		for _, y := range b {
+			f.cut[[2]string{x, y}], f.cut[[2]string{y, x}] = cut, cut
+		}
+	}
+}
+
+// publish puts a catalogue on the platform. Its routes differ with the revision.
+func (f *fleet) publish(revision uint64) {
+	doc := makeCatalogue(revision)
+	f.versions = append(f.versions, doc)
+	f.published = doc
+	for i, d := range doc.ChunkDigests() {
+		f.chunks[d] = doc.ChunkEntries(i)
+	}
+	f.wakeReads()
+}
+
+func makeCatalogue(revision uint64) *document.Document {
+	var c catalogue.Catalogue
+	text := `{"revision": 1,
+	"organisations": [{"name": "haulier-a", "share": 0.4}],
+	"regions": [
+	 {"name": "obb", "failureDomains": [{"name": "obb-muc", "state": "in"}, {"name": "obb-ro", "state": "in"}]},
+	 {"name": "nbb", "failureDomains": [{"name": "nbb-la", "state": "in"}, {"name": "nbb-pa", "state": "in"}]}],
+	"services": [{"name": "lagerstand", "owner": "haulier-a", "class": "interactive", "homeRegions": [],
+	 "limits": {"slots": 20, "connections": 120, "queue": 40, "coldSlots": 2, "coldPeriod": "20s", "drain": "10s"}}],
+	"routes": [{"name": "stock-view", "owner": "haulier-a", "class": "interactive", "service": "lagerstand",
+	 "match": {"pathPrefix": "/lagerstand/"}, "repeat": "safe",
+	 "limits": {"timeout": "800ms", "concurrency": 200, "bodyBytes": 1048576}}]}`
+	if err := json.Unmarshal([]byte(text), &c); err != nil {
+		panic(err)
+	}
+	c.Revision = revision
+	// Each revision replaces the service that all routes point at, so that half a change would leave a dangling route.
+	c.Services[0].Name = fmt.Sprintf("lagerstand-%d", revision)
+	c.Routes[0].Service = c.Services[0].Name
+	doc, err := catalogue.Encode(&c)
+	if err != nil {
+		panic(err)
+	}
+	return doc
+}
+
+// list publishes the platform's list of a failure domain.
+func (f *fleet) list(fd string, version uint64, names ...string) {
+	l := platform.InstanceList{FailureDomain: fd, Version: version}
+	for _, name := range names {
+		if inst := instance(name); inst.FailureDomain == fd {
+			l.Instances = append(l.Instances, inst)
+		}
+	}
+	doc, err := snapshot.EncodeInstances(l)
+	if err != nil {
+		panic(err)
+	}
+	f.lists[fd] = doc
+	f.wakeReads()
+}
+
+func deleteRead(list []waitingRead, n *node, stop Action) []waitingRead {
+	var out []waitingRead
+	for _, w := range list {
+		if w.n == n && readID(w.action) == readID(stop) {
+			continue
+		}
+		out = append(out, w)
+	}
+	return out
+}
+
+func readID(a Action) uint64 {
+	switch act := a.(type) {
+	case WatchManifest:
+		return act.ID
+	case WatchList:
+		return act.ID
+	case StopManifest:
+		return act.ID
+	case StopList:
+		return act.ID
+	}
+	return 0
+}
+
+// read performs a read of the platform after its delay.
+func (f *fleet) read(n *node, a Action) {
+	f.reads++
+	f.readTimes = append(f.readTimes, f.now)
+	life := n.life
+	f.at(5*time.Millisecond, func() { f.answer(waitingRead{n, life, a}) })
+}
+
+func (f *fleet) wakeReads() {
+	list := f.waiting
+	f.waiting = nil
+	for _, w := range list {
+		f.answer(w)
+	}
+}
+
+// answer answers a read, or keeps it waiting for a change.
+func (f *fleet) answer(w waitingRead) {
+	var err error
+	if f.down || f.cutStore[w.n.inst.FailureDomain] {
+		err = platform.ErrUnavailable
+	}
+	switch a := w.action.(type) {
+	case WatchManifest:
+		m := catalogue.ManifestOf(f.published)
+		tag := fmt.Sprint(m.Revision)
+		if err == nil && a.After == tag {
+			f.waiting = append(f.waiting, w)
+			return
+		}
+		f.step(w.n, w.life, ManifestRead{ID: a.ID, Manifest: m, Tag: tag, Err: err})
+	case WatchList:
+		doc := f.lists[a.FailureDomain]
+		if err == nil && a.After >= doc.Revision() {
+			f.waiting = append(f.waiting, w)
+			return
+		}
+		f.step(w.n, w.life, ListRead{ID: a.ID, FailureDomain: a.FailureDomain, Document: doc, Err: err})
+	case ReadChunk:
+		entries, ok := f.chunks[a.Digest]
+		if err == nil && !ok {
+			err = platform.ErrNotFound
+		}
+		f.step(w.n, w.life, ChunkRead{Digest: a.Digest, Entries: entries, Err: err})
+	}
+}
+
+// setDown takes the platform down or up; waiting reads fail.
+func (f *fleet) setDown(down bool) {
+	f.down = down
+	f.wakeReads()
+}
+
+// behind returns the names of the instances that lack the catalogue revision or any published list.
+func (f *fleet) behind(revision uint64) []string {
+	var out []string
+	for _, name := range f.names {
+		n := f.nodes[name]
+		if n.Version(catalogueName).Revision != revision || n.Phase() != Joined {
+			out = append(out, name)
+			continue
+		}
+		for fd, doc := range f.lists {
+			if n.Version(platform.InstancesDocument(fd)) != doc.Version() {
+				out = append(out, name)
+				break
+			}
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/distribution/reader.go
@@ -0,0 +1,339 @@
+package distribution
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/time/rate"
+
+	"github.com/chervilwell/chervilwell/catalogue"
+	"github.com/chervilwell/chervilwell/document"
+	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/rank"
+)
+
+// Bounds of the backoff of reads of the platform.
+const (
+	readBackoffMin = 200 * time.Millisecond
+	readBackoffMax = 8 * time.Second
+)
+
+// ErrNoChange is the outcome of a watch that ended without a change; it is begun again.
+var ErrNoChange = errors.New("watch ended without a change; it is begun again")
+
+// watch is a standing read of the platform.
+type watch struct {
+	id      uint64
+	waiting bool
+	after   string
+	version uint64
+	nextAt  time.Time
+	delay   time.Duration
+}
+
+// fetch collects the chunks of one published catalogue.
+type fetch struct {
+	manifest catalogue.Manifest
+	have     map[document.Digest][]document.Entry
+	waiting  map[document.Digest]bool
+	nextAt   time.Time
+	delay    time.Duration
+}
+
+// readerState holds what this process reads from the platform.
+type readerState struct {
+	limiter  *rate.Limiter
+	lastID   uint64
+	manifest *watch
+	lists    map[string]*watch
+	fetch    *fetch
+	failing  bool
+}
+
+func newReader(l Limits) readerState {
+	return readerState{limiter: newLimiter(l.ReadsPerSecond, l.ReadBurst), lists: map[string]*watch{}}
+}
+
+// readerTick starts and stops the watches that the process's role calls for.
+func (c *Core) readerTick(now time.Time) {
+	if !c.cfg.HasSource {
+		return
+	}
+	manifest, lists := c.wantedReads(now)
+	c.watchManifest(now, manifest)
+	for fd, w := range c.reader.lists {
+		if !slices.Contains(lists, fd) {
+			c.stopList(fd, w)
+		}
+	}
+	for _, fd := range lists {
+		c.watchList(now, fd)
+	}
+	if f := c.reader.fetch; f != nil && !now.Before(f.nextAt) {
+		c.requestChunks(now)
+	}
+}
+
+// wantedReads returns whether to watch the manifest, and the failure domains whose lists to watch.
+func (c *Core) wantedReads(now time.Time) (bool, []string) {
+	if c.phase == Joining && c.store.get(catalogueName) == nil {
+		return c.joinReads(now), nil
+	}
+	if c.phase == Joining && !c.joinReads(now) {
+		return false, nil
+	}
+	if !c.tree.root {
+		return false, nil
+	}
+	if c.nearStore(c.region()) {
+		return true, c.assignedLists(now)
+	}
+	// Away from the platform it is read only while the other region is silent.
+	if c.linkAge(now) < c.cfg.Timing.Fallback || c.phase != Joined {
+		return false, nil
+	}
+	return true, []string{c.cfg.Self.FailureDomain}
+}
+
+// assignedLists returns the failure domains whose lists this root reads: its own, and those away from the platform or
+// without a usable root that rank assigns to it.
+func (c *Core) assignedLists(now time.Time) []string {
+	own := c.cfg.Self.FailureDomain
+	var readers, rest []string
+	for _, r := range c.topology.Regions {
+		for _, fd := range r.FailureDomains {
+			near := c.nearStore(r.Name) && (fd == own || len(c.members.First(now, fd, 1)) > 0)
+			if near {
+				readers = append(readers, fd)
+			} else {
+				rest = append(rest, fd)
+			}
+		}
+	}
+	lists := []string{own}
+	for _, fd := range rest {
+		if order := rank.Sort("list/"+fd, readers); len(order) == 0 || order[0] == own {
+			lists = append(lists, fd)
+		}
+	}
+	return lists
+}
+
+func (c *Core) nextID() uint64 {
+	c.reader.lastID++
+	return c.reader.lastID
+}
+
+func (c *Core) watchManifest(now time.Time, wanted bool) {
+	w := c.reader.manifest
+	if !wanted {
+		if w != nil && w.waiting {
+			c.emit(StopManifest{ID: w.id})
+		}
+		c.reader.manifest, c.reader.fetch = nil, nil
+		return
+	}
+	if w == nil {
+		w = &watch{}
+		c.reader.manifest = w
+	}
+	if w.waiting || now.Before(w.nextAt) || !c.reader.limiter.AllowN(now, 1) {
+		return
+	}
+	w.id, w.waiting = c.nextID(), true
+	c.emit(WatchManifest{ID: w.id, After: w.after})
+}
+
+func (c *Core) watchList(now time.Time, fd string) {
+	w := c.reader.lists[fd]
+	if w == nil {
+		w = &watch{version: c.store.version(platform.InstancesDocument(fd)).Revision}
+		c.reader.lists[fd] = w
+	}
+	if w.waiting || now.Before(w.nextAt) || !c.reader.limiter.AllowN(now, 1) {
+		return
+	}
+	w.id, w.waiting = c.nextID(), true
+	c.emit(WatchList{ID: w.id, FailureDomain: fd, After: w.version})
+}
+
+func (c *Core) stopList(fd string, w *watch) {
+	if w.waiting {
+		c.emit(StopList{ID: w.id, FailureDomain: fd})
+	}
+	delete(c.reader.lists, fd)
+}
+
+// stopReading ends all watches.
+func (c *Core) stopReading() {
+	c.watchManifest(time.Time{}, false)
+	for fd, w := range c.reader.lists {
+		c.stopList(fd, w)
+	}
+}
+
+// retryAfter plans the next read after a failure.
+func (c *Core) retryAfter(now time.Time, delay *time.Duration) time.Time {
+	*delay = min(max(2**delay, readBackoffMin), readBackoffMax)
+	return now.Add(c.jitter(*delay))
+}
+
+// noteSource reports when the platform stops or resumes answering.
+func (c *Core) noteSource(err error) {
+	failing := err != nil
+	if failing == c.reader.failing {
+		return
+	}
+	c.reader.failing = failing
+	r := Report{Kind: ReportSource, Subject: "platform", Detail: "platform answers again"}
+	if failing {
+		r.Detail = "platform read failed: " + err.Error()
+		r.Remedy = "the snapshot in force stays; reads are retried with a backoff"
+	}
+	c.emit(r)
+}
+
+func (c *Core) manifestRead(now time.Time, e ManifestRead) {
+	w := c.reader.manifest
+	current := w != nil && w.id == e.ID
+	if current {
+		w.waiting = false
+		if errors.Is(e.Err, ErrNoChange) {
+			return
+		}
+		c.noteSource(e.Err)
+	}
+	if e.Err != nil {
+		if current {
+			w.nextAt = c.retryAfter(now, &w.delay)
+		}
+		return
+	}
+	if current {
+		w.after, w.delay, w.nextAt = e.Tag, 0, now
+	}
+	c.takeManifest(now, e.Manifest)
+	if current {
+		c.watchManifest(now, true)
+	}
+}
+
+// takeManifest begins to fetch a catalogue that follows the one held.
+func (c *Core) takeManifest(now time.Time, m catalogue.Manifest) {
+	if !c.follows(catalogueName, m.Version(), "platform") || len(m.Chunks) > maxChunks {
+		return
+	}
+	if f := c.reader.fetch; f != nil && f.manifest.Revision >= m.Revision {
+		return
+	}
+	f := &fetch{manifest: m, have: map[document.Digest][]document.Entry{}, waiting: map[document.Digest]bool{}}
+	if held := c.store.get(catalogueName); held != nil {
+		for i, d := range held.ChunkDigests() {
+			f.have[d] = held.ChunkEntries(i)
+		}
+	}
+	f.have[document.EmptyChunk()] = nil
+	c.reader.fetch = f
+	c.requestChunks(now)
+	c.assemble(now)
+}
+
+// requestChunks reads the chunks that are lacking, within the budget.
+func (c *Core) requestChunks(now time.Time) {
+	f := c.reader.fetch
+	for _, d := range f.manifest.Chunks {
+		if _, ok := f.have[d]; ok || f.waiting[d] {
+			continue
+		}
+		if !c.reader.limiter.AllowN(now, 1) {
+			f.nextAt = now.Add(readBackoffMin)
+			return
+		}
+		f.waiting[d] = true
+		c.emit(ReadChunk{Digest: d})
+	}
+	f.nextAt = now.Add(readBackoffMax)
+}
+
+func (c *Core) chunkRead(now time.Time, e ChunkRead) {
+	f := c.reader.fetch
+	if f == nil || !f.waiting[e.Digest] {
+		return
+	}
+	delete(f.waiting, e.Digest)
+	if e.Err != nil {
+		if !errors.Is(e.Err, platform.ErrNotFound) {
+			c.noteSource(e.Err)
+		}
+		f.nextAt = c.retryAfter(now, &f.delay)
+		return
+	}
+	f.have[e.Digest] = e.Entries
+	c.assemble(now)
+}
+
+// assemble builds the catalogue once all chunks are there, and verifies it against the manifest.
+func (c *Core) assemble(now time.Time) {
+	f := c.reader.fetch
+	var entries []document.Entry
+	for _, d := range f.manifest.Chunks {
+		part, ok := f.have[d]
+		if !ok {
+			return
+		}
+		entries = append(entries, part...)
+	}
+	c.reader.fetch = nil
+	if !c.follows(catalogueName, f.manifest.Version(), "platform") {
+		return
+	}
+	doc, err := document.New(catalogueName, f.manifest.Revision, len(f.manifest.Chunks), entries)
+	if err == nil && doc.Version() != f.manifest.Version() {
+		err = document.ErrDigestMismatch
+	}
+	if err != nil {
+		c.refusePublished(f.manifest, err)
+		return
+	}
+	c.accept(now, doc, "platform")
+}
+
+// refusePublished reports a published catalogue whose chunks do not make the content that its manifest names. It is not
+// remembered as refused, since a chunk may have been damaged on its way; the next read tries again.
+func (c *Core) refusePublished(m catalogue.Manifest, err error) {
+	c.reportOnce(compact(catalogueName, m.Version()), Report{
+		Kind: ReportRefused, Subject: catalogueName, Version: m.Version(),
+		Detail: "published catalogue refused: " + err.Error(), Remedy: "publish it again with chervilwellctl render",
+	})
+	if w := c.reader.manifest; w != nil {
+		w.after = ""
+	}
+}
+
+func (c *Core) listRead(now time.Time, e ListRead) {
+	w := c.reader.lists[e.FailureDomain]
+	current := w != nil && w.id == e.ID
+	if current {
+		w.waiting = false
+		if errors.Is(e.Err, ErrNoChange) {
+			return
+		}
+		c.noteSource(e.Err)
+	}
+	if e.Err != nil {
+		if current {
+			w.nextAt = c.retryAfter(now, &w.delay)
+		}
+		return
+	}
+	if current {
+		w.version, w.delay, w.nextAt = max(w.version, e.Document.Revision()), 0, now
+	}
+	if c.follows(e.Document.Name(), e.Document.Version(), "platform") {
+		c.accept(now, e.Document, "platform")
+	}
+	if current {
+		c.watchList(now, e.FailureDomain)
+	}
+}
--- /dev/null
+++ b/distribution/relay.go
@@ -0,0 +1,271 @@
+package distribution
+
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+
+	"github.com/chervilwell/chervilwell/document"
+	"github.com/chervilwell/chervilwell/platform"
+)
+
+// Bounds of relaying.
+const (
+	// leaseIntervals is the number of heartbeat intervals after which a silent child is dropped.
+	leaseIntervals = 4
+	// maxHeartbeatInterval bounds the interval that a child may name.
+	maxHeartbeatInterval = 30 * time.Second
+	// pullAgain is the time after which a pull that was not answered is repeated.
+	pullAgain = time.Second
+	// referred bounds the peers named to a process that is turned away.
+	referred = 4
+)
+
+// child is a peer that subscribes to this process.
+type child struct {
+	to     Address
+	expiry time.Time
+	// known holds the versions that the child has, or will have once what was sent arrives.
+	known map[string]DocumentVersion
+	// synced says that known is complete.
+	synced bool
+}
+
+// relayState holds the subscribers and the bounds of what is sent to them.
+type relayState struct {
+	children map[string]*child
+	full     *rate.Limiter
+	// served lists the peers that got full documents last.
+	served []Address
+	// pulls holds the documents asked for and not yet received.
+	pulls map[string]time.Time
+}
+
+func newRelay(l Limits) relayState {
+	return relayState{
+		children: map[string]*child{},
+		full:     newLimiter(l.FullBytesPerSecond, l.FullBurst),
+		pulls:    map[string]time.Time{},
+	}
+}
+
+func (c *Core) expireChildren(now time.Time) {
+	for name, ch := range c.relay.children {
+		if now.After(ch.expiry) {
+			delete(c.relay.children, name)
+		}
+	}
+}
+
+// onHeartbeat renews a child's subscription and answers with the versions held where they differ.
+func (c *Core) onHeartbeat(now time.Time, from Address, m Message) {
+	known := c.members.Get(from.Name) != nil
+	if c.phase == Leaving {
+		return
+	}
+	if c.store.get(catalogueName) == nil {
+		c.introduced(from)
+		c.send(from, Message{Ack: &Ack{Joining: true, Introduce: !known}, Sender: c.self()})
+		return
+	}
+	ch := c.relay.children[from.Name]
+	if ch == nil {
+		if len(c.relay.children) >= c.cfg.Limits.Children {
+			c.send(from, Message{Busy: &Busy{RetryAfterMs: 2000, Subscription: true}})
+			return
+		}
+		ch = &child{known: map[string]DocumentVersion{}}
+		c.relay.children[from.Name] = ch
+	}
+	interval := min(time.Duration(m.Heartbeat.IntervalMs)*time.Millisecond, maxHeartbeatInterval)
+	ch.to = from
+	ch.expiry = now.Add(leaseIntervals * interval)
+	ack := &Ack{Introduce: !known, Pulling: c.tree.pulling}
+	if ack.Pulling {
+		ack.LinkAgeMs = uint32(min(c.linkAge(now), time.Hour).Milliseconds())
+	}
+	if m.Heartbeat.Vector == c.store.vector {
+		ch.synced = true
+		for _, v := range c.store.versions {
+			ch.known[v.Name] = v
+		}
+	} else {
+		ack.Versions = c.store.versions
+	}
+	reply := Message{Ack: ack}
+	if m.Sender != nil {
+		reply.Sender = c.self()
+	}
+	c.send(from, reply)
+}
+
+// onAck notes that an upstream lives, and pulls or pushes where versions differ.
+func (c *Core) onAck(now time.Time, from Address, a *Ack) {
+	u := c.tree.upstreams[from.Name]
+	if u == nil {
+		return
+	}
+	u.since = time.Time{}
+	u.ackAt = now
+	u.introduced = !a.Introduce
+	u.pulling = a.Pulling
+	if a.Pulling {
+		u.linkHeard = now.Add(-time.Duration(a.LinkAgeMs) * time.Millisecond)
+	}
+	if u.link {
+		c.tree.linkHeard = now
+	}
+	if a.Joining {
+		c.members.Suspect(from.Name, now.Add(c.cfg.Timing.Suspicion))
+		return
+	}
+	if len(a.Versions) > 0 {
+		c.reconcile(now, from, a.Versions)
+	}
+}
+
+// reconcile compares the versions of a peer with those held: it pulls what is newer there and pushes what is newer here.
+func (c *Core) reconcile(now time.Time, from Address, theirs []DocumentVersion) {
+	var wants []DocumentVersion
+	named := map[string]bool{}
+	var push [][]byte
+	for _, v := range theirs {
+		named[v.Name] = true
+		mine := c.store.version(v.Name)
+		switch {
+		case mine.Revision < v.Revision:
+			if c.mayPull(now, v) {
+				wants = append(wants, mine)
+			}
+		case mine.Revision > v.Revision:
+			push = c.appendDelta(now, push, v)
+		case mine.Digest != v.Digest:
+			c.reportConflict(v)
+		}
+	}
+	for _, v := range c.store.versions {
+		if !named[v.Name] {
+			push = c.appendDelta(now, push, DocumentVersion{Name: v.Name})
+		}
+	}
+	if len(wants) > 0 {
+		c.send(from, Message{Pull: &Pull{Held: wants}})
+	}
+	if len(push) > 0 {
+		c.send(from, Message{Push: &Push{Deltas: push}})
+	}
+}
+
+func (c *Core) reportConflict(v DocumentVersion) {
+	c.reportOnce(v, Report{
+		Kind: ReportConflict, Subject: v.Name, Version: document.Version{Revision: v.Revision},
+		Detail: "a peer holds the same revision with another digest",
+		Remedy: "publish the wanted content under a higher revision",
+	})
+}
+
+// mayPull reports whether a version is wanted and not asked for already.
+func (c *Core) mayPull(now time.Time, v DocumentVersion) bool {
+	if c.refused[v] || !allowedName(v.Name) || now.Before(c.relay.pulls[v.Name]) {
+		return false
+	}
+	c.relay.pulls[v.Name] = now.Add(pullAgain)
+	return true
+}
+
+// appendDelta adds the delta from base to the version held; a full one only within the budget.
+func (c *Core) appendDelta(now time.Time, list [][]byte, base DocumentVersion) [][]byte {
+	data, full, err := c.store.delta(base)
+	if err != nil || data == nil || (full && !c.relay.full.AllowN(now, min(len(data), c.cfg.Limits.FullBurst))) {
+		return list
+	}
+	return append(list, data)
+}
+
+// onPull sends the documents asked for as deltas on the versions named, or in full within the budget.
+func (c *Core) onPull(now time.Time, from Address, m Message) {
+	if c.phase == Leaving {
+		return
+	}
+	var push [][]byte
+	ch := c.relay.children[from.Name]
+	refused, full := false, false
+	for _, v := range m.Pull.Held {
+		if c.store.version(v.Name).Revision <= v.Revision {
+			continue
+		}
+		before := len(push)
+		push = c.appendDelta(now, push, v)
+		full = full || c.store.base(v) == nil
+		if len(push) == before {
+			refused = true
+			continue
+		}
+		if ch != nil {
+			ch.known[v.Name] = c.store.version(v.Name)
+		}
+	}
+	if len(push) > 0 {
+		c.send(from, Message{Push: &Push{Deltas: push}})
+		if full {
+			c.noteServed(from)
+		}
+	}
+	if refused {
+		retry := 200 + c.rng.IntN(400)
+		c.send(from, Message{Busy: &Busy{RetryAfterMs: uint32(retry), Refer: c.referrals(from.Name, m.Sender)}})
+	}
+}
+
+func (c *Core) noteServed(a Address) {
+	c.relay.served = append(c.relay.served, a)
+	if len(c.relay.served) > 4*referred {
+		c.relay.served = c.relay.served[1:]
+	}
+}
+
+// referrals names peers that were served lately, those of the asker's failure domain first.
+func (c *Core) referrals(asker string, sender *Sender) []Address {
+	fd := ""
+	if sender != nil {
+		fd = sender.Instance.FailureDomain
+	}
+	var near, far []Address
+	for _, a := range c.relay.served {
+		m := c.members.Get(a.Name)
+		switch {
+		case a.Name == asker:
+		case m != nil && m.FailureDomain == fd:
+			near = append(near, a)
+		default:
+			far = append(far, a)
+		}
+	}
+	all := append(near, far...)
+	return all[:min(len(all), referred)]
+}
+
+// onBusy turns to another peer until the refusing one may be asked again.
+func (c *Core) onBusy(now time.Time, from Address, b *Busy) {
+	retry := time.Duration(min(b.RetryAfterMs, 30_000)) * time.Millisecond
+	if c.phase == Joining {
+		for _, a := range b.Refer {
+			c.addPeer(a)
+		}
+		c.join.askedAt = time.Time{}
+		c.join.nextAsk = now.Add(c.jitter(retry))
+	}
+	if u := c.tree.upstreams[from.Name]; u != nil && b.Subscription {
+		if c.tree.full == nil || len(c.tree.full) > 64 {
+			c.tree.full = map[string]time.Time{}
+		}
+		c.tree.full[from.Name] = now.Add(c.jitter(retry))
+		delete(c.tree.upstreams, from.Name)
+	}
+}
+
+// allowedName reports whether a document name is one that the system distributes.
+func allowedName(name string) bool {
+	prefix := platform.InstancesDocument("")
+	return name == catalogueName || (len(name) > len(prefix) && name[:len(prefix)] == prefix)
+}
--- /dev/null
+++ b/distribution/status.go
@@ -0,0 +1,72 @@
+package distribution
+
+import (
+	"time"
+
+	"github.com/chervilwell/chervilwell/membership"
+)
+
+// Role is the place of a process in the relay.
+type Role string
+
+// The roles.
+const (
+	// RoleLeaf takes documents from a parent and relays to its children, if any.
+	RoleLeaf Role = "leaf"
+	// RoleRoot heads the relay tree of its failure domain.
+	RoleRoot Role = "root"
+	// RoleReader is a root that reads the platform.
+	RoleReader Role = "reader"
+	// RolePuller is a root that pulls across the link between regions.
+	RolePuller Role = "puller"
+)
+
+// Status describes a process's place in the distribution.
+type Status struct {
+	Phase     Phase
+	Role      Role
+	Parent    string
+	Upstreams []string
+	Children  []string
+	Versions  []DocumentVersion
+	// Members is the number of members known in all failure domains.
+	Members int
+	// Reads lists the standing reads of the platform.
+	Reads []string
+	// SourceFailing says that the last read of the platform failed.
+	SourceFailing bool
+	// JoinAsks is the number of rounds of a join so far.
+	JoinAsks int
+}
+
+// Status returns the state of the process for people and programs.
+func (c *Core) Status(now time.Time) Status {
+	s := Status{
+		Phase: c.phase, Role: c.role(), Parent: c.tree.parent,
+		Upstreams: sortedNames(c.tree.upstreams), Children: sortedNames(c.relay.children),
+		Versions: append([]DocumentVersion(nil), c.store.versions...), Members: c.members.Len(),
+		SourceFailing: c.reader.failing, JoinAsks: c.join.round,
+	}
+	if c.reader.manifest != nil {
+		s.Reads = append(s.Reads, "manifest")
+	}
+	s.Reads = append(s.Reads, sortedNames(c.reader.lists)...)
+	return s
+}
+
+func (c *Core) role() Role {
+	switch {
+	case c.tree.pulling:
+		return RolePuller
+	case c.reader.manifest != nil:
+		return RoleReader
+	case c.tree.root:
+		return RoleRoot
+	}
+	return RoleLeaf
+}
+
+// Members returns the instances that count as members of a failure domain, in rank order.
+func (c *Core) Members(now time.Time, failureDomain string) []*membership.Member {
+	return c.members.Order(now, failureDomain)
+}
--- a/document/document.go
+++ b/document/document.go
@@ -181,3 +181,6 @@
 		}
 	}
 }
+
+// EmptyChunk returns the digest of a chunk without entries, which no reader needs to fetch.
+func EmptyChunk() Digest { return digestEntries(nil) }
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -35,11 +35,16 @@
 	self   string
 	byName map[string]*Member
 	order  map[string][]*Member
+	// early holds words of leaving from instances that are not known yet.
+	early map[string]uint64
 }
 
+// maxEarly bounds the words of leaving kept for unknown instances.
+const maxEarly = 1024
+
 // New returns a view that knows self alone.
 func New(self platform.Instance, incarnation uint64) *View {
-	v := &View{self: self.Name, byName: map[string]*Member{}, order: map[string][]*Member{}}
+	v := &View{self: self.Name, byName: map[string]*Member{}, order: map[string][]*Member{}, early: map[string]uint64{}}
 	m := v.upsert(self)
 	m.Incarnation = incarnation
 	return v
@@ -53,7 +58,8 @@
 		m = nil
 	}
 	if m == nil {
-		m = &Member{score: rank.Score(inst.FailureDomain, inst.Name)}
+		m = &Member{score: rank.Score(inst.FailureDomain, inst.Name), left: v.early[inst.Name]}
+		delete(v.early, inst.Name)
 		m.Instance = inst
 		v.link(m)
 		return m
@@ -111,6 +117,9 @@
 	if m != nil && (incarnation < m.Incarnation || incarnation <= m.left) {
 		return false
 	}
+	if m == nil && incarnation <= v.early[inst.Name] {
+		return false
+	}
 	m = v.upsert(inst)
 	m.Incarnation = incarnation
 	m.left = 0
@@ -134,13 +143,27 @@
 // It reports whether the word was news.
 func (v *View) Left(name string, incarnation uint64) bool {
 	m := v.byName[name]
-	if m == nil || name == v.self || incarnation < m.Incarnation || m.left >= incarnation {
+	if m == nil {
+		return v.leftEarly(name, incarnation)
+	}
+	if name == v.self || incarnation < m.Incarnation || m.left >= incarnation {
 		return false
 	}
 	m.left = incarnation
 	return true
 }
 
+func (v *View) leftEarly(name string, incarnation uint64) bool {
+	if v.early[name] >= incarnation {
+		return false
+	}
+	if len(v.early) >= maxEarly {
+		clear(v.early)
+	}
+	v.early[name] = incarnation
+	return true
+}
+
 // Suspect marks an instance as silent until the given time.
 func (v *View) Suspect(name string, until time.Time) {
 	if m := v.byName[name]; m != nil && name != v.self {
--- a/snapshot/snapshot.go
+++ b/snapshot/snapshot.go
@@ -14,7 +14,6 @@
 
 	"github.com/chervilwell/chervilwell/catalogue"
 	"github.com/chervilwell/chervilwell/document"
-	"github.com/chervilwell/chervilwell/platform"
 )
 
 // Config is a catalogue compiled for look-ups.
@@ -197,75 +196,3 @@
 
 // LinkBytesPerSecond returns the capacity of the link between two regions, or 0 if it is not limited.
 func (c *Config) LinkBytesPerSecond(from, to string) int64 { return c.links[[2]string{from, to}] }
-
-// Endpoints are the instances known, indexed by service. The zero value knows none.
-type Endpoints struct {
-	byService map[string][]platform.Instance
-	byName    map[string]platform.Instance
-	versions  map[string]document.Version
-}
-
-// CompileEndpoints indexes the instances of the given documents, one for each failure domain.
-func CompileEndpoints(docs []*document.Document) (*Endpoints, error) {
-	e := &Endpoints{
-		byService: map[string][]platform.Instance{},
-		byName:    map[string]platform.Instance{},
-		versions:  map[string]document.Version{},
-	}
-	for _, doc := range docs {
-		e.versions[doc.Name()] = doc.Version()
-		var err error
-		doc.All(func(entry document.Entry) bool {
-			var inst platform.Instance
-			if err = document.Unmarshal(entry.Value, &inst); err != nil {
-				err = errors.Wrapf(err, "document %q entry %q", doc.Name(), entry.Key)
-				return false
-			}
-			e.byService[inst.Service] = append(e.byService[inst.Service], inst)
-			e.byName[inst.Name] = inst
-			return true
-		})
-		if err != nil {
-			return nil, err
-		}
-	}
-	return e, nil
-}
-
-// EncodeInstances returns the platform's list of a failure domain as a document.
-func EncodeInstances(list platform.InstanceList) (*document.Document, error) {
-	entries := make([]document.Entry, 0, len(list.Instances))
-	for _, inst := range list.Instances {
-		data, err := document.Marshal(inst)
-		if err != nil {
-			return nil, errors.Wrapf(err, "instance %q", inst.Name)
-		}
-		entries = append(entries, document.Entry{Key: inst.Name, Value: data})
-	}
-	return document.New(platform.InstancesDocument(list.FailureDomain), list.Version, document.DefaultChunks, entries)
-}
-
-// ForService returns the instances of a service. The caller must not change the slice.
-func (e *Endpoints) ForService(name string) []platform.Instance {
-	if e == nil {
-		return nil
-	}
-	return e.byService[name]
-}
-
-// Instance returns an instance by name.
-func (e *Endpoints) Instance(name string) (platform.Instance, bool) {
-	if e == nil {
-		return platform.Instance{}, false
-	}
-	inst, ok := e.byName[name]
-	return inst, ok
-}
-
-// Len returns the number of instances known.
-func (e *Endpoints) Len() int {
-	if e == nil {
-		return 0
-	}
-	return len(e.byName)
-}
