Serve callers through a whole deployment: daemon, fleet, demo

Cause: the parts existed alone; nothing ran a catalogue from the platform to a caller's answer. Change: the daemon wires certificates, distribution, frontend, admission and the operators' listener under one suture tree and walks the process chart; cmd/chervilwelld run|check; a fleet on loopback; the demo takes a failure domain out and back under load. The QUIC transport takes its TLS from the certificate store, in place of a second verifier of its own. Before: no end-to-end run. Conclusion: the thin path holds; admission is a slot counter and choice of targets goes by distance only until the decision packages are wired in.

--- /dev/null
+++ b/catalogue/edit.go
@@ -0,0 +1,25 @@
+package catalogue
+
+import (
+	"slices"
+
+	"github.com/pkg/errors"
+)
+
+// WithDomain returns a copy of the catalogue under the next revision in which the failure domain has the given state.
+func (c *Catalogue) WithDomain(failureDomain string, state State) (*Catalogue, error) {
+	next := *c
+	next.Revision++
+	next.Regions = slices.Clone(c.Regions)
+	for i, r := range next.Regions {
+		for j, d := range r.FailureDomains {
+			if d.Name != failureDomain {
+				continue
+			}
+			next.Regions[i].FailureDomains = slices.Clone(r.FailureDomains)
+			next.Regions[i].FailureDomains[j].State = state
+			return &next, nil
+		}
+	}
+	return nil, errors.Errorf("failure domain %q is not in the catalogue; add it to a region", failureDomain)
+}
--- /dev/null
+++ b/internal/daemon/parts.go
@@ -0,0 +1,70 @@
+package daemon
+
+import (
+	"crypto/tls"
+	"net/http"
+
+	"github.com/chervilwell/chervilwell/internal/agent"
+	"github.com/chervilwell/chervilwell/internal/frontend"
+	"github.com/chervilwell/chervilwell/internal/gatekeeper"
+	"github.com/chervilwell/chervilwell/internal/peer"
+	"github.com/chervilwell/chervilwell/platform"
+)
+
+// buildAgent opens the transport between daemons and builds the distribution on it.
+func (d *Daemon) buildAgent() error {
+	s := d.settings
+	var err error
+	d.transport, err = peer.Listen(peer.Config{Addr: s.Listen.Peers, Certs: d.certs, Log: d.log})
+	if err != nil {
+		return err
+	}
+	source, err := platform.NewHTTP(s.Platform.URL, &http.Client{})
+	if err != nil {
+		return err
+	}
+	d.agent = agent.New(agent.Config{
+		Self:         d.self(),
+		Region:       s.Region,
+		StoreRegions: s.Platform.StoreRegions,
+		Seeds:        s.Peers.Seeds,
+		Source:       source,
+		Transport:    d.transport,
+		Holder:       d.holder,
+		Audit:        d.trail,
+		Registerer:   d.registry,
+		Log:          d.log,
+		FleetSize:    s.Peers.FleetSize,
+	})
+	return nil
+}
+
+// buildRequests builds admission and the frontend, which reaches its own instance's admission by a call.
+func (d *Daemon) buildRequests() error {
+	s := d.settings
+	d.gate = gatekeeper.New(gatekeeper.Config{
+		Instance: s.Instance, FailureDomain: s.FailureDomain, Service: s.Service, TargetAddr: s.Target.Addr,
+		Holder: d.holder, Gate: gatekeeper.NewSlotGate(), Trail: d.trail, Log: d.log,
+	})
+	d.requests = gatekeeper.NewServer(d.listeners.requests, d.certs.PeerServer("h2"), d.gate)
+	d.front = frontend.New(frontend.Config{
+		Instance: s.Instance, FailureDomain: s.FailureDomain, Holder: d.holder,
+		Picker: frontend.NewNearPicker(s.FailureDomain),
+		Carrier: &frontend.LocalCarrier{
+			Instance: s.Instance, Gatekeeper: d.gate, Remote: frontend.NewHTTPCarrier(d.certs),
+		},
+		TrustOrganisationHeader: s.TrustOrganisationHeader,
+		Registerer:              d.registry,
+		Log:                     d.log,
+	})
+	d.callers = frontend.NewServer(d.listeners.callers, d.callerConfig(), d.front)
+	return nil
+}
+
+// callerConfig returns the TLS configuration of the callers' listener, or nil for plain HTTP.
+func (d *Daemon) callerConfig() *tls.Config {
+	if d.callerTLS == nil {
+		return nil
+	}
+	return d.callerTLS.CallerServer()
+}
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,257 @@
+// Package fleet runs a whole deployment on loopback: daemons with their targets, and a stand-in for the platform.
+// Demonstrations and end-to-end tests use it.
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+
+	"github.com/chervilwell/chervilwell/catalogue"
+	"github.com/chervilwell/chervilwell/internal/certs"
+	"github.com/chervilwell/chervilwell/internal/daemon"
+	"github.com/chervilwell/chervilwell/internal/standin"
+	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/settings"
+)
+
+const (
+	// freePort is the listen address for a port that the system chooses.
+	freePort = "127.0.0.1:0"
+	// targetServiceTime is the median service time of the stand-in targets.
+	targetServiceTime = 4 * time.Millisecond
+	// platformDelay is the delay of the stand-in platform's answers.
+	platformDelay = 3 * time.Millisecond
+	// listLag is the lag of the stand-in platform's lists of instances.
+	listLag = 500 * time.Millisecond
+	// platformReadsPerSecond is the read budget of the stand-in platform.
+	platformReadsPerSecond = 2000
+	// maxSeeds bounds the peers that a starting daemon is told of.
+	maxSeeds = 4
+	// readHeaderTimeout bounds the headers of a request to the stand-in platform.
+	readHeaderTimeout = 5 * time.Second
+)
+
+// Place puts a number of instances of a service into a failure domain.
+type Place struct {
+	Service       string
+	FailureDomain string
+	Instances     int
+}
+
+// Fleet is a running deployment.
+type Fleet struct {
+	// Platform is the stand-in that the catalogue is published to.
+	Platform *standin.Platform
+	// Ledger records each run at each target.
+	Ledger *standin.Ledger
+	// Nodes are the instances in order of their start.
+	Nodes []*Node
+
+	catalogue *catalogue.Catalogue
+	authority *certs.Authority
+	server    *http.Server
+	url       string
+	dir       string
+	log       zerolog.Logger
+	drain     time.Duration
+}
+
+// Node is one instance: a target and the daemon beside it.
+type Node struct {
+	Instance platform.Instance
+	// Callers and Operator are addresses of the daemon's listeners.
+	Callers, Operator string
+	Target            *standin.Target
+
+	stop context.CancelFunc
+	done chan error
+}
+
+// Start publishes the catalogue and starts the instances at the given places. Dir takes the certificates; the caller
+// removes it after Stop.
+func Start(cat *catalogue.Catalogue, places []Place, dir string, log zerolog.Logger) (*Fleet, error) {
+	authority, err := certs.NewAuthority("demonstration authority")
+	if err != nil {
+		return nil, err
+	}
+	f := &Fleet{
+		Platform: standin.NewPlatform(standin.PlatformConfig{
+			ReadsPerSecond: platformReadsPerSecond, Delay: platformDelay, InstanceLag: listLag,
+		}),
+		Ledger: standin.NewLedger(), catalogue: cat, authority: authority, dir: dir, log: log, drain: 10 * time.Second,
+	}
+	if err := f.servePlatform(); err != nil {
+		return nil, err
+	}
+	if err := f.Publish(cat); err != nil {
+		return nil, err
+	}
+	for _, p := range places {
+		for range p.Instances {
+			if err := f.Add(p.Service, p.FailureDomain); err != nil {
+				_ = f.Stop()
+				return nil, err
+			}
+		}
+	}
+	return f, nil
+}
+
+func (f *Fleet) servePlatform() error {
+	listener, err := net.Listen("tcp", freePort)
+	if err != nil {
+		return errors.Wrap(err, "platform")
+	}
+	f.url = "http://" + listener.Addr().String()
+	f.server = &http.Server{Handler: f.Platform.Handler(), ReadHeaderTimeout: readHeaderTimeout}
+	go func() { _ = f.server.Serve(listener) }()
+	return nil
+}
+
+// Publish publishes a catalogue on the stand-in platform.
+func (f *Fleet) Publish(cat *catalogue.Catalogue) error {
+	f.catalogue = cat
+	_, err := f.Platform.PublishCatalogue(cat)
+	return err
+}
+
+// Catalogue returns the catalogue published last.
+func (f *Fleet) Catalogue() *catalogue.Catalogue { return f.catalogue }
+
+// Add starts one more instance of a service in a failure domain.
+func (f *Fleet) Add(service, failureDomain string) error {
+	name := fmt.Sprintf("%s-%d", failureDomain, len(f.Nodes)+1)
+	node := &Node{done: make(chan error, 1)}
+	node.Target = standin.NewTarget(standin.TargetConfig{
+		Name: name, Limits: f.limits(service), Service: targetServiceTime, Spread: 0.3, Ledger: f.Ledger,
+	})
+	address, err := node.Target.Start("")
+	if err != nil {
+		return errors.Wrapf(err, "target of %s", name)
+	}
+	s, err := f.settings(name, service, failureDomain, address)
+	if err != nil {
+		return err
+	}
+	return f.run(node, s)
+}
+
+func (f *Fleet) limits(service string) catalogue.ServiceLimits {
+	for _, s := range f.catalogue.Services {
+		if s.Name == service {
+			return s.Limits
+		}
+	}
+	return catalogue.ServiceLimits{}
+}
+
+func (f *Fleet) settings(name, service, failureDomain, target string) (*settings.Settings, error) {
+	pair, err := f.authority.Instance(certs.Identity{Instance: name, FailureDomain: failureDomain})
+	if err != nil {
+		return nil, err
+	}
+	files, err := f.authority.Write(f.dir, name, pair)
+	if err != nil {
+		return nil, err
+	}
+	s := settings.Default()
+	s.Instance, s.Service, s.FailureDomain = name, service, failureDomain
+	s.Listen = settings.Listen{Callers: freePort, Requests: freePort, Peers: freePort, Operator: freePort}
+	s.Target.Addr, s.Target.HealthPath = target, standin.HealthPath
+	s.Platform.URL = f.url
+	s.Platform.StoreRegions = []string{f.catalogue.Regions[0].Name}
+	s.Peers.FleetSize = len(f.Nodes) + 1
+	s.TLS.Cert, s.TLS.Key, s.TLS.CA = files.Cert, files.Key, files.CA
+	s.TrustOrganisationHeader = true
+	s.DrainLimit = catalogue.Duration(f.drain)
+	for _, n := range f.Nodes {
+		if len(s.Peers.Seeds) < maxSeeds {
+			s.Peers.Seeds = append(s.Peers.Seeds, n.Instance.PeerAddr)
+		}
+	}
+	return s, nil
+}
+
+// run starts the daemon of a node and lists the instance on the platform.
+func (f *Fleet) run(node *Node, s *settings.Settings) error {
+	d, err := daemon.New(s, f.log.With().Str("instance", s.Instance).Logger())
+	if err != nil {
+		return errors.Wrapf(err, "daemon of %s", s.Instance)
+	}
+	a := d.Addresses()
+	node.Callers, node.Operator = a.Callers, a.Operator
+	node.Instance = platform.Instance{
+		Name: s.Instance, FailureDomain: s.FailureDomain, Service: s.Service,
+		PeerAddr: a.Peers, RequestAddr: a.Requests, State: platform.Live,
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	node.stop = stop
+	go func() { node.done <- d.Run(ctx) }()
+	f.Nodes = append(f.Nodes, node)
+	f.Platform.PutInstance(node.Instance)
+	return nil
+}
+
+// Ready waits until every instance takes requests, or returns the context's error.
+func (f *Fleet) Ready(ctx context.Context) error {
+	for _, n := range f.Nodes {
+		if err := n.ready(ctx); err != nil {
+			return errors.Wrapf(err, "instance %s is not ready", n.Instance.Name)
+		}
+	}
+	return nil
+}
+
+func (n *Node) ready(ctx context.Context) error {
+	const interval = 50 * time.Millisecond
+	for {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+n.Operator+"/readyz", nil)
+		if err != nil {
+			return errors.WithStack(err)
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err == nil {
+			_ = resp.Body.Close()
+			if resp.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-time.After(interval):
+		}
+	}
+}
+
+// Stop drains all daemons side by side and stops targets and platform. It returns the first error of a drain.
+func (f *Fleet) Stop() error {
+	for _, n := range f.Nodes {
+		n.stop()
+	}
+	var first error
+	for _, n := range f.Nodes {
+		if err := <-n.done; err != nil && first == nil {
+			first = errors.Wrapf(err, "instance %s", n.Instance.Name)
+		}
+		n.Target.Close()
+	}
+	_ = f.server.Close()
+	return first
+}
+
+// TempDir makes a directory for the certificates of a fleet and returns it with the function that removes it.
+func TempDir() (string, func(), error) {
+	dir, err := os.MkdirTemp("", "chervilwell-")
+	if err != nil {
+		return "", nil, errors.WithStack(err)
+	}
+	return dir, func() { _ = os.RemoveAll(dir) }, nil
+}
--- a/internal/peer/quic.go
+++ b/internal/peer/quic.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"io"
 	"net"
 	"sync"
@@ -13,6 +12,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/chervilwell/chervilwell/distribution"
+	"github.com/chervilwell/chervilwell/internal/certs"
 	"github.com/chervilwell/chervilwell/ring"
 )
 
@@ -34,10 +34,9 @@
 type Config struct {
 	// Addr is the UDP host:port to listen on; it is the source of outgoing connections as well.
 	Addr string
-	// TLS holds the certificate of this process, and the authorities in RootCAs. GetCertificate and GetClientCertificate may be used for
-	// certificates that change.
-	TLS *tls.Config
-	Log zerolog.Logger
+	// Certs holds the certificate of this process and the authorities that sign its peers'.
+	Certs *certs.Store
+	Log   zerolog.Logger
 }
 
 // Quic is a Transport over QUIC.
@@ -81,7 +80,7 @@
 			MaxStreamReceiveWindow: streamWindow, MaxConnectionReceiveWindow: connectionWindow,
 		},
 	}
-	q.listener, err = q.transport.Listen(serverTLS(cfg.TLS), q.settings)
+	q.listener, err = q.transport.Listen(cfg.Certs.PeerServer(protocols()...), q.settings)
 	if err != nil {
 		_ = socket.Close()
 		return nil, errors.Wrap(err, "listen for QUIC")
@@ -120,14 +119,14 @@
 		if err != nil {
 			return
 		}
-		id, err := identityOf(conn.ConnectionState().TLS)
+		id, err := peerIdentity(conn)
 		if err != nil {
 			_ = conn.CloseWithError(1, err.Error())
 			continue
 		}
-		from := distribution.Address{Name: id.name, Addr: conn.RemoteAddr().String()}
+		from := distribution.Address{Name: id.Instance, Addr: conn.RemoteAddr().String()}
 		q.adopt(from, conn)
-		q.wait.Go(func() { q.read(conn, from, id.failureDomain) })
+		q.wait.Go(func() { q.read(conn, from, id.FailureDomain) })
 	}
 }
 
@@ -244,11 +243,11 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "peer address %q", to.Addr)
 	}
-	conn, err = q.transport.Dial(ctx, addr, clientTLS(q.cfg.TLS, to.Name), q.settings)
+	conn, err = q.transport.Dial(ctx, addr, q.cfg.Certs.PeerClient(to.Name, protocols()...), q.settings)
 	if err != nil {
 		return nil, errors.Wrap(err, "dial")
 	}
-	id, err := identityOf(conn.ConnectionState().TLS)
+	id, err := peerIdentity(conn)
 	if err != nil {
 		_ = conn.CloseWithError(1, err.Error())
 		return nil, err
@@ -256,8 +255,8 @@
 	q.mu.Lock()
 	l.conn = conn
 	q.mu.Unlock()
-	from := distribution.Address{Name: id.name, Addr: to.Addr}
-	q.wait.Go(func() { q.read(conn, from, id.failureDomain) })
+	from := distribution.Address{Name: id.Instance, Addr: to.Addr}
+	q.wait.Go(func() { q.read(conn, from, id.FailureDomain) })
 	return conn, nil
 }
 
--- a/internal/peer/quic_test.go
+++ b/internal/peer/quic_test.go
@@ -2,73 +2,34 @@
 
 import (
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
-	"crypto/tls"
-	"crypto/x509"
-	"crypto/x509/pkix"
-	"math/big"
 	"testing"
 	"time"
 
 	"github.com/rs/zerolog"
 
 	"github.com/chervilwell/chervilwell/distribution"
+	"github.com/chervilwell/chervilwell/internal/certs"
 )
 
-// authority issues certificates for tests.
-type authority struct {
-	t    *testing.T
-	cert *x509.Certificate
-	key  *ecdsa.PrivateKey
-	pool *x509.CertPool
-}
-
-func newAuthority(t *testing.T) *authority {
-	a := &authority{t: t, pool: x509.NewCertPool()}
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "test authority"}, IsCA: true, BasicConstraintsValid: true,
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour), KeyUsage: x509.KeyUsageCertSign,
-	}
-	var err error
-	if a.key, err = ecdsa.GenerateKey(elliptic.P256(), rand.Reader); err != nil {
-		t.Fatal(err)
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &a.key.PublicKey, a.key)
+func newAuthority(t *testing.T) *certs.Authority {
+	a, err := certs.NewAuthority("test authority")
 	if err != nil {
 		t.Fatal(err)
 	}
-	if a.cert, err = x509.ParseCertificate(der); err != nil {
-		t.Fatal(err)
-	}
-	a.pool.AddCert(a.cert)
 	return a
 }
 
-func (a *authority) config(name, failureDomain string) *tls.Config {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+// listen opens a transport with a certificate of the authority.
+func listen(t *testing.T, a *certs.Authority, name, failureDomain string) *Quic {
+	pair, err := a.Instance(certs.Identity{Instance: name, FailureDomain: failureDomain})
 	if err != nil {
-		a.t.Fatal(err)
-	}
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(time.Now().UnixNano()),
-		Subject:      pkix.Name{CommonName: name, OrganizationalUnit: []string{failureDomain}},
-		NotBefore:    time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+		t.Fatal(err)
 	}
-	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &key.PublicKey, a.key)
+	cert, err := pair.TLS()
 	if err != nil {
-		a.t.Fatal(err)
-	}
-	return &tls.Config{
-		Certificates: []tls.Certificate{{Certificate: [][]byte{der}, PrivateKey: key}},
-		RootCAs:      a.pool,
+		t.Fatal(err)
 	}
-}
-
-func listen(t *testing.T, config *tls.Config) *Quic {
-	q, err := Listen(Config{Addr: "127.0.0.1:0", TLS: config, Log: zerolog.Nop()})
+	q, err := Listen(Config{Addr: "127.0.0.1:0", Certs: certs.NewStatic(cert, a.Pool()), Log: zerolog.Nop()})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -89,7 +50,7 @@
 
 func TestMessagesTravelBothWaysOnOneConnection(t *testing.T) {
 	a := newAuthority(t)
-	x, y := listen(t, a.config("x", "fd-x")), listen(t, a.config("y", "fd-y"))
+	x, y := listen(t, a, "x", "fd-x"), listen(t, a, "y", "fd-y")
 	x.Send(distribution.Address{Addr: y.Addr()}, distribution.Message{Protocol: 1, Ask: &distribution.Ask{}})
 	in := receive(t, y)
 	if in.From.Name != "x" || in.From.Addr != x.Addr() || in.FailureDomain != "fd-x" || in.Message.Ask == nil {
@@ -105,8 +66,8 @@
 
 func TestPeerWithoutCertificateOfTheAuthorityIsRefused(t *testing.T) {
 	good, bad := newAuthority(t), newAuthority(t)
-	x, y := listen(t, bad.config("x", "fd-x")), listen(t, good.config("y", "fd-y"))
-	z := listen(t, good.config("z", "fd-z"))
+	x, y := listen(t, bad, "x", "fd-x"), listen(t, good, "y", "fd-y")
+	z := listen(t, good, "z", "fd-z")
 	x.Send(distribution.Address{Addr: y.Addr()}, distribution.Message{Protocol: 1, Ask: &distribution.Ask{}})
 	z.Send(distribution.Address{Addr: y.Addr()}, distribution.Message{Protocol: 1, Ask: &distribution.Ask{}})
 	if in := receive(t, y); in.From.Name != "z" {
@@ -119,7 +80,7 @@
 
 func TestMessageIsNotSentToAnotherInstanceThanAddressed(t *testing.T) {
 	a := newAuthority(t)
-	x, y := listen(t, a.config("x", "fd-x")), listen(t, a.config("y", "fd-y"))
+	x, y := listen(t, a, "x", "fd-x"), listen(t, a, "y", "fd-y")
 	x.Send(distribution.Address{Name: "other", Addr: y.Addr()}, distribution.Message{Protocol: 1, Ask: &distribution.Ask{}})
 	// Once the address is known to be y's, messages go through; the first one never arrives.
 	for x.linkCount() > 0 && x.queued(y.Addr()) > 0 {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -81,6 +81,8 @@
 type Platform struct {
 	// URL is the base URL, http or https.
 	URL string `json:"url"`
+	// StoreRegions are the regions near the platform, whose readers watch it; empty means all.
+	StoreRegions []string `json:"storeRegions"`
 	// ReadTimeout bounds one read.
 	ReadTimeout catalogue.Duration `json:"readTimeout"`
 	// WatchTimeout bounds one waiting watch; it is renewed afterwards.
