--- a/catalogue/parse.go
+++ b/catalogue/parse.go
@@ -1,23 +1,34 @@
 package catalogue
 
 import (
-	"bytes"
-	"encoding/json"
-
 	"github.com/pkg/errors"
-	"github.com/tailscale/hujson"
+
+	"github.com/chervilwell/chervilwell/jsonc"
 )
 
-func parseStrict(file string, data []byte) (*Catalogue, error) {
-	standard, err := hujson.Standardize(data)
-	if err != nil {
-		return nil, errors.Wrapf(err, "%s: not JSON with comments", file)
-	}
-	dec := json.NewDecoder(bytes.NewReader(standard))
-	dec.DisallowUnknownFields()
-	var c Catalogue
-	if err := dec.Decode(&c); err != nil {
-		return nil, errors.Wrapf(err, "%s", file)
+// Parse reads a catalogue from JSON with comments and checks it as a whole. Unknown fields are refused. The error is of type
+// Problems and lists everything wrong, each with line, cause and remedy.
+func Parse(file string, data []byte) (*Catalogue, error) {
+	c, _, err := Validate(file, data)
+	return c, err
+}
+
+// Validate does what Parse does, and returns the warnings about a good catalogue as well.
+func Validate(file string, data []byte) (*Catalogue, Problems, error) {
+	c := &Catalogue{}
+	pos, err := jsonc.Decode(file, data, c)
+	var problems Problems
+	errors.As(err, &problems)
+	var found Problems
+	errors.As(Check(c), &found)
+	problems = append(problems, pos.Unreported(found, problems)...)
+	pos.Locate(problems)
+	problems.Sort()
+	if len(problems) > 0 {
+		return nil, nil, problems
 	}
-	return &c, nil
+	warnings := Warnings(c)
+	pos.Locate(warnings)
+	warnings.Sort()
+	return c, warnings, nil
 }
