admission: notice a cold start by the answers that fail to come

Cause: a target that turns cold unannounced got more than it bears until a streak of slow answers had ended. Change: the limiter judges running requests too: doubts add up until a good answer to a later request comes, and hold the limit at the cold one; latencies are judged within their kind.

--- a/admission/admission.go
+++ b/admission/admission.go
@@ -31,6 +31,8 @@
 	Class        catalogue.Class
 	// Deadline is the time by which the answer must have ended; zero means none.
 	Deadline time.Time
+	// Kind groups requests of like latency, such as the name of the route; latencies are judged within their kind.
+	Kind string
 	// Cost is the expected slot-time relative to a usual request of the target; zero means 1.
 	Cost float64
 }
@@ -152,6 +154,8 @@
 	Warming
 	// Warm targets are given Slots.
 	Warm
+	// Suspect targets have late answers: they are given ColdSlots until an answer comes in time.
+	Suspect
 	// Draining targets finish what runs.
 	Draining
 	// Drained targets run nothing and take nothing.
@@ -160,7 +164,7 @@
 
 // String returns the phase's name.
 func (p Phase) String() string {
-	return [...]string{"unknown", "cold", "warming", "warm", "draining", "drained"}[min(int(p), int(Drained))]
+	return [...]string{"unknown", "cold", "warming", "warm", "suspect", "draining", "drained"}[min(int(p), int(Drained))]
 }
 
 // Load is the state that goes back to frontends with each answer.
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -32,8 +32,8 @@
 	peakSeen time.Time
 	openings float64
 	refilled time.Time
-	// service is the mean slot-time of a request in seconds; 0 before the first.
-	service float64
+	// service is the mean slot-time of a request of cost 1.
+	service average
 }
 
 // New returns a gate for a target about which nothing is known: it begins at the cold limit.
@@ -82,6 +82,7 @@
 	if r.Cost <= 0 {
 		r.Cost = 1
 	}
+	g.checkAges(now)
 	if g.queue.queued == 0 && g.hasSlot(now) {
 		e := g.newEntry(now, r)
 		g.queue.begin(e.flow)
@@ -136,15 +137,15 @@
 	}
 	own := float64(ahead) * g.queue.weights(f) / f.weight
 	all := float64(g.queue.queued)
-	return seconds(min(own, all) * g.service / float64(g.limiter.limit(now)))
+	return seconds(min(own, all) * g.service.mean / float64(g.limiter.limit(now)))
 }
 
 // expectedService returns the mean slot-time of a request of flow f in seconds.
 func (g *Gate) expectedService(f *flow) float64 {
-	if f.service > 0 {
-		return f.service
+	if f.service.samples > 0 {
+		return f.service.mean
 	}
-	return g.service
+	return g.service.mean
 }
 
 // expectedRun returns the expected slot-time of a request.
@@ -162,7 +163,7 @@
 		return Changes{}
 	}
 	e.responded = true
-	g.limiter.observe(now, now.Sub(e.started).Seconds()/e.request.Cost)
+	g.limiter.observe(now, e, now.Sub(e.started).Seconds()/e.request.Cost)
 	return g.grant(now, Changes{})
 }
 
@@ -191,29 +192,22 @@
 	switch o.Result {
 	case OK:
 		if !e.responded {
-			g.limiter.observe(now, latency/e.request.Cost)
+			g.limiter.observe(now, e, latency/e.request.Cost)
 		}
 		g.limiter.success(now)
-		learnService(&g.service, took/e.request.Cost)
-		learnService(&e.flow.service, took/e.request.Cost)
+		g.service.add(took / e.request.Cost)
+		e.flow.service.add(took / e.request.Cost)
 	case Failed:
-		if !e.responded && latency/e.request.Cost >= g.limiter.slowAt() {
-			g.limiter.suspect(now)
+		if !e.responded && latency/e.request.Cost >= g.limiter.baseline.slowAfter(e.kind) {
+			g.limiter.suspect(now, e)
 		}
 	case Shed:
-		g.limiter.suspect(now)
+		g.limiter.suspect(now, e)
 	case Crashed:
 		g.limiter.reset()
 	}
 }
 
-func learnService(mean *float64, took float64) {
-	if *mean == 0 {
-		*mean = took
-	}
-	*mean += latencyGain * (took - *mean)
-}
-
 // Cancel removes a waiting request; it did not run. For a running one it does nothing: call Finish when it has ended.
 // It reports whether the request was waiting.
 func (g *Gate) Cancel(now time.Time, id ID) bool {
@@ -229,7 +223,6 @@
 // Tick drops what has expired, looks for a target that has stopped answering, and grants what has become possible.
 func (g *Gate) Tick(now time.Time) Changes {
 	now = g.advance(now)
-	g.checkAges(now)
 	var changes Changes
 	for _, f := range append([]*flow(nil), g.queue.backlogged...) {
 		for c := range f.waiting {
@@ -252,19 +245,15 @@
 	return now.Add(min(TickInterval, seconds((1-g.openings)/openingsPerSecond)+time.Microsecond))
 }
 
-// checkAges counts requests that have waited for an answer longer than a slow one takes as evidence of a cold target.
+// checkAges holds the limit while too many requests in flight are late.
 func (g *Gate) checkAges(now time.Time) {
-	slow := g.limiter.slowAt()
-	late := 0
-	for e := g.running.next; e != &g.running && late < coldStreak; e = e.next {
-		if !e.responded && now.Sub(e.started).Seconds()/e.request.Cost >= slow {
-			late++
+	doubt := 0
+	for e := g.running.next; e != &g.running; e = e.next {
+		if !e.responded {
+			doubt += g.limiter.weigh(e, now.Sub(e.started).Seconds()/e.request.Cost)
 		}
 	}
-	if late == coldStreak {
-		g.limiter.colds++
-		g.limiter.reset()
-	}
+	g.limiter.hold(doubt)
 }
 
 // expired reports whether a waiting request can't end before its deadline any more.
@@ -355,6 +344,7 @@
 
 // grant gives free slots to waiting requests in fair order.
 func (g *Gate) grant(now time.Time, changes Changes) Changes {
+	g.checkAges(now)
 	for g.queue.queued > 0 && g.hasSlot(now) {
 		e := g.queue.next(now)
 		if g.expired(now, e) {
@@ -395,6 +385,7 @@
 		g.free = g.free[:n-1]
 	}
 	*e = entry{request: r, flow: g.queue.flow(r.Organisation), class: classIndex(r.Class), arrived: now}
+	e.kind = g.limiter.baseline.kind(r.Kind)
 	g.entries[r.ID] = e
 	return e
 }
--- a/admission/gate_test.go
+++ b/admission/gate_test.go
@@ -69,9 +69,9 @@
 			for id := ID(1); id <= coldStreak; id++ {
 				g.Offer(now, Request{ID: id, Organisation: "a"})
 			}
-			now = now.Add(time.Second)
 			for id := ID(1); id <= coldStreak; id++ {
-				g.Finish(now, id, Outcome{Result: OK, Latency: time.Second})
+				now = now.Add(200 * time.Millisecond)
+				g.Finish(now, id, Outcome{Result: OK})
 			}
 			return now
 		},
@@ -91,6 +91,7 @@
 		"shed": func(g *Gate, now time.Time) time.Time {
 			for id := ID(1); id <= coldStreak; id++ {
 				g.Offer(now, Request{ID: id, Organisation: "a"})
+				now = now.Add(20 * time.Millisecond)
 				g.Finish(now, id, Outcome{Result: Shed})
 			}
 			return now
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -33,6 +33,7 @@
 	request   Request
 	flow      *flow
 	class     int
+	kind      *average
 	arrived   time.Time
 	started   time.Time
 	running   bool
@@ -51,8 +52,8 @@
 	waiting  [classes][]*entry
 	queued   int
 	inFlight int
-	// service is the mean slot-time in seconds of the flow's requests of cost 1; 0 before the first.
-	service float64
+	// service is the mean slot-time of the flow's requests of cost 1.
+	service average
 }
 
 // head returns the request that the flow would run next and its class after promotion by waiting time.
