--- a/catalogue/codec.go
+++ b/catalogue/codec.go
@@ -42,7 +42,39 @@
 	if e.err != nil {
 		return nil, e.err
 	}
-	return document.New(DocumentName, c.Revision, document.DefaultChunks, e.entries)
+	return newDocument(c.Revision, e.entries)
+}
+
+// chunkCountStep is the factor between the numbers of chunks tried. A catalogue whose size crosses a threshold is sent
+// whole once, since deltas need equal numbers of chunks; a wide step makes that rare.
+const chunkCountStep = 4
+
+// newDocument picks the smallest number of chunks that keeps each below chunkContentBytes. It depends on the content alone.
+func newDocument(revision uint64, entries []document.Entry) (*document.Document, error) {
+	for n := document.DefaultChunks; ; n *= chunkCountStep {
+		doc, err := document.New(DocumentName, revision, n, entries)
+		if err != nil || n >= MaxChunks || largestChunk(doc) <= chunkContentBytes {
+			return doc, err
+		}
+	}
+}
+
+// largestChunk returns the content of the largest chunk in bytes.
+func largestChunk(doc *document.Document) int {
+	largest := 0
+	for i := range doc.Chunks() {
+		largest = max(largest, contentBytes(doc.ChunkEntries(i)))
+	}
+	return largest
+}
+
+// contentBytes returns the size of keys and values.
+func contentBytes(entries []document.Entry) int {
+	size := 0
+	for _, e := range entries {
+		size += len(e.Key) + len(e.Value)
+	}
+	return size
 }
 
 type encoder struct {
@@ -73,33 +105,38 @@
 	return c, nil
 }
 
+// decodeEntry appends the item of an entry. The key must be the one that Encode gives the item, so that no two entries of a
+// document bear one name.
 func (c *Catalogue) decodeEntry(e document.Entry) error {
-	kind, _, ok := strings.Cut(e.Key, "/")
+	kind, name, ok := strings.Cut(e.Key, "/")
 	if !ok {
 		return errors.New("key has no kind; publish the catalogue with chervilwellctl render")
 	}
 	switch kind + "/" {
 	case organisationPrefix:
-		return decodeInto(e.Value, &c.Organisations)
+		return decodeInto(e.Value, name, &c.Organisations, func(o *Organisation) string { return o.Name })
 	case regionPrefix:
-		return decodeInto(e.Value, &c.Regions)
+		return decodeInto(e.Value, name, &c.Regions, func(r *Region) string { return r.Name })
 	case linkPrefix:
-		return decodeInto(e.Value, &c.Links)
+		return decodeInto(e.Value, name, &c.Links, func(l *Link) string { return l.Between[0] + "/" + l.Between[1] })
 	case instancePrefix:
-		return decodeInto(e.Value, &c.Instances)
+		return decodeInto(e.Value, name, &c.Instances, func(i *InstanceState) string { return i.Name })
 	case servicePrefix:
-		return decodeInto(e.Value, &c.Services)
+		return decodeInto(e.Value, name, &c.Services, func(s *Service) string { return s.Name })
 	case routePrefix:
-		return decodeInto(e.Value, &c.Routes)
+		return decodeInto(e.Value, name, &c.Routes, func(r *Route) string { return r.Name })
 	}
 	return errors.Errorf("kind %q is unknown; update this process or publish with a matching chervilwellctl", kind)
 }
 
-func decodeInto[T any](data []byte, list *[]T) error {
+func decodeInto[T any](data []byte, name string, list *[]T, nameOf func(*T) string) error {
 	var v T
 	if err := document.Unmarshal(data, &v); err != nil {
 		return err
 	}
+	if nameOf(&v) != name {
+		return errors.Errorf("entry holds %q; publish the catalogue with chervilwellctl render", nameOf(&v))
+	}
 	*list = append(*list, v)
 	return nil
 }
