retry: retries within deadline, budget and one count for nested calls

Cause: retries at each of eight nested processes multiply, and a request that may have run must not be sent again. Change: package retry decides on each failed attempt; the count of retries travels with calls and comes back with answers.

--- a/admission/limit.go
+++ b/admission/limit.go
@@ -164,17 +164,19 @@
 
 // weigh returns how much an answer, or a request without one, of that latency in seconds speaks for a cold target.
 func (l *limiter) weigh(e *entry, latency float64) int {
+	if !l.evidence(e) || latency <= goodFactor*e.kind.mean || latency < lateFloor.Seconds() {
+		return 0
+	}
+	late := l.baseline.lateAfter(e.kind)
 	switch {
-	case !l.evidence(e) || math.IsInf(l.baseline.lateAfter(e.kind), 1):
+	case math.IsInf(late, 1):
 		return 0
-	case latency >= l.baseline.slowAfter(e.kind):
+	case latency >= max(late, slowFactor*e.kind.mean):
 		return slowDoubt
-	case latency >= l.baseline.lateAfter(e.kind):
+	case latency >= late:
 		return lateDoubt
-	case latency > goodFactor*e.kind.mean && latency >= lateFloor.Seconds():
-		return 1
 	}
-	return 0
+	return 1
 }
 
 // hold judges by the doubt that the requests in flight add to that of the answers.
--- /dev/null
+++ b/retry/retry_test.go
@@ -0,0 +1,110 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/chervilwell/chervilwell/catalogue"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+func TestDecide(t *testing.T) {
+	far := epoch.Add(time.Second)
+	cases := []struct {
+		name string
+		f    Failure
+		want Reason
+	}{
+		{"never repeated, not run", Failure{Repeat: catalogue.Never, NotRun: true, Deadline: far}, NotRun},
+		{"never repeated, unknown", Failure{Repeat: catalogue.Never, Deadline: far}, MayHaveRun},
+		{"safe, unknown", Failure{Repeat: catalogue.Safe, Deadline: far}, Idempotent},
+		{"unset repeat, unknown", Failure{Deadline: far}, MayHaveRun},
+		{"body gone", Failure{Repeat: catalogue.Safe, BodyGone: true, Deadline: far}, NoBody},
+		{"final", Failure{Repeat: catalogue.Safe, Final: true, Deadline: far}, Pointless},
+		{"spent", Failure{Repeat: catalogue.Safe, Retries: MaxRetries, Deadline: far}, NoAttempts},
+		{"late", Failure{Repeat: catalogue.Safe, Deadline: epoch.Add(time.Millisecond)}, NoTime},
+	}
+	for _, c := range cases {
+		d := Decide(epoch, rand.New(rand.NewPCG(1, 2)), NewBudget(), c.f)
+		if d.Reason != c.want || d.Retry != (c.want == NotRun || c.want == Idempotent) {
+			t.Errorf("%s: %v, want %s", c.name, d, c.want)
+		}
+	}
+}
+
+func TestTimeoutShrinksAlongTheCalls(t *testing.T) {
+	deadline, left := epoch.Add(100*time.Millisecond), 100*time.Millisecond
+	for range MaxDepth {
+		next := Timeout(deadline.Add(-left), deadline, SameRegion)
+		if next >= left {
+			t.Fatalf("timeout %v after %v", next, left)
+		}
+		left = next
+	}
+	if got := Timeout(deadline, deadline, AcrossRegions); got != 0 {
+		t.Fatalf("timeout %v at the deadline", got)
+	}
+}
+
+// call runs a request through a chain of processes of which each fails at random, and counts the runs of the last one.
+func call(t *rapid.T, depth int, b []*Budget, count Count, runs *int) (ok bool, back Count) {
+	for {
+		if depth == 0 {
+			*runs++
+			ok = rapid.Bool().Draw(t, "ok")
+		} else {
+			ok, back = call(t, depth-1, b, count, runs)
+			count = count.Absorb(back)
+		}
+		if ok {
+			b[depth].Succeeded()
+			return true, count
+		}
+		d := Decide(epoch, rand.New(rand.NewPCG(1, 2)), b[depth], Failure{
+			Repeat: catalogue.Safe, Retries: count, Deadline: epoch.Add(time.Second),
+		})
+		count = d.Retries
+		if !d.Retry {
+			return false, count
+		}
+	}
+}
+
+// Nested calls up to the greatest depth retry no more often together than one call alone.
+func TestNestedCallsShareTheirRetries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var budgets []*Budget
+		for range MaxDepth {
+			budgets = append(budgets, NewBudget())
+		}
+		runs := 0
+		call(t, MaxDepth-1, budgets, 0, &runs)
+		if runs > 1+MaxRetries {
+			t.Fatalf("%d runs", runs)
+		}
+	})
+}
+
+func TestBudgetBoundsRetries(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b, r := NewBudget(), rand.New(rand.NewPCG(1, 2))
+		successes, retries := 0, 0
+		for range rapid.IntRange(0, 500).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "success") {
+				b.Succeeded()
+				successes++
+				continue
+			}
+			if Decide(epoch, r, b, Failure{Repeat: catalogue.Safe, Deadline: epoch.Add(time.Second)}).Retry {
+				retries++
+			}
+		}
+		if float64(retries) > Burst+Ratio*float64(successes)+1e-9 {
+			t.Fatalf("%d retries after %d successes", retries, successes)
+		}
+	})
+}
