--- a/cmd/chervilwelld/main.go
+++ b/cmd/chervilwelld/main.go
@@ -74,7 +74,7 @@
 // checkCommand checks a settings file and the certificates that it names.
 type checkCommand struct{ file string }
 
-func (*checkCommand) Name() string { return "check" }
+func (*checkCommand) Name() string     { return "check" }
 func (*checkCommand) Synopsis() string { return "check a settings file and the files that it names" }
 
 func (*checkCommand) Usage() string {
