Prove the path with separate processes: kills, replacement, termination

Cause: the thin path was only proved with all parts in one process. While writing the test a null list in the settings was found to be refused with a clear error, which is right, and the test's own settings were mended. Change: the test binary runs as the daemon; half of four processes are killed at once and replaced during a platform outage, and one is terminated under load.

--- a/cmd/chervilwelld/process_test.go
+++ b/cmd/chervilwelld/process_test.go
@@ -54,14 +54,14 @@
 
 // proc is one daemon process.
 type proc struct {
-	site    *site
-	name    string
-	domain  string
-	target  *standin.Target
-	cmd     *exec.Cmd
-	addr    map[string]string
-	log     *lockedBuffer
-	drained chan struct{}
+	site   *site
+	name   string
+	domain string
+	target *standin.Target
+	cmd    *exec.Cmd
+	addr   map[string]string
+	log    *lockedBuffer
+	ended  chan struct{}
 }
 
 type lockedBuffer struct {
@@ -87,7 +87,7 @@
 	authority, err := certs.NewAuthority("test authority")
 	check(t, err)
 	s := &site{
-		t: t, dir: t.TempDir(), authority: authority, catalogue: cat, ledger: standin.NewLedger(),
+		t: t, dir: t.TempDir(), authority: authority, catalogue: cat, ledger: standin.NewLedger(), seeds: []string{},
 		platform: standin.NewPlatform(standin.PlatformConfig{Delay: time.Millisecond}),
 	}
 	server := httptest.NewServer(s.platform.Handler())
@@ -129,11 +129,13 @@
 	check(t, p.cmd.Start())
 	cmd := p.cmd
 	t.Cleanup(func() { _ = cmd.Process.Kill() })
-	p.drained = make(chan struct{})
+	p.ended = make(chan struct{})
 	listening := make(chan map[string]string, 1)
-	go p.follow(out, listening)
+	go p.follow(out, listening, p.ended)
 	select {
 	case p.addr = <-listening:
+	case <-p.ended:
+		t.Fatalf("%s ended:\n%s", p.name, p.log)
 	case <-time.After(giveUp):
 		t.Fatalf("%s does not listen:\n%s", p.name, p.log)
 	}
@@ -146,7 +148,7 @@
 var addressPair = regexp.MustCompile(`(callers|requests|peers|operator)=(\S+)`)
 
 // follow reads the log of the process to its end.
-func (p *proc) follow(r io.Reader, listening chan<- map[string]string) {
+func (p *proc) follow(r io.Reader, listening chan<- map[string]string, ended chan<- struct{}) {
 	lines := bufio.NewScanner(r)
 	for lines.Scan() {
 		p.log.line(lines.Text())
@@ -158,7 +160,7 @@
 			listening <- found
 		}
 	}
-	close(p.drained)
+	close(ended)
 }
 
 func (p *proc) settings() string {
@@ -308,7 +310,7 @@
 	}
 	leaving.await("under load", func() bool { return len(s.ledger.All()) > 200 })
 	check(t, leaving.cmd.Process.Signal(syscall.SIGTERM))
-	<-leaving.drained
+	<-leaving.ended
 	err := leaving.cmd.Wait()
 	before := len(s.ledger.All())
 	rest[0].await("serving on", func() bool { return len(s.ledger.All()) > before+100 })
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -15,6 +15,11 @@
 // timeFormat is RFC 3339 with milliseconds.
 const timeFormat = "2006-01-02T15:04:05.000Z07:00"
 
+func init() {
+	// Events of one second have to keep their order when logs of several processes are merged.
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+}
+
 // New returns a logger that writes events of at least level to w as key=value pairs. An instance name, unless empty,
 // stands on every line.
 func New(w io.Writer, level, instance string) (zerolog.Logger, error) {
