Follow failure domains out of service and back by their chart

Cause: a domain's return was not told to admission, so targets that came back took full load at once, and the trail had no word of operators' changes of service. Change: a duty walks the failure-domain chart for the own domain from the configuration in force, returns admission to the cold limit, and audits every domain's change. Before: no cold limit on a return, no record. After: table test over out, drained, returned, warm, and a process that starts in a domain that is out.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -51,10 +51,12 @@
 	transport *peer.Quic
 	agent     *agent.Agent
 	gate      *gatekeeper.Gatekeeper
+	admission gatekeeper.Gate
 	requests  *gatekeeper.Server
 	front     *frontend.Frontend
 	callers   *frontend.Server
 	operator  *operatorServer
+	service   *serviceWatch
 
 	listeners listeners
 	drained   chan struct{}
@@ -98,7 +100,7 @@
 }
 
 func (d *Daemon) build() error {
-	for _, step := range []func() error{d.loadCerts, d.listen, d.buildAgent, d.buildRequests, d.buildOperator, d.buildLife} {
+	for _, step := range []func() error{d.loadCerts, d.listen, d.buildAgent, d.buildRequests, d.buildService, d.buildOperator, d.buildLife} {
 		if err := step(); err != nil {
 			return err
 		}
@@ -216,6 +218,7 @@
 	tree.Add(d.callers)
 	tree.Add(d.operator)
 	tree.Add(&lifeDuty{d})
+	tree.Add(&serviceDuty{holder: d.holder, watch: d.service})
 	return tree
 }
 
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -42,9 +42,11 @@
 // buildRequests builds admission and the frontend, which reaches its own instance's admission by a call.
 func (d *Daemon) buildRequests() error {
 	s := d.settings
+	gate := gatekeeper.NewSlotGate()
+	d.admission = gate
 	d.gate = gatekeeper.New(gatekeeper.Config{
 		Instance: s.Instance, FailureDomain: s.FailureDomain, Service: s.Service, TargetAddr: s.Target.Addr,
-		Holder: d.holder, Gate: gatekeeper.NewSlotGate(), Trail: d.trail, Log: d.log,
+		Holder: d.holder, Gate: gate, Trail: d.trail, Log: d.log,
 	})
 	d.requests = gatekeeper.NewServer(d.listeners.requests, d.certs.PeerServer("h2"), d.gate)
 	d.front = frontend.New(frontend.Config{
@@ -68,3 +70,10 @@
 	}
 	return d.callerTLS.CallerServer()
 }
+
+// buildService builds the watch over what operators take out of service.
+func (d *Daemon) buildService() error {
+	var err error
+	d.service, err = newServiceWatch(d.settings.FailureDomain, d.settings.Service, d.admission, d.trail)
+	return err
+}
--- /dev/null
+++ b/internal/daemon/service_test.go
@@ -0,0 +1,93 @@
+package daemon
+
+import (
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/chervilwell/chervilwell/audit"
+	"github.com/chervilwell/chervilwell/catalogue"
+	"github.com/chervilwell/chervilwell/chart"
+	"github.com/chervilwell/chervilwell/chart/charts"
+	"github.com/chervilwell/chervilwell/examples"
+	"github.com/chervilwell/chervilwell/internal/headers"
+	"github.com/chervilwell/chervilwell/snapshot"
+)
+
+// fakeGate is an admission whose load the test sets.
+type fakeGate struct {
+	load  headers.LoadState
+	colds int
+}
+
+func (g *fakeGate) Load() headers.LoadState { return g.load }
+func (g *fakeGate) TurnCold()               { g.colds++ }
+
+func TestFailureDomainLeavesAndReturns(t *testing.T) {
+	cat, err := catalogue.Parse("streusalz.jsonc", examples.Streusalz)
+	if err != nil {
+		t.Fatal(err)
+	}
+	gate := &fakeGate{load: headers.LoadState{InFlight: 3, Limit: 20}}
+	trail := audit.New(64, zerolog.Nop())
+	watch, err := newServiceWatch("obb-ro", "lagerstand", gate, trail)
+	if err != nil {
+		t.Fatal(err)
+	}
+	holder := snapshot.NewHolder()
+	now := time.Unix(0, 0)
+	step := func(c *catalogue.Catalogue, load headers.LoadState, want chart.State) {
+		t.Helper()
+		doc, err := catalogue.Encode(c)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := holder.Accept(doc); err != nil {
+			t.Fatal(err)
+		}
+		gate.load = load
+		watch.observe(now, holder.Load().Config)
+		if got := watch.machine.State(); got != want {
+			t.Fatalf("revision %d load %+v: state %s, want %s", c.Revision, load, got, want)
+		}
+	}
+	out, _ := cat.WithDomain("obb-ro", catalogue.Out)
+	back, _ := out.WithDomain("obb-ro", catalogue.In)
+	step(cat, headers.LoadState{InFlight: 3, Limit: 20}, charts.DomainIn)
+	step(out, headers.LoadState{InFlight: 3, Limit: 20}, charts.DomainLeaving)
+	step(out, headers.LoadState{InFlight: 0, Limit: 20}, charts.DomainOut)
+	step(back, headers.LoadState{InFlight: 0, Limit: 2}, charts.DomainReturning)
+	step(back, headers.LoadState{InFlight: 0, Limit: 20}, charts.DomainIn)
+	if gate.colds != 1 {
+		t.Errorf("target was limited to cold %d times, want once, on return", gate.colds)
+	}
+	kinds := map[audit.Kind]int{}
+	for _, r := range trail.Since(0) {
+		kinds[r.Kind]++
+	}
+	if kinds[audit.OutOfService] != 1 || kinds[audit.InService] != 1 {
+		t.Errorf("audited %v, want one record out and one in", kinds)
+	}
+}
+
+func TestProcessThatStartsInADomainOutOfServiceKnowsIt(t *testing.T) {
+	cat, _ := catalogue.Parse("streusalz.jsonc", examples.Streusalz)
+	out, _ := cat.WithDomain("obb-ro", catalogue.Out)
+	doc, err := catalogue.Encode(out)
+	if err != nil {
+		t.Fatal(err)
+	}
+	watch, err := newServiceWatch("obb-ro", "lagerstand", &fakeGate{}, audit.New(64, zerolog.Nop()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	holder := snapshot.NewHolder()
+	if err := holder.Accept(doc); err != nil {
+		t.Fatal(err)
+	}
+	watch.observe(time.Unix(0, 0), holder.Load().Config)
+	if got := watch.machine.State(); got != charts.DomainOut {
+		t.Fatalf("state %s, want %s", got, charts.DomainOut)
+	}
+}
