--- a/cmd/bench/main.go
+++ b/cmd/bench/main.go
@@ -14,6 +14,7 @@
 	"os"
 	"os/signal"
 	"syscall"
+	"time"
 
 	"github.com/google/subcommands"
 	"github.com/rs/zerolog"
@@ -22,7 +23,8 @@
 )
 
 func main() {
-	log := zerolog.New(zerolog.ConsoleWriter{Out: os.Stderr, NoColor: true}).With().Timestamp().Logger()
+	zerolog.TimeFieldFormat = time.RFC3339Nano
+	log := zerolog.New(zerolog.ConsoleWriter{Out: os.Stderr, NoColor: true, TimeFormat: "15:04:05.000"}).With().Timestamp().Logger()
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(&listCommand{}, "")
 	subcommands.Register(&allCommand{log: log}, "")
--- /dev/null
+++ b/internal/bench/mesh_net.go
@@ -0,0 +1,159 @@
+package bench
+
+import (
+	"context"
+	"crypto/tls"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/chervilwell/chervilwell/distribution"
+	"github.com/chervilwell/chervilwell/internal/frontend"
+	"github.com/chervilwell/chervilwell/internal/gatekeeper"
+	"github.com/chervilwell/chervilwell/internal/peer"
+	"github.com/chervilwell/chervilwell/internal/standin"
+	"github.com/chervilwell/chervilwell/platform"
+)
+
+// platformDomain stands for the platform's place in the network.
+const platformDomain = "platform"
+
+// Parts chooses the decisions that a mesh's processes use.
+type Parts interface {
+	Gate() gatekeeper.Gate
+	Picker(failureDomain string) frontend.Picker
+}
+
+// DaemonParts are the decisions of the daemon.
+type DaemonParts struct{}
+
+// Gate implements Parts.
+func (DaemonParts) Gate() gatekeeper.Gate { return gatekeeper.NewSlotGate() }
+
+// Picker implements Parts.
+func (DaemonParts) Picker(failureDomain string) frontend.Picker {
+	return frontend.NewNearPicker(failureDomain)
+}
+
+// relay returns the address under which a failure domain reaches an instance.
+func (m *Mesh) relay(from string, to platform.Instance) (string, error) {
+	for _, n := range m.Nodes {
+		if n.Instance.Name == to.Name {
+			return n.relayFrom(from)
+		}
+	}
+	return "", errors.Errorf("instance %q is not in the mesh", to.Name)
+}
+
+func (n *Node) relayFrom(from string) (string, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if r := n.relays[from]; r != nil {
+		return r.Address(), nil
+	}
+	r, err := n.mesh.Links.NewRelay(from, n.Instance.FailureDomain, n.Instance.RequestAddr)
+	if err != nil {
+		return "", err
+	}
+	n.relays[from] = r
+	return r.Address(), nil
+}
+
+func (n *Node) closeRelays() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, r := range n.relays {
+		r.Close()
+	}
+}
+
+// seeds returns the peer addresses of all nodes but n that have started.
+func (m *Mesh) seeds(n *Node) []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var out []string
+	for address := range m.peers {
+		if address != n.Instance.PeerAddr {
+			out = append(out, address)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// linkedTransport delays messages as the links do, and drops them where the link is cut.
+type linkedTransport struct {
+	*peer.Quic
+	mesh *Mesh
+	from string
+}
+
+func (m *Mesh) linked(t *peer.Quic, domain string) peer.Transport {
+	return &linkedTransport{Quic: t, mesh: m, from: domain}
+}
+
+// Send implements peer.Transport.
+func (t *linkedTransport) Send(to distribution.Address, msg distribution.Message) {
+	domain := t.mesh.domainOf(to)
+	if t.mesh.Links.Cut(t.from, domain) {
+		return
+	}
+	time.AfterFunc(t.mesh.Links.Delay(t.from, domain), func() { t.Quic.Send(to, msg) })
+}
+
+// domainOf returns the failure domain of a peer by its address, or "".
+func (m *Mesh) domainOf(to distribution.Address) string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.peers[to.Addr]
+}
+
+// addPeer records the address of a peer.
+func (m *Mesh) addPeer(address, domain string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.peers[address] = domain
+}
+
+// cutSource is the platform as a failure domain sees it.
+type cutSource struct {
+	platform.Source
+	links  *standin.Links
+	domain string
+}
+
+// Read implements platform.Source.
+func (s *cutSource) Read(ctx context.Context, key string) (platform.Value, error) {
+	return cutCall(ctx, s, func(ctx context.Context) (platform.Value, error) { return s.Source.Read(ctx, key) })
+}
+
+// Watch implements platform.Source.
+func (s *cutSource) Watch(ctx context.Context, key, after string) (platform.Value, error) {
+	return cutCall(ctx, s, func(ctx context.Context) (platform.Value, error) { return s.Source.Watch(ctx, key, after) })
+}
+
+// Instances implements platform.Source.
+func (s *cutSource) Instances(ctx context.Context, failureDomain string, after uint64) (platform.InstanceList, error) {
+	return cutCall(ctx, s, func(ctx context.Context) (platform.InstanceList, error) {
+		return s.Source.Instances(ctx, failureDomain, after)
+	})
+}
+
+// cutCall makes a call of the platform, whose answer is lost if the link is cut when it comes.
+func cutCall[T any](ctx context.Context, s *cutSource, call func(context.Context) (T, error)) (T, error) {
+	var none T
+	if s.links.Cut(s.domain, platformDomain) {
+		return none, errors.WithStack(platform.ErrUnavailable)
+	}
+	v, err := call(ctx)
+	if s.links.Cut(s.domain, platformDomain) {
+		return none, errors.WithStack(platform.ErrUnavailable)
+	}
+	return v, err
+}
+
+// peerTLS returns the certificate and the authority of the node for the transport between processes.
+func (n *Node) peerTLS() *tls.Config {
+	return &tls.Config{Certificates: []tls.Certificate{n.cert}, RootCAs: n.mesh.authority.Pool()}
+}
--- a/internal/standin/links.go
+++ b/internal/standin/links.go
@@ -31,6 +31,14 @@
 	}
 }
 
+// Facing returns the capacity as seen from one side; with false the directions are swapped.
+func (c *Capacity) Facing(forward bool) *Capacity {
+	if forward {
+		return c
+	}
+	return &Capacity{forward: c.backward, backward: c.forward}
+}
+
 // chunkBytes is the largest piece that a link moves at once.
 const chunkBytes = 64 << 10
 
@@ -61,7 +69,7 @@
 	l.links[pair{a, b}] = link
 	reverse := link
 	if link.Capacity != nil {
-		reverse.Capacity = &Capacity{forward: link.Capacity.backward, backward: link.Capacity.forward}
+		reverse.Capacity = link.Capacity.Facing(false)
 	}
 	l.links[pair{b, a}] = reverse
 }
@@ -76,6 +84,20 @@
 	l.changed = make(chan struct{})
 }
 
+// Cut reports whether the link between two failure domains is cut.
+func (l *Links) Cut(from, to string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.cut[pair{from, to}]
+}
+
+// Delay returns the one-way latency between two failure domains.
+func (l *Links) Delay(from, to string) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.links[pair{from, to}].Delay
+}
+
 // Bytes returns the bytes moved from one failure domain to another.
 func (l *Links) Bytes(from, to string) int64 {
 	l.mu.Lock()
@@ -122,19 +144,22 @@
 
 // Shape returns a connection whose bytes cross the link between two failure domains.
 func (l *Links) Shape(conn net.Conn, from, to string) net.Conn {
+	near, far := net.Pipe()
+	go l.mover(from, to).move(far, conn)
+	go l.mover(to, from).move(conn, far)
+	return &shapedConn{Conn: near, real: conn}
+}
+
+// mover returns what carries one direction of a connection.
+func (l *Links) mover(from, to string) *mover {
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	link := l.links[pair{from, to}]
-	l.mu.Unlock()
-	near, far := net.Pipe()
-	s := &shapedConn{Conn: near, real: conn}
-	out := &mover{links: l, pair: pair{from, to}, delay: link.Delay}
-	in := &mover{links: l, pair: pair{to, from}, delay: link.Delay}
+	m := &mover{links: l, pair: pair{from, to}, delay: link.Delay}
 	if link.Capacity != nil {
-		out.limiter, in.limiter = link.Capacity.forward, link.Capacity.backward
+		m.limiter = link.Capacity.forward
 	}
-	go out.move(far, conn)
-	go in.move(conn, far)
-	return s
+	return m
 }
 
 // shapedConn is the near end of a shaped connection, with the addresses of the real one.
@@ -163,10 +188,12 @@
 	limiter *rate.Limiter
 }
 
-// move carries bytes from src to dst until src ends, then closes dst.
+// move carries bytes from src to dst until src ends, then closes dst. It returns when all has been delivered.
 func (m *mover) move(src, dst net.Conn) {
 	parcels := make(chan parcel, parcelsInFlight)
-	go m.deliver(parcels, dst)
+	var delivery sync.WaitGroup
+	delivery.Go(func() { m.deliver(parcels, dst) })
+	defer delivery.Wait()
 	defer close(parcels)
 	buf := make([]byte, chunkBytes)
 	for {
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -46,6 +46,7 @@
 	outage  bool
 	changed chan struct{} // closed and replaced at each change of what is served
 	truth   map[string]map[string]platform.Instance
+	pending []pendingLists
 	reads   ReadCounts
 }
 
@@ -149,16 +150,39 @@
 	defer p.mu.Unlock()
 	domains := change()
 	slices.Sort(domains)
-	var next []platform.InstanceList
+	next := pendingLists{due: time.Now().Add(p.cfg.InstanceLag)}
 	for _, d := range slices.Compact(domains) {
 		list := slices.SortedFunc(maps.Values(p.truth[d]), func(a, b platform.Instance) int { return strings.Compare(a.Name, b.Name) })
-		next = append(next, platform.InstanceList{FailureDomain: d, Instances: list})
+		next.lists = append(next.lists, platform.InstanceList{FailureDomain: d, Instances: list})
 	}
+	p.pending = append(p.pending, next)
 	if p.cfg.InstanceLag <= 0 {
-		p.publishLocked(func(s *state) { s.setLists(next) })
+		p.revealLocked()
 		return
 	}
-	time.AfterFunc(p.cfg.InstanceLag, func() { p.publish(func(s *state) { s.setLists(next) }) })
+	time.AfterFunc(p.cfg.InstanceLag, p.reveal)
+}
+
+// pendingLists are lists that wait for their lag to pass.
+type pendingLists struct {
+	due   time.Time
+	lists []platform.InstanceList
+}
+
+// reveal publishes the lists that are due, in the order of their changes.
+func (p *Platform) reveal() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.revealLocked()
+}
+
+func (p *Platform) revealLocked() {
+	now := time.Now()
+	for len(p.pending) > 0 && !p.pending[0].due.After(now) {
+		lists := p.pending[0].lists
+		p.pending = p.pending[1:]
+		p.publishLocked(func(s *state) { s.setLists(lists) })
+	}
 }
 
 func (s *state) setLists(lists []platform.InstanceList) {
--- a/internal/standin/platform_test.go
+++ b/internal/standin/platform_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -134,6 +135,20 @@
 	})
 }
 
+func TestListsShowChangesInOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := NewPlatform(PlatformConfig{InstanceLag: time.Second})
+		const count = 50
+		for i := range count {
+			p.PutInstance(platform.Instance{Name: strconv.Itoa(i), FailureDomain: "d"})
+		}
+		time.Sleep(2 * time.Second)
+		if list, err := p.Instances(context.Background(), "d", 0); err != nil || len(list.Instances) != count {
+			t.Fatalf("list shows %d of %d: %v", len(list.Instances), count, err)
+		}
+	})
+}
+
 func TestPublishCatalogueNamesItsChunks(t *testing.T) {
 	p := NewPlatform(PlatformConfig{})
 	version, err := p.PublishCatalogue(&catalogue.Catalogue{Revision: 3, Organisations: []catalogue.Organisation{{Name: "a", Share: 1}}})
--- /dev/null
+++ b/internal/standin/relay.go
@@ -0,0 +1,92 @@
+package standin
+
+import (
+	"net"
+	"sync"
+
+	"github.com/pkg/errors"
+)
+
+// Relay listens on a free port of 127.0.0.1 and passes connections on to another address over a link.
+type Relay struct {
+	listener net.Listener
+	links    *Links
+	from, to string
+	target   string
+
+	mu    sync.Mutex
+	conns map[net.Conn]bool
+	done  bool
+}
+
+// NewRelay returns a relay for connections from one failure domain to an address in another.
+func (l *Links) NewRelay(from, to, target string) (*Relay, error) {
+	listener, err := net.Listen("tcp", loopback)
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for a relay")
+	}
+	r := &Relay{listener: listener, links: l, from: from, to: to, target: target, conns: map[net.Conn]bool{}}
+	go r.accept()
+	return r, nil
+}
+
+// Address returns the address that the relay listens on.
+func (r *Relay) Address() string { return r.listener.Addr().String() }
+
+// Close ends the relay and its connections.
+func (r *Relay) Close() {
+	_ = r.listener.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.done = true
+	for conn := range r.conns {
+		_ = conn.Close()
+	}
+}
+
+func (r *Relay) accept() {
+	for {
+		near, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		go r.pass(near)
+	}
+}
+
+// pass joins a connection to one of the target's, or closes it if the target takes none.
+func (r *Relay) pass(near net.Conn) {
+	defer near.Close()
+	far, err := net.Dial("tcp", r.target)
+	if err != nil {
+		return
+	}
+	if !r.keep(near, far) {
+		return
+	}
+	defer r.drop(near, far)
+	var wait sync.WaitGroup
+	wait.Go(func() { r.links.mover(r.from, r.to).move(near, far) })
+	wait.Go(func() { r.links.mover(r.to, r.from).move(far, near) })
+	wait.Wait()
+}
+
+func (r *Relay) keep(conns ...net.Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range conns {
+		r.conns[c] = true
+		if r.done {
+			_ = c.Close()
+		}
+	}
+	return !r.done
+}
+
+func (r *Relay) drop(conns ...net.Conn) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range conns {
+		delete(r.conns, c)
+	}
+}
--- a/internal/standin/target.go
+++ b/internal/standin/target.go
@@ -14,7 +14,7 @@
 // Behaviour of a cold target.
 const (
 	// coldFactor is how many times longer a cold target takes for a request.
-	coldFactor = 4
+	coldFactor = 3
 	// collapseFactor is how many times longer an overloaded cold target takes, before it fails the request.
 	collapseFactor = 12
 	// collapseTime is how long an overload makes a cold target fail what it is given.
@@ -134,6 +134,15 @@
 	t.observe(t.coldSince)
 }
 
+// Chill begins a cold start that those who start the target know of.
+func (t *Target) Chill() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.coldSince = time.Now()
+	t.signalled = true
+	t.observe(t.coldSince)
+}
+
 // Warm ends a cold start at once.
 func (t *Target) Warm() {
 	t.mu.Lock()
