--- a/snapshot/snapshot.go
+++ b/snapshot/snapshot.go
@@ -8,7 +8,6 @@
 import (
 	"cmp"
 	"slices"
-	"strings"
 
 	"github.com/pkg/errors"
 
@@ -22,6 +21,11 @@
 	organisations map[string]*catalogue.Organisation
 	services      map[string]*catalogue.Service
 	routes        []*Route
+	routeByName   map[string]*Route
+	// byPrefix holds the routes of each path prefix in matching order, and prefixLengths the lengths of the prefixes,
+	// longest first, so that a match costs one look-up for each length and not one for each route.
+	byPrefix      map[string][]*Route
+	prefixLengths []int
 	regionOf      map[string]string
 	domainsOut    map[string]bool
 	instancesOut  map[string]bool
@@ -113,9 +117,23 @@
 			cmp.Compare(len(b.methods), len(a.methods)),
 			cmp.Compare(a.Name, b.Name))
 	})
+	c.indexRoutes()
 	return nil
 }
 
+func (c *Config) indexRoutes() {
+	c.routeByName = make(map[string]*Route, len(c.routes))
+	c.byPrefix = make(map[string][]*Route, len(c.routes))
+	for _, r := range c.routes {
+		prefix := r.Match.PathPrefix
+		c.routeByName[r.Name] = r
+		c.byPrefix[prefix] = append(c.byPrefix[prefix], r)
+		if n := len(c.prefixLengths); n == 0 || c.prefixLengths[n-1] != len(prefix) {
+			c.prefixLengths = append(c.prefixLengths, len(prefix))
+		}
+	}
+}
+
 // intersect returns the regions common to all non-empty lists, or nil if all lists are empty.
 func intersect(lists ...[]string) map[string]bool {
 	var out map[string]bool
@@ -139,9 +157,14 @@
 
 // Match returns the route for a request, or nil. The longest matching prefix that takes the method wins.
 func (c *Config) Match(method, path string) *Route {
-	for _, r := range c.routes {
-		if strings.HasPrefix(path, r.Match.PathPrefix) && (r.methods == nil || r.methods[method]) {
-			return r
+	for _, n := range c.prefixLengths {
+		if n > len(path) {
+			continue
+		}
+		for _, r := range c.byPrefix[path[:n]] {
+			if r.methods == nil || r.methods[method] {
+				return r
+			}
 		}
 	}
 	return nil
@@ -157,14 +180,7 @@
 func (c *Config) Service(name string) *catalogue.Service { return c.services[name] }
 
 // Route returns a route by name, or nil.
-func (c *Config) Route(name string) *Route {
-	for _, r := range c.routes {
-		if r.Name == name {
-			return r
-		}
-	}
-	return nil
-}
+func (c *Config) Route(name string) *Route { return c.routeByName[name] }
 
 // Routes returns the routes in matching order. The caller must not change the slice.
 func (c *Config) Routes() []*Route { return c.routes }
