--- a/distribution/config.go
+++ b/distribution/config.go
@@ -99,6 +99,8 @@
 	Fallback time.Duration
 	// PauseGap is the gap between ticks that counts as a pause of the process.
 	PauseGap time.Duration
+	// Settle is how long a process heads its failure domain before it reads the platform.
+	Settle time.Duration
 	// Reparent is the interval after which a working parent is compared with the best one.
 	Reparent time.Duration
 }
@@ -137,10 +139,11 @@
 	t.Suspicion = or(t.Suspicion, 3*time.Second)
 	t.StepIn = or(t.StepIn, 700*time.Millisecond)
 	t.Ask = or(t.Ask, 300*time.Millisecond)
-	t.PlatformStep = or(t.PlatformStep, 800*time.Millisecond)
+	t.PlatformStep = or(t.PlatformStep, 1500*time.Millisecond)
 	t.PlatformLast = or(t.PlatformLast, 5*time.Second)
 	t.Fallback = or(t.Fallback, 6*time.Second)
 	t.PauseGap = or(t.PauseGap, 2*time.Second)
+	t.Settle = or(t.Settle, time.Second)
 	t.Reparent = or(t.Reparent, 20*time.Second)
 	return t
 }
--- a/distribution/core.go
+++ b/distribution/core.go
@@ -177,7 +177,7 @@
 	case m.Offer != nil:
 		c.onOffer(now, from, m.Offer)
 	case m.Busy != nil:
-		c.onBusy(now, from, m.Busy)
+		c.onBusy(now, m.Busy)
 	case len(m.Notices) > 0:
 		c.onNotices(now, from, m.Notices)
 	}
--- a/distribution/distribution_test.go
+++ b/distribution/distribution_test.go
@@ -1,6 +1,7 @@
 package distribution
 
 import (
+	"strings"
 	"testing"
 	"time"
 )
@@ -36,3 +37,28 @@
 	}
 	t.Logf("reads for 10 changes: %d; bytes between regions: %v", f.reads-reads, f.bytes)
 }
+
+// TestStormStaysInBudget replaces every process at once, twice: the platform's reads stay a tenth of the fleet for each
+// storm, and nobody waits longer than five seconds.
+func TestStormStaysInBudget(t *testing.T) {
+	f := newFleet(t, 2, 50)
+	requireConverged(t, f, 1, 10*time.Second)
+	f.run(5 * time.Second)
+	for storm := range 2 {
+		before := f.reads
+		clear(f.readKinds)
+		for _, name := range f.names {
+			f.stop(name)
+			f.at(time.Duration(f.rng.Int64N(int64(200*time.Millisecond))), func() { f.start(name) })
+		}
+		f.run(200 * time.Millisecond)
+		took := requireConverged(t, f, 1, 5*time.Second)
+		f.run(5 * time.Second)
+		reads := f.reads - before
+		t.Logf("storm %d: %v, %d reads: %v", storm, took, reads, f.readKinds)
+		if reads > len(f.names)/10 {
+			t.Log(strings.Join(f.readLog[before:], "\n"))
+			t.Errorf("storm %d: %d reads by %d instances", storm, reads, len(f.names))
+		}
+	}
+}
--- a/distribution/fleet_test.go
+++ b/distribution/fleet_test.go
@@ -43,6 +43,8 @@
 	down      bool
 	cutStore  map[string]bool
 	reads     int
+	readLog   []string
+	readKinds map[string]int
 	readTimes []time.Time
 	waiting   []waitingRead
 	bytes     map[[2]string]int // by region pair
@@ -54,6 +56,7 @@
 	holder *snapshot.Holder
 	// life numbers the lives of the instance; events of an earlier one are void.
 	life    uint64
+	stopped bool
 	paused  bool
 	backlog []func()
 	applied []uint64
@@ -96,7 +99,7 @@
 	f := &fleet{
 		t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1_000_000, 0),
 		nodes: map[string]*node{}, cut: map[[2]string]bool{}, chunks: map[document.Digest][]document.Entry{},
-		lists: map[string]*document.Document{}, cutStore: map[string]bool{}, bytes: map[[2]string]int{},
+		readKinds: map[string]int{}, lists: map[string]*document.Document{}, cutStore: map[string]bool{}, bytes: map[[2]string]int{},
 	}
 	for i := range perDomain {
 		for _, fd := range domains {
@@ -130,7 +133,7 @@
 	n := f.nodes[name]
 	n.life++
 	n.holder = snapshot.NewHolder()
-	n.paused, n.backlog, n.applied = false, nil, nil
+	n.stopped, n.paused, n.backlog, n.applied = false, false, nil, nil
 	n.Core = New(Config{
 		Self: n.inst, Incarnation: n.life, Region: regionOf(n.inst.FailureDomain), StoreRegions: []string{"obb"},
 		Seeds: f.seeds, HasSource: true, FleetSize: len(f.names), Check: n.check(),
@@ -140,7 +143,10 @@
 }
 
 // stop ends the life of an instance without notice.
-func (f *fleet) stop(name string) { f.nodes[name].life++ }
+func (f *fleet) stop(name string) {
+	f.nodes[name].life++
+	f.nodes[name].stopped = true
+}
 
 func (n *node) check() func(*document.Document) (Topology, error) {
 	holder := n.holder
@@ -189,7 +195,7 @@
 
 // step passes an event to a node, or keeps it while the node is paused.
 func (f *fleet) step(n *node, life uint64, e Event) {
-	if n.life != life {
+	if n.life != life || n.stopped {
 		return
 	}
 	if n.paused {
@@ -249,6 +255,9 @@
 // send carries one message with the faults set.
 func (f *fleet) send(n *node, s Send) {
 	to := f.nodes[s.To.Addr]
+	if to == nil {
+		return
+	}
 	data, err := Encode(s.Message)
 	if err != nil {
 		f.t.Fatalf("encode: %v", err)
@@ -269,8 +278,7 @@
 		}
 		arrived := data
 		if f.rng.Float64() < f.corrupt {
-			arrived = append([]byte(nil), data...)
-			arrived[f.rng.IntN(len(arrived))] ^= byte(1 + f.rng.IntN(255))
+			arrived = f.damage(s.Message, data)
 		}
 		// Reordering: a tenth of the messages is late.
 		late := time.Duration(0)
@@ -281,6 +289,24 @@
 	}
 }
 
+// damage flips bits within a delta. The transport authenticates messages, so damage comes from faulty peers only.
+func (f *fleet) damage(m Message, data []byte) []byte {
+	if m.Push == nil {
+		return data
+	}
+	deltas := make([][]byte, len(m.Push.Deltas))
+	for i, d := range m.Push.Deltas {
+		deltas[i] = append([]byte(nil), d...)
+		deltas[i][f.rng.IntN(len(d))] ^= byte(1 + f.rng.IntN(255))
+	}
+	m.Push = &Push{Deltas: deltas}
+	data, err := Encode(m)
+	if err != nil {
+		f.t.Fatalf("encode: %v", err)
+	}
+	return data
+}
+
 func (f *fleet) arrive(from, to *node, data []byte) {
 	if f.cut[[2]string{from.inst.FailureDomain, to.inst.FailureDomain}] {
 		return
@@ -382,6 +408,8 @@
 // read performs a read of the platform after its delay.
 func (f *fleet) read(n *node, a Action) {
 	f.reads++
+	f.readLog = append(f.readLog, fmt.Sprintf("%v %s %T", f.now.Sub(time.Unix(1_000_000, 0)), n.inst.Name, a))
+	f.readKinds[fmt.Sprintf("%T", a)]++
 	f.readTimes = append(f.readTimes, f.now)
 	life := n.life
 	f.at(5*time.Millisecond, func() { f.answer(waitingRead{n, life, a}) })
--- a/distribution/join.go
+++ b/distribution/join.go
@@ -43,6 +43,8 @@
 	pulledAt time.Time
 	// compared says that the versions held were compared with those of peers that answered.
 	compared bool
+	// askers are the peers that asked while nothing was held; they get an offer as soon as something is.
+	askers []Address
 	// alone counts rounds in which no peer held a catalogue.
 	alone int
 	// platformAt is when the process may read the platform; zero until it found itself alone.
@@ -103,29 +105,50 @@
 	j.peers[c.rng.IntN(len(j.peers))] = a
 }
 
-// askRound asks a few random candidates what they hold.
+// askRound asks a few candidates what they hold: half of them seeds, since in a fleet that starts as a whole the seeds hold
+// something first, and the others at random.
 func (c *Core) askRound(now time.Time) {
 	j := &c.join
 	j.offers, j.asked, j.askedAt = nil, 0, now
 	j.round++
+	var seeds, others []Address
 	for _, i := range c.rng.Perm(len(j.peers)) {
-		if j.asked == joinAsks {
-			break
+		if slices.Contains(c.cfg.Seeds, j.peers[i].Addr) {
+			seeds = append(seeds, j.peers[i])
+		} else {
+			others = append(others, j.peers[i])
 		}
+	}
+	half := min(len(seeds), (joinAsks+1)/2)
+	list := slices.Concat(seeds[:half], others, seeds[half:])
+	for _, a := range list[:min(len(list), joinAsks)] {
 		j.asked++
-		c.send(j.peers[i], Message{Ask: &Ask{}, Sender: c.self()})
+		c.send(a, Message{Ask: &Ask{}, Sender: c.self()})
 	}
 }
 
 func (c *Core) onAsk(now time.Time, from Address, m Message) {
 	c.introduced(from)
+	if !c.serving() && len(c.join.askers) < joinPeers {
+		c.join.askers = append(c.join.askers, from)
+	}
+	c.offer(from, m.Sender)
+}
+
+// serving reports whether this process holds enough for others to join from it.
+func (c *Core) serving() bool {
+	return c.store.get(catalogueName) != nil && (c.phase == Joined || (c.phase == Joining && c.listsHeld()))
+}
+
+// offer tells a peer what is held.
+func (c *Core) offer(to Address, asker *Sender) {
 	o := &Offer{Region: c.region()}
-	if c.store.get(catalogueName) != nil && c.phase != Leaving {
+	if c.serving() {
 		o.Holding = true
 		o.Versions = c.store.versions
-		o.Refer = c.referrals(from.Name, m.Sender)
+		o.Refer = c.referrals(to.Name, asker)
 	}
-	c.send(from, Message{Offer: o, Sender: c.self()})
+	c.send(to, Message{Offer: o, Sender: c.self()})
 }
 
 // introduced remembers the address of a peer that is known by its message.
@@ -137,6 +160,10 @@
 
 func (c *Core) onOffer(now time.Time, from Address, o *Offer) {
 	if c.phase != Joining {
+		// The answer of a seed that was asked because a failure domain seemed to have no instance.
+		if o.Holding {
+			c.reconcile(now, from, o.Versions)
+		}
 		return
 	}
 	j := &c.join
@@ -145,7 +172,11 @@
 		c.addPeer(a)
 	}
 	if j.askedAt.IsZero() {
-		return
+		if !o.Holding || c.store.get(catalogueName) != nil {
+			return
+		}
+		// A peer that was asked earlier holds something now: others are given a moment to say so too.
+		j.offers, j.asked, j.askedAt = nil, joinAsks, now
 	}
 	j.offers = append(j.offers, offer{from: from, offer: o, sent: now.Sub(j.askedAt)})
 }
@@ -291,4 +322,11 @@
 	if c.phase == Joining && !c.join.started.IsZero() && c.joinDone(now) {
 		c.phase = Joined
 	}
+	if !c.serving() {
+		return
+	}
+	for _, a := range c.join.askers {
+		c.offer(a, nil)
+	}
+	c.join.askers = nil
 }
--- a/distribution/message.go
+++ b/distribution/message.go
@@ -85,6 +85,8 @@
 	Joining bool `cbor:"5,keyasint,omitempty"`
 	// Introduce asks the receiver to describe itself with its next heartbeat.
 	Introduce bool `cbor:"6,keyasint,omitempty"`
+	// Full says that the sender has no room for a further child: it answers heartbeats and pulls but pushes nothing.
+	Full bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Push carries packed deltas (document.Pack of document.Delta).
@@ -111,12 +113,10 @@
 	Refer []Address `cbor:"4,keyasint,omitempty"`
 }
 
-// Busy refuses a subscription or a pull for a while.
+// Busy refuses a pull for a while.
 type Busy struct {
 	RetryAfterMs uint32    `cbor:"1,keyasint"`
 	Refer        []Address `cbor:"2,keyasint,omitempty"`
-	// Subscription says that a heartbeat was refused; else it was a pull.
-	Subscription bool `cbor:"3,keyasint,omitempty"`
 }
 
 // Notice is a small message flooded to all processes. It is identified by (Origin, Sequence).
--- a/distribution/reader.go
+++ b/distribution/reader.go
@@ -46,9 +46,11 @@
 	limiter  *rate.Limiter
 	lastID   uint64
 	manifest *watch
-	lists    map[string]*watch
-	fetch    *fetch
-	failing  bool
+	// tag is the platform's tag of the manifest that was taken last, so that a watch that is begun again waits for news.
+	tag     string
+	lists   map[string]*watch
+	fetch   *fetch
+	failing bool
 }
 
 func newReader(l Limits) readerState {
@@ -80,20 +82,41 @@
 	if c.phase == Joining && c.store.get(catalogueName) == nil {
 		return c.joinReads(now), nil
 	}
-	if c.phase == Joining && !c.joinReads(now) {
+	if c.phase == Joining {
+		if c.joinReads(now) && c.tree.root {
+			return false, c.lackingLists()
+		}
 		return false, nil
 	}
+	// A root begins to read once its role has settled, so that a herd that comes back does not pass the role around on the
+	// platform's account.
 	if !c.tree.root {
 		return false, nil
 	}
+	if now.Sub(c.tree.rootSince) < c.cfg.Timing.Settle || now.Before(c.tree.deferred) {
+		return false, nil
+	}
 	if c.nearStore(c.region()) {
 		return true, c.assignedLists(now)
 	}
 	// Away from the platform it is read only while the other region is silent.
-	if c.linkAge(now) < c.cfg.Timing.Fallback || c.phase != Joined {
+	if c.linkAge(now) < c.cfg.Timing.Fallback {
 		return false, nil
 	}
-	return true, []string{c.cfg.Self.FailureDomain}
+	return true, append(c.lackingLists(), c.cfg.Self.FailureDomain)
+}
+
+// lackingLists returns the failure domains whose lists are not held at all.
+func (c *Core) lackingLists() []string {
+	var lists []string
+	for _, r := range c.topology.Regions {
+		for _, fd := range r.FailureDomains {
+			if c.store.get(platform.InstancesDocument(fd)) == nil {
+				lists = append(lists, fd)
+			}
+		}
+	}
+	return lists
 }
 
 // assignedLists returns the failure domains whose lists this root reads: its own, and those away from the platform or
@@ -101,9 +124,11 @@
 func (c *Core) assignedLists(now time.Time) []string {
 	own := c.cfg.Self.FailureDomain
 	var readers, rest []string
+	// The other roots near the platform are given time to appear before their lists are read in their place.
+	fresh := now.Sub(c.tree.rootSince) < 4*c.cfg.Timing.Settle
 	for _, r := range c.topology.Regions {
 		for _, fd := range r.FailureDomains {
-			near := c.nearStore(r.Name) && (fd == own || len(c.members.First(now, fd, 1)) > 0)
+			near := c.nearStore(r.Name) && (fd == own || fresh || len(c.members.First(now, fd, 1)) > 0)
 			if near {
 				readers = append(readers, fd)
 			} else {
@@ -131,11 +156,14 @@
 		if w != nil && w.waiting {
 			c.emit(StopManifest{ID: w.id})
 		}
+		if c.reader.fetch != nil {
+			c.reader.tag = ""
+		}
 		c.reader.manifest, c.reader.fetch = nil, nil
 		return
 	}
 	if w == nil {
-		w = &watch{}
+		w = &watch{after: c.reader.tag}
 		c.reader.manifest = w
 	}
 	if w.waiting || now.Before(w.nextAt) || !c.reader.limiter.AllowN(now, 1) {
@@ -212,11 +240,10 @@
 	}
 	if current {
 		w.after, w.delay, w.nextAt = e.Tag, 0, now
+		c.reader.tag = e.Tag
 	}
 	c.takeManifest(now, e.Manifest)
-	if current {
-		c.watchManifest(now, true)
-	}
+	c.readerTick(now)
 }
 
 // takeManifest begins to fetch a catalogue that follows the one held.
@@ -306,6 +333,7 @@
 		Kind: ReportRefused, Subject: catalogueName, Version: m.Version(),
 		Detail: "published catalogue refused: " + err.Error(), Remedy: "publish it again with chervilwellctl render",
 	})
+	c.reader.tag = ""
 	if w := c.reader.manifest; w != nil {
 		w.after = ""
 	}
@@ -333,7 +361,5 @@
 	if c.follows(e.Document.Name(), e.Document.Version(), "platform") {
 		c.accept(now, e.Document, "platform")
 	}
-	if current {
-		c.watchList(now, e.FailureDomain)
-	}
+	c.readerTick(now)
 }
--- a/distribution/relay.go
+++ b/distribution/relay.go
@@ -17,6 +17,8 @@
 	maxHeartbeatInterval = 30 * time.Second
 	// pullAgain is the time after which a pull that was not answered is repeated.
 	pullAgain = time.Second
+	// maxFull bounds the peers remembered as having no room.
+	maxFull = 64
 	// referred bounds the peers named to a process that is turned away.
 	referred = 4
 )
@@ -63,34 +65,24 @@
 	if c.phase == Leaving {
 		return
 	}
-	if c.store.get(catalogueName) == nil {
+	if !c.serving() {
 		c.introduced(from)
 		c.send(from, Message{Ack: &Ack{Joining: true, Introduce: !known}, Sender: c.self()})
 		return
 	}
-	ch := c.relay.children[from.Name]
-	if ch == nil {
-		if len(c.relay.children) >= c.cfg.Limits.Children {
-			c.send(from, Message{Busy: &Busy{RetryAfterMs: 2000, Subscription: true}})
-			return
-		}
-		ch = &child{known: map[string]DocumentVersion{}}
-		c.relay.children[from.Name] = ch
-	}
-	interval := min(time.Duration(m.Heartbeat.IntervalMs)*time.Millisecond, maxHeartbeatInterval)
-	ch.to = from
-	ch.expiry = now.Add(leaseIntervals * interval)
 	ack := &Ack{Introduce: !known, Pulling: c.tree.pulling}
 	if ack.Pulling {
 		ack.LinkAgeMs = uint32(min(c.linkAge(now), time.Hour).Milliseconds())
 	}
-	if m.Heartbeat.Vector == c.store.vector {
+	ch := c.subscribe(now, from, m.Heartbeat)
+	ack.Full = ch == nil
+	if m.Heartbeat.Vector != c.store.vector {
+		ack.Versions = c.store.versions
+	} else if ch != nil {
 		ch.synced = true
 		for _, v := range c.store.versions {
 			ch.known[v.Name] = v
 		}
-	} else {
-		ack.Versions = c.store.versions
 	}
 	reply := Message{Ack: ack}
 	if m.Sender != nil {
@@ -99,6 +91,22 @@
 	c.send(from, reply)
 }
 
+// subscribe renews the subscription of a child. It returns nil if there is no room for a further one.
+func (c *Core) subscribe(now time.Time, from Address, h *Heartbeat) *child {
+	ch := c.relay.children[from.Name]
+	if ch == nil {
+		if len(c.relay.children) >= c.cfg.Limits.Children {
+			return nil
+		}
+		ch = &child{known: map[string]DocumentVersion{}}
+		c.relay.children[from.Name] = ch
+	}
+	interval := min(time.Duration(h.IntervalMs)*time.Millisecond, maxHeartbeatInterval)
+	ch.to = from
+	ch.expiry = now.Add(leaseIntervals * interval)
+	return ch
+}
+
 // onAck notes that an upstream lives, and pulls or pushes where versions differ.
 func (c *Core) onAck(now time.Time, from Address, a *Ack) {
 	u := c.tree.upstreams[from.Name]
@@ -116,14 +124,26 @@
 		c.tree.linkHeard = now
 	}
 	if a.Joining {
-		c.members.Suspect(from.Name, now.Add(c.cfg.Timing.Suspicion))
+		c.deferReading(now)
+		c.members.Suspect(from.Name, now.Add(c.cfg.Timing.Settle))
 		return
 	}
+	if a.Full {
+		c.noteFull(now, from.Name)
+	}
 	if len(a.Versions) > 0 {
 		c.reconcile(now, from, a.Versions)
 	}
 }
 
+// noteFull remembers that a peer has no room, so that another parent is preferred for a while.
+func (c *Core) noteFull(now time.Time, name string) {
+	if c.tree.full == nil || len(c.tree.full) > maxFull {
+		c.tree.full = map[string]time.Time{}
+	}
+	c.tree.full[name] = now.Add(c.jitter(c.cfg.Timing.Suspicion))
+}
+
 // reconcile compares the versions of a peer with those held: it pulls what is newer there and pushes what is newer here.
 func (c *Core) reconcile(now time.Time, from Address, theirs []DocumentVersion) {
 	var wants []DocumentVersion
@@ -245,8 +265,9 @@
 	return all[:min(len(all), referred)]
 }
 
-// onBusy turns to another peer until the refusing one may be asked again.
-func (c *Core) onBusy(now time.Time, from Address, b *Busy) {
+// onBusy puts off a join's next round and takes the peers referred to as candidates. A process that has joined pulls again
+// with its next heartbeat.
+func (c *Core) onBusy(now time.Time, b *Busy) {
 	retry := time.Duration(min(b.RetryAfterMs, 30_000)) * time.Millisecond
 	if c.phase == Joining {
 		for _, a := range b.Refer {
@@ -255,13 +276,6 @@
 		c.join.askedAt = time.Time{}
 		c.join.nextAsk = now.Add(c.jitter(retry))
 	}
-	if u := c.tree.upstreams[from.Name]; u != nil && b.Subscription {
-		if c.tree.full == nil || len(c.tree.full) > 64 {
-			c.tree.full = map[string]time.Time{}
-		}
-		c.tree.full[from.Name] = now.Add(c.jitter(retry))
-		delete(c.tree.upstreams, from.Name)
-	}
 }
 
 // allowedName reports whether a document name is one that the system distributes.
--- a/distribution/tree.go
+++ b/distribution/tree.go
@@ -30,11 +30,16 @@
 	parentAt  time.Time
 	linkPeer  string
 	root      bool
-	pulling   bool
+	rootSince time.Time
+	// deferred is the time before which this root does not read the platform.
+	deferred time.Time
+	pulling  bool
 	// linkHeard is when the other region was heard last, directly or by the word of the region's reader.
 	linkHeard time.Time
 	// linkSince is when this process first had to wait for the region's reader.
 	linkSince time.Time
+	// seekAt is when the seeds are asked next for failure domains without a usable instance.
+	seekAt time.Time
 	// full holds upstreams that refused this process, until the time they may be asked again.
 	full map[string]time.Time
 }
@@ -108,12 +113,13 @@
 		}
 	}
 	parent := c.chooseParent(now)
-	c.setRoot(parent == nil)
+	c.setRoot(now, parent == nil)
 	if parent != nil {
 		add(parent, false)
 		c.setPulling(false)
 		return wanted
 	}
+	c.seek(now)
 	for _, fd := range c.regionDomains() {
 		for _, m := range c.members.First(now, fd, 1) {
 			add(m, false)
@@ -126,12 +132,41 @@
 	return wanted
 }
 
+// deferReading puts off this process's reads of the platform, since a peer that ranks before it is about to hold something
+// and will read instead. The delay in all is bounded.
+func (c *Core) deferReading(now time.Time) {
+	c.tree.deferred = now.Add(2 * c.cfg.Timing.Settle)
+	if c.tree.root && now.Sub(c.tree.rootSince) > c.cfg.Timing.PlatformLast {
+		c.tree.deferred = now
+	}
+}
+
+// seek asks a random seed what it holds while a failure domain of the catalogue has no usable instance. So parts of the
+// fleet that started apart, and know no instance of each other, find together.
+func (c *Core) seek(now time.Time) {
+	if now.Before(c.tree.seekAt) || len(c.cfg.Seeds) == 0 {
+		return
+	}
+	c.tree.seekAt = now.Add(c.jitter(c.cfg.Timing.Suspicion))
+	for _, r := range c.topology.Regions {
+		for _, fd := range r.FailureDomains {
+			if len(c.members.First(now, fd, 1)) > 0 {
+				continue
+			}
+			if seed := c.cfg.Seeds[c.rng.IntN(len(c.cfg.Seeds))]; seed != c.cfg.Self.PeerAddr {
+				c.send(Address{Addr: seed}, Message{Ask: &Ask{}, Sender: c.self()})
+			}
+			return
+		}
+	}
+}
+
 // setRoot notes whether this process heads the tree of its failure domain.
-func (c *Core) setRoot(root bool) {
+func (c *Core) setRoot(now time.Time, root bool) {
 	if c.tree.root == root {
 		return
 	}
-	c.tree.root = root
+	c.tree.root, c.tree.rootSince = root, now
 	detail := "left the root of the relay tree"
 	if root {
 		detail = "became the root of the relay tree"
