internal/operator: the operators' listener

Cause: operators need health, readiness, metrics, status, the audit trail, the instances known and the reason why a call may or may not take a target.

--- a/audit/audit.go
+++ b/audit/audit.go
@@ -91,6 +91,8 @@
 	mu   sync.Mutex
 	ring []Record
 	last uint64
+	// counts holds the number of records ever added of each kind.
+	counts map[Kind]uint64
 }
 
 // New returns an empty trail of the given capacity in records; a capacity below 1 means DefaultCapacity.
@@ -98,7 +100,7 @@
 	if capacity < 1 {
 		capacity = DefaultCapacity
 	}
-	return &Trail{log: log, ring: make([]Record, 0, capacity)}
+	return &Trail{log: log, ring: make([]Record, 0, capacity), counts: map[Kind]uint64{}}
 }
 
 // Add appends a record, gives it the next sequence number and logs it. A full trail drops its oldest record.
@@ -125,6 +127,7 @@
 		r.Time = time.Now()
 	}
 	t.last++
+	t.counts[r.Kind]++
 	r.Seq = t.last
 	if len(t.ring) < cap(t.ring) {
 		t.ring = append(t.ring, r)
@@ -162,3 +165,10 @@
 	defer t.mu.Unlock()
 	return t.last
 }
+
+// Count returns the number of records of a kind that were ever added, dropped ones included.
+func (t *Trail) Count(kind Kind) uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.counts[kind]
+}
--- a/audit/audit_test.go
+++ b/audit/audit_test.go
@@ -63,7 +63,7 @@
 	}
 	wg.Wait()
 	got := trail.Since(0)
-	if trail.Last() != 800 || len(got) != 64 || got[0].Seq != 737 {
+	if trail.Last() != 800 || trail.Count(StateChange) != 800 || trail.Count(Applied) != 0 || len(got) != 64 || got[0].Seq != 737 {
 		t.Fatalf("last %d, held %d", trail.Last(), len(got))
 	}
 }
--- a/catalogue/diff.go
+++ b/catalogue/diff.go
@@ -86,6 +86,9 @@
 			found = append(found, Change{Kind: Added, Entry: entry, Name: name, Owner: owner})
 			continue
 		}
+		if reflect.DeepEqual(old, &newer[i]) {
+			continue
+		}
 		if fields := diffFields("", reflect.ValueOf(*old), reflect.ValueOf(newer[i])); len(fields) > 0 {
 			found = append(found, Change{Kind: Changed, Entry: entry, Name: name, Owner: owner, Fields: fields})
 		}
--- a/catalogue/publish_test.go
+++ b/catalogue/publish_test.go
@@ -216,6 +216,16 @@
 	}
 }
 
+func BenchmarkDiff(b *testing.B) {
+	older, newer := large(b, 2200), large(b, 2200)
+	newer.Routes[7].Limits.Concurrency++
+	for b.Loop() {
+		if d := Diff(older, newer); len(d.Changes) != 1 {
+			b.Fatalf("%d changes", len(d.Changes))
+		}
+	}
+}
+
 func ExampleParse() {
 	c, err := Parse("streusalz.jsonc", examples.Streusalz)
 	fmt.Println(len(c.Services), err)
--- /dev/null
+++ b/internal/operator/alerts.go
@@ -0,0 +1,67 @@
+package operator
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+
+	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/snapshot"
+)
+
+// alertsOf returns the open alerts of a state, each owned by an organisation: a service without a target that takes work,
+// and a route without one in the regions that it is bound to.
+func alertsOf(state *snapshot.State) []Alert {
+	if state.Config == nil {
+		return nil
+	}
+	var out []Alert
+	regions := regionsServed(state)
+	cat := state.Config.Catalogue()
+	for i := range cat.Services {
+		s := &cat.Services[i]
+		if len(regions[s.Name]) == 0 {
+			out = append(out, Alert{
+				Organisation: s.Owner, Subject: fmt.Sprintf("service %q", s.Name), Detail: "no target of the service takes work",
+				Remedy: "start instances of the service or return their failure domains to service",
+			})
+		}
+	}
+	for _, r := range state.Config.Routes() {
+		if r.Regions != nil && len(regions[r.Service]) > 0 && !slices.ContainsFunc(regions[r.Service], r.Allows) {
+			out = append(out, Alert{
+				Organisation: r.Owner, Subject: fmt.Sprintf("route %q", r.Name),
+				Detail: "no target takes work in the home regions " + strings.Join(homeRegions(state.Config, r), ", "),
+				Remedy: "start instances there, return their failure domains to service, or widen homeRegions",
+			})
+		}
+	}
+	return out
+}
+
+// regionsServed returns, for each service, the regions in which one of its targets takes work.
+func regionsServed(state *snapshot.State) map[string][]string {
+	out := map[string][]string{}
+	state.Endpoints.All(func(inst platform.Instance) bool {
+		region := state.Config.RegionOf(inst.FailureDomain)
+		if inst.State == platform.Live && inService(state.Config, inst) && !slices.Contains(out[inst.Service], region) {
+			out[inst.Service] = append(out[inst.Service], region)
+		}
+		return true
+	})
+	return out
+}
+
+// homeRegions returns the regions that requests of a route may be in, or nil if they may be anywhere.
+func homeRegions(config *snapshot.Config, r *snapshot.Route) []string {
+	if r.Regions == nil {
+		return nil
+	}
+	var out []string
+	for _, name := range config.Regions() {
+		if r.Allows(name) {
+			out = append(out, name)
+		}
+	}
+	return out
+}
--- a/settings/check.go
+++ b/settings/check.go
@@ -114,6 +114,9 @@
 	case u.RawQuery != "" || u.Fragment != "":
 		c.Add("", "platform.url", fmt.Sprintf("URL %q has a query or fragment", p.URL), "give the base URL only")
 	}
+	for i, region := range p.StoreRegions {
+		c.name(fmt.Sprintf("platform.storeRegions[%d]", i), region)
+	}
 	c.duration("platform.readTimeout", p.ReadTimeout, minTimeout, maxReadTimeout)
 	c.duration("platform.watchTimeout", p.WatchTimeout, time.Second, maxWatch)
 }
--- a/snapshot/endpoints.go
+++ b/snapshot/endpoints.go
@@ -161,6 +161,20 @@
 	return inst, ok
 }
 
+// All calls yield for each instance, in order of service and name, until yield returns false.
+func (e *Endpoints) All(yield func(platform.Instance) bool) {
+	if e == nil {
+		return
+	}
+	for _, service := range slices.Sorted(maps.Keys(e.byService)) {
+		for _, inst := range e.byService[service] {
+			if !yield(inst) {
+				return
+			}
+		}
+	}
+}
+
 // Versions returns the versions of the lists that the instances come from, by document name.
 func (e *Endpoints) Versions() map[string]document.Version {
 	out := map[string]document.Version{}
--- a/snapshot/snapshot.go
+++ b/snapshot/snapshot.go
@@ -19,6 +19,7 @@
 // Config is a catalogue compiled for look-ups.
 type Config struct {
 	version       document.Version
+	source        *catalogue.Catalogue
 	organisations map[string]*catalogue.Organisation
 	services      map[string]*catalogue.Service
 	routes        []*Route
@@ -58,6 +59,7 @@
 func build(cat *catalogue.Catalogue, version document.Version) (*Config, error) {
 	c := &Config{
 		version:       version,
+		source:        cat,
 		organisations: make(map[string]*catalogue.Organisation, len(cat.Organisations)),
 		services:      make(map[string]*catalogue.Service, len(cat.Services)),
 		regionOf:      map[string]string{},
@@ -137,6 +139,9 @@
 // Version returns revision and digest of the catalogue.
 func (c *Config) Version() document.Version { return c.version }
 
+// Catalogue returns the catalogue that the configuration was compiled from. The caller must not change it.
+func (c *Config) Catalogue() *catalogue.Catalogue { return c.source }
+
 // Match returns the route for a request, or nil. The longest matching prefix that takes the method wins.
 func (c *Config) Match(method, path string) *Route {
 	for _, r := range c.routes {
