--- a/internal/bench/mesh.go
+++ b/internal/bench/mesh.go
@@ -91,6 +91,7 @@
 	Ledger   *standin.Ledger
 
 	options   MeshOptions
+	log       zerolog.Logger // of the processes
 	authority *certs.Authority
 	catalogue *catalogue.Catalogue
 	regions   map[string]string
@@ -114,6 +115,7 @@
 		Links:     standin.NewLinks(),
 		Ledger:    standin.NewLedger(),
 		options:   options,
+		log:       options.Log.Level(zerolog.ErrorLevel),
 		authority: authority,
 		catalogue: cat,
 		regions:   map[string]string{},
--- a/internal/bench/mesh_net.go
+++ b/internal/bench/mesh_net.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"slices"
 	"time"
 
@@ -152,8 +151,3 @@
 	}
 	return v, err
 }
-
-// peerTLS returns the certificate and the authority of the node for the transport between processes.
-func (n *Node) peerTLS() *tls.Config {
-	return &tls.Config{Certificates: []tls.Certificate{n.cert}, RootCAs: n.mesh.authority.Pool()}
-}
--- a/internal/bench/mesh_node.go
+++ b/internal/bench/mesh_node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"net"
 	"net/http"
 	"slices"
@@ -35,7 +34,6 @@
 	Target   *standin.Target
 
 	mesh    *Mesh
-	cert    tls.Certificate
 	store   *certs.Store
 	callers string // address of the callers' listener, kept over restarts
 	relays  map[string]*standin.Relay
@@ -63,10 +61,11 @@
 	if err != nil {
 		return nil, err
 	}
-	if n.cert, err = pair.TLS(); err != nil {
+	cert, err := pair.TLS()
+	if err != nil {
 		return nil, err
 	}
-	n.store = certs.NewStatic(n.cert, m.authority.Pool())
+	n.store = certs.NewStatic(cert, m.authority.Pool())
 	cfg := standin.TargetConfig{
 		Name: n.Instance.Name, Limits: m.serviceLimits(p.service), Service: targetService, Spread: targetSpread, Warm: true,
 		DownTime: targetDownTime, HealthLag: targetHealthLag, AnswerBytes: targetAnswer, Seed: m.options.Seed + uint64(i), Ledger: m.Ledger,
@@ -125,7 +124,7 @@
 func (n *Node) build(requests, callers net.Listener) (*process, error) {
 	p := &process{holder: snapshot.NewHolder()}
 	var err error
-	p.transport, err = peer.Listen(peer.Config{Addr: n.Instance.PeerAddr, TLS: n.peerTLS(), Log: n.mesh.options.Log})
+	p.transport, err = peer.Listen(peer.Config{Addr: n.Instance.PeerAddr, Certs: n.store, Log: n.mesh.log})
 	if err != nil {
 		return nil, err
 	}
@@ -135,7 +134,7 @@
 	p.agent = agent.New(agent.Config{
 		Self: n.Instance, Region: n.mesh.regions[domain], StoreRegions: []string{homeRegion}, Seeds: n.mesh.seeds(n),
 		Source: &cutSource{Source: n.mesh.Platform, links: n.mesh.Links, domain: domain}, Transport: n.mesh.linked(p.transport, domain),
-		Holder: p.holder, Log: n.mesh.options.Log, FleetSize: len(n.mesh.placements()),
+		Holder: p.holder, Log: n.mesh.log, FleetSize: len(n.mesh.placements()),
 	})
 	parts := n.mesh.options.Parts
 	if parts == nil {
@@ -143,7 +142,7 @@
 	}
 	p.gatekeeper = gatekeeper.New(gatekeeper.Config{
 		Instance: n.Instance.Name, FailureDomain: domain, Service: n.Instance.Service, TargetAddr: n.Target.Address(),
-		Holder: p.holder, Gate: parts.Gate(), Log: n.mesh.options.Log,
+		Holder: p.holder, Gate: parts.Gate(), Log: n.mesh.log,
 	})
 	p.requests = gatekeeper.NewServer(requests, n.store.PeerServer("h2"), p.gatekeeper)
 	front := frontend.New(frontend.Config{
@@ -152,7 +151,7 @@
 			Instance: n.Instance.Name, Gatekeeper: p.gatekeeper,
 			Remote: &linkCarrier{mesh: n.mesh, from: domain, carrier: frontend.NewHTTPCarrier(n.store)},
 		},
-		TrustOrganisationHeader: true, Log: n.mesh.options.Log,
+		TrustOrganisationHeader: true, Log: n.mesh.log,
 	})
 	p.frontend = frontend.NewServer(callers, nil, front)
 	return p, nil
