--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/chervilwell/chervilwell/admission"
 	"github.com/chervilwell/chervilwell/audit"
 	"github.com/chervilwell/chervilwell/catalogue"
 	"github.com/chervilwell/chervilwell/internal/headers"
@@ -30,8 +31,6 @@
 	TargetAddr string
 	// Holder has the configuration in force.
 	Holder *snapshot.Holder
-	// Gate decides what the target runs.
-	Gate Gate
 	// Trail takes the audit records; it may be nil.
 	Trail *audit.Trail
 	Log   zerolog.Logger
@@ -55,6 +54,7 @@
 	transport atomic.Pointer[http.Transport]
 	setup     sync.Mutex
 	version   atomic.Uint64
+	turnstile turnstile
 	draining  atomic.Bool
 	running   sync.WaitGroup
 	drainLock sync.RWMutex
@@ -62,16 +62,33 @@
 
 // New returns a gatekeeper.
 func New(config Config) *Gatekeeper {
-	if config.Gate == nil {
-		config.Gate = NewSlotGate()
-	}
 	g := &Gatekeeper{config: config}
 	g.limits.Store(&catalogue.ServiceLimits{})
 	return g
 }
 
 // Load returns the load of the target.
-func (g *Gatekeeper) Load() headers.LoadState { return g.config.Gate.Load() }
+func (g *Gatekeeper) Load() headers.LoadState { return g.turnstile.load() }
+
+// Phase returns the gate's belief about the target.
+func (g *Gatekeeper) Phase() admission.Phase { return g.turnstile.state().Phase }
+
+// TargetCold tells that the target or its host reported a cold start.
+func (g *Gatekeeper) TargetCold() { g.turnstile.cold() }
+
+// Serve lets the gate's time pass until the context ends.
+func (g *Gatekeeper) Serve(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-timer.C:
+			timer.Reset(g.turnstile.tick())
+		}
+	}
+}
 
 // Leaving reports whether the gatekeeper refuses new work because the instance is leaving.
 func (g *Gatekeeper) Leaving() bool { return g.draining.Load() }
@@ -107,13 +124,11 @@
 		return nil, refused
 	}
 	g.configure(state.Config)
-	ctx := call.Request.Context()
-	deadline, _ := ctx.Deadline()
-	leave, refused := g.config.Gate.Enter(ctx, Entry{Organisation: call.Organisation, Class: route.Class, Deadline: deadline})
+	pass, refused := g.turnstile.enter(call.Request.Context(), call.Organisation, route.Class)
 	if refused != nil {
 		return nil, refused
 	}
-	return g.run(call, route, leave)
+	return g.run(call, route, pass)
 }
 
 // check holds the call against the configuration in force here, before its body is read.
@@ -162,34 +177,61 @@
 		}
 	}
 	g.limits.Store(&limits)
-	g.config.Gate.Configure(limits, config.Organisations())
+	g.turnstile.configure(limits, config.Organisations())
 	g.version.Store(revision)
 }
 
 // run sends an admitted call to the target.
-func (g *Gatekeeper) run(call *Call, route *snapshot.Route, leave func(Outcome)) (*http.Response, *refusal.Refusal) {
-	started := time.Now()
+func (g *Gatekeeper) run(call *Call, route *snapshot.Route, pass *pass) (*http.Response, *refusal.Refusal) {
 	ctx, track := track(call.Request.Context(), route.Repeat == catalogue.Never)
 	resp, err := g.transport.Load().RoundTrip(g.outgoing(ctx, call))
 	if err != nil {
 		wrote := track.giveUp()
-		leave(Outcome{Latency: time.Since(started), Failed: true})
+		pass.leave(resultOf(ctx, err))
 		return nil, failure(ctx, err, wrote)
 	}
+	pass.responded()
 	if !verifiable(resp) {
 		resp.Body.Close()
-		leave(Outcome{Latency: time.Since(started), Failed: true})
+		pass.leave(admission.Failed)
 		return nil, refusal.Unknown(refusal.BrokenAnswer, "answer has neither Content-Length nor chunked encoding")
 	}
 	headers.StripInternal(resp.Header)
 	headers.StripHopByHop(resp.Header)
 	resp.Body = &answerBody{ReadCloser: resp.Body, end: func(err error) {
-		leave(Outcome{Latency: time.Since(started), Failed: err != nil || resp.StatusCode == http.StatusServiceUnavailable})
+		pass.leave(resultOfAnswer(ctx, resp.StatusCode, err))
 		g.running.Done()
 	}}
 	return resp, nil
 }
 
+// resultOf says how a request ended that got no answer.
+func resultOf(ctx context.Context, err error) admission.Result {
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return admission.Failed
+	case ctx.Err() != nil || errors.As(err, &tooLarge):
+		return admission.Cancelled
+	}
+	return admission.Crashed
+}
+
+// resultOfAnswer says how a request ended whose answer began.
+func resultOfAnswer(ctx context.Context, status int, err error) admission.Result {
+	switch {
+	case errors.Is(err, errAbandoned):
+		return admission.Cancelled
+	case err != nil:
+		return resultOf(ctx, err)
+	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
+		return admission.Shed
+	case status >= http.StatusInternalServerError:
+		return admission.Failed
+	}
+	return admission.OK
+}
+
 // outgoing returns the request as the target gets it.
 func (g *Gatekeeper) outgoing(ctx context.Context, call *Call) *http.Request {
 	r := call.Request
--- a/internal/gatekeeper/server.go
+++ b/internal/gatekeeper/server.go
@@ -94,6 +94,7 @@
 	g.drainLock.Lock()
 	g.draining.Store(true)
 	g.drainLock.Unlock()
+	g.turnstile.drain()
 	done := make(chan struct{})
 	go func() {
 		g.running.Wait()
--- a/snapshot/snapshot.go
+++ b/snapshot/snapshot.go
@@ -8,7 +8,6 @@
 import (
 	"cmp"
 	"slices"
-	"strings"
 
 	"github.com/pkg/errors"
 
@@ -23,6 +22,9 @@
 	organisations map[string]*catalogue.Organisation
 	services      map[string]*catalogue.Service
 	routes        []*Route
+	routeByName   map[string]*Route
+	byPrefix      map[string][]*Route
+	prefixLengths []int
 	regionOf      map[string]string
 	domainsOut    map[string]bool
 	instancesOut  map[string]bool
@@ -114,6 +116,7 @@
 			cmp.Compare(len(b.methods), len(a.methods)),
 			cmp.Compare(a.Name, b.Name))
 	})
+	c.indexRoutes()
 	return nil
 }
 
@@ -138,11 +141,30 @@
 // Version returns revision and digest of the catalogue.
 func (c *Config) Version() document.Version { return c.version }
 
+// indexRoutes builds the look-up tables of the sorted routes.
+func (c *Config) indexRoutes() {
+	c.routeByName = make(map[string]*Route, len(c.routes))
+	c.byPrefix = make(map[string][]*Route, len(c.routes))
+	for _, r := range c.routes {
+		c.routeByName[r.Name] = r
+		prefix := r.Match.PathPrefix
+		c.byPrefix[prefix] = append(c.byPrefix[prefix], r)
+		if n := len(c.prefixLengths); n == 0 || c.prefixLengths[n-1] != len(prefix) {
+			c.prefixLengths = append(c.prefixLengths, len(prefix))
+		}
+	}
+}
+
 // Match returns the route for a request, or nil. The longest matching prefix that takes the method wins.
 func (c *Config) Match(method, path string) *Route {
-	for _, r := range c.routes {
-		if strings.HasPrefix(path, r.Match.PathPrefix) && (r.methods == nil || r.methods[method]) {
-			return r
+	for _, n := range c.prefixLengths {
+		if n > len(path) {
+			continue
+		}
+		for _, r := range c.byPrefix[path[:n]] {
+			if r.methods == nil || r.methods[method] {
+				return r
+			}
 		}
 	}
 	return nil
@@ -158,14 +180,7 @@
 func (c *Config) Service(name string) *catalogue.Service { return c.services[name] }
 
 // Route returns a route by name, or nil.
-func (c *Config) Route(name string) *Route {
-	for _, r := range c.routes {
-		if r.Name == name {
-			return r
-		}
-	}
-	return nil
-}
+func (c *Config) Route(name string) *Route { return c.routeByName[name] }
 
 // Routes returns the routes in matching order. The caller must not change the slice.
 func (c *Config) Routes() []*Route { return c.routes }
