--- a/internal/frontend/carrier.go
+++ b/internal/frontend/carrier.go
@@ -64,7 +64,7 @@
 }
 
 // HTTPCarrier brings requests to other instances over HTTP/2 with mutual TLS.
-type HTTPCarrier struct{ transport *http.Transport }
+type HTTPCarrier struct{ transport http.RoundTripper }
 
 // NewHTTPCarrier returns a carrier that shows the certificates of the store.
 func NewHTTPCarrier(store *certs.Store) *HTTPCarrier {
@@ -72,8 +72,8 @@
 	protocols := new(http.Protocols)
 	protocols.SetHTTP2(true)
 	return &HTTPCarrier{transport: &http.Transport{
-		DialTLSContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			return dialInstance(ctx, dialer, store, network, addr)
+		DialTLSContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
+			return dialInstance(ctx, dialer, store, "h2", addr)
 		},
 		Protocols:              protocols,
 		HTTP2:                  &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
@@ -86,13 +86,13 @@
 // targetKey is the key of the called instance's name in a context.
 type targetKey struct{}
 
-func dialInstance(ctx context.Context, dialer *net.Dialer, store *certs.Store, network, addr string) (net.Conn, error) {
+func dialInstance(ctx context.Context, dialer *net.Dialer, store *certs.Store, protocol, addr string) (net.Conn, error) {
 	name, _ := ctx.Value(targetKey{}).(string)
-	conn, err := dialer.DialContext(ctx, network, addr)
+	conn, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, err
 	}
-	secured := tls.Client(conn, store.PeerClient(name, "h2"))
+	secured := tls.Client(conn, store.PeerClient(name, protocol))
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	if err := secured.HandshakeContext(ctx); err != nil {
