Carry requests between instances by HTTP/1.1 with mutual TLS; own pool for it and for the target

Change: package httppool runs a request in the caller's goroutine, never resends, and says for certain that nothing was written. The gatekeeper's and the frontend's use of http.Transport goes, and with it the candidates HTTP/2 and QUIC and their experiment.

--- a/internal/bench/exp_overhead.go
+++ b/internal/bench/exp_overhead.go
@@ -158,9 +158,11 @@
 }
 
 // paced makes calls at the given rate to every instance, each way in turn.
-func (o *overhead) paced(instances int) error {
+func (o *overhead) paced(instances int) error { return o.pacedFor(instances, overheadPaced) }
+
+func (o *overhead) pacedFor(instances int, d time.Duration) error {
 	interval := time.Second / time.Duration(overheadRate*instances)
-	end := time.Now().Add(overheadPaced)
+	end := time.Now().Add(d)
 	var running sync.WaitGroup
 	for turn := 0; time.Now().Before(end); turn++ {
 		way := o.ways[turn%len(o.ways)]
--- a/internal/bench/path.go
+++ b/internal/bench/path.go
@@ -44,10 +44,6 @@
 	target        http.Handler
 	// carrier wraps the carrier to other instances; nil keeps it.
 	carrier func(frontend.Carrier) frontend.Carrier
-	// make returns the carrier to other instances; nil makes the usual one.
-	make func(*certs.Store) frontend.Carrier
-	// quic serves the gatekeeper over QUIC instead of TCP.
-	quic bool
 	// link returns the address under which other instances reach the one at addr; nil keeps it.
 	link func(addr string) (string, error)
 }
@@ -139,21 +135,12 @@
 		Instance: place.name, FailureDomain: place.failureDomain, Service: place.service, TargetAddr: m.targetAddr, Holder: p.holder,
 	})
 	p.run(m.gatekeeper.Serve)
-	if place.quic {
-		if err := p.serveQUIC(peers, store, m.gatekeeper); err != nil {
-			return err
-		}
-		return p.addFrontend(m, place, store)
-	}
-	p.run(gatekeeper.NewServer(peers, store.PeerServer("h2", "http/1.1"), m.gatekeeper).Serve)
+	p.run(gatekeeper.NewServer(peers, store.PeerServer("http/1.1"), m.gatekeeper).Serve)
 	return p.addFrontend(m, place, store)
 }
 
 func (p *path) addFrontend(m *pathMember, place pathPlace, store *certs.Store) error {
 	var carrier frontend.Carrier = frontend.NewHTTPCarrier(store)
-	if place.make != nil {
-		carrier = place.make(store)
-	}
 	if place.carrier != nil {
 		carrier = place.carrier(carrier)
 	}
--- a/internal/frontend/carrier.go
+++ b/internal/frontend/carrier.go
@@ -5,9 +5,8 @@
 	"crypto/tls"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
-	"sync/atomic"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -15,6 +14,7 @@
 	"github.com/chervilwell/chervilwell/internal/certs"
 	"github.com/chervilwell/chervilwell/internal/gatekeeper"
 	"github.com/chervilwell/chervilwell/internal/headers"
+	"github.com/chervilwell/chervilwell/internal/httppool"
 	"github.com/chervilwell/chervilwell/internal/refusal"
 	"github.com/chervilwell/chervilwell/internal/stream"
 	"github.com/chervilwell/chervilwell/platform"
@@ -40,9 +40,13 @@
 const (
 	dialTimeout   = 2 * time.Second
 	idleTimeout   = 90 * time.Second
-	pingAfter     = 5 * time.Second
-	pingTimeout   = 2 * time.Second
 	maxAnswerHead = 128 << 10
+	// maxConns bounds the connections to one instance, maxIdle those kept open between requests.
+	maxConns = 256
+	maxIdle  = 32
+	// maxPools is the number of instances above which those without connections are forgotten.
+	maxPools    = 256
+	maxSessions = 512
 )
 
 // LocalCarrier brings requests for the own instance to its gatekeeper without a network hop, and all others on.
@@ -63,38 +67,71 @@
 	return resp, refused
 }
 
-// HTTPCarrier brings requests to other instances over HTTP/2 with mutual TLS.
-type HTTPCarrier struct{ transport http.RoundTripper }
+// HTTPCarrier brings requests to other instances over HTTP/1.1 with mutual TLS, one request at a time on a connection: so a
+// large body never holds up a small one, and a failed request is known not to have left if nothing was written.
+type HTTPCarrier struct {
+	store    *certs.Store
+	sessions tls.ClientSessionCache
+	mu       sync.RWMutex
+	pools    map[peer]*httppool.Pool
+}
+
+// peer is an instance at an address. Both count: any instance may get any address.
+type peer struct{ name, addr string }
 
 // NewHTTPCarrier returns a carrier that shows the certificates of the store.
 func NewHTTPCarrier(store *certs.Store) *HTTPCarrier {
-	dialer := &net.Dialer{Timeout: dialTimeout}
-	protocols := new(http.Protocols)
-	protocols.SetHTTP2(true)
-	return &HTTPCarrier{transport: &http.Transport{
-		DialTLSContext: func(ctx context.Context, _, addr string) (net.Conn, error) {
-			return dialInstance(ctx, dialer, store, "h2", addr)
-		},
-		Protocols:              protocols,
-		HTTP2:                  &http.HTTP2Config{SendPingTimeout: pingAfter, PingTimeout: pingTimeout},
-		IdleConnTimeout:        idleTimeout,
-		DisableCompression:     true,
-		MaxResponseHeaderBytes: maxAnswerHead,
-	}}
+	return &HTTPCarrier{store: store, sessions: tls.NewLRUClientSessionCache(maxSessions), pools: map[peer]*httppool.Pool{}}
 }
 
-// targetKey is the key of the called instance's name in a context.
-type targetKey struct{}
+// pool returns the connections to a peer.
+func (c *HTTPCarrier) pool(to peer) *httppool.Pool {
+	c.mu.RLock()
+	pool := c.pools[to]
+	c.mu.RUnlock()
+	if pool != nil {
+		return pool
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if pool = c.pools[to]; pool == nil {
+		c.forget()
+		pool = httppool.New(httppool.Config{
+			Dial:           func(ctx context.Context) (net.Conn, error) { return c.dial(ctx, to) },
+			MaxConns:       maxConns,
+			MaxIdle:        maxIdle,
+			IdleTimeout:    idleTimeout,
+			MaxHeaderBytes: maxAnswerHead,
+		})
+		c.pools[to] = pool
+	}
+	return pool
+}
 
-func dialInstance(ctx context.Context, dialer *net.Dialer, store *certs.Store, protocol, addr string) (net.Conn, error) {
-	name, _ := ctx.Value(targetKey{}).(string)
-	conn, err := dialer.DialContext(ctx, "tcp", addr)
-	if err != nil {
-		return nil, err
+// forget drops the pools without connections once there are many, since instances come and go.
+func (c *HTTPCarrier) forget() {
+	if len(c.pools) < maxPools {
+		return
 	}
-	secured := tls.Client(conn, store.PeerClient(name, protocol))
+	for to, pool := range c.pools {
+		if pool.Idle() == 0 {
+			pool.Close()
+			delete(c.pools, to)
+		}
+	}
+}
+
+func (c *HTTPCarrier) dial(ctx context.Context, to peer) (net.Conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
+	var dialer net.Dialer
+	conn, err := dialer.DialContext(ctx, "tcp", to.addr)
+	if err != nil {
+		return nil, err
+	}
+	config := c.store.PeerClient(to.name, "http/1.1")
+	config.ClientSessionCache = c.sessions
+	secured := tls.Client(conn, config)
 	if err := secured.HandshakeContext(ctx); err != nil {
 		conn.Close()
 		return nil, err
@@ -104,13 +141,9 @@
 
 // Do implements Carrier.
 func (c *HTTPCarrier) Do(s *Shipment) (*http.Response, *refusal.Refusal) {
-	// A request on a shared connection may have been written as soon as it has got the connection.
-	var given atomic.Bool
-	ctx := context.WithValue(s.Request.Context(), targetKey{}, s.Target.Name)
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { given.Store(true) }})
-	resp, err := c.transport.RoundTrip(s.prepare(ctx))
+	resp, err := c.pool(peer{s.Target.Name, s.Target.RequestAddr}).Do(s.prepare())
 	if err != nil {
-		return nil, s.failure(err, given.Load())
+		return nil, s.failure(err)
 	}
 	s.readLoad(resp.Header)
 	if refused := refusal.FromResponse(resp); refused != nil {
@@ -119,8 +152,8 @@
 	return resp, nil
 }
 
-func (s *Shipment) prepare(ctx context.Context) *http.Request {
-	out := s.Request.WithContext(ctx)
+func (s *Shipment) prepare() *http.Request {
+	out := s.Request.WithContext(s.Request.Context())
 	out.URL = &url.URL{
 		Scheme:   "https",
 		Host:     s.Target.RequestAddr,
@@ -145,7 +178,7 @@
 }
 
 // failure says what became of a request that the instance gave no answer to.
-func (s *Shipment) failure(err error, given bool) *refusal.Refusal {
+func (s *Shipment) failure(err error) *refusal.Refusal {
 	ctx := s.Request.Context()
 	kind := refusal.Unreachable
 	var tooLarge *http.MaxBytesError
@@ -158,7 +191,7 @@
 		kind = refusal.Cancelled
 	}
 	refused := refusal.New(kind, "instance %q: %v", s.Target.Name, err)
-	if given {
+	if !errors.Is(err, httppool.ErrNotWritten) {
 		refused.Run = headers.Unknown
 	}
 	return refused
--- a/internal/frontend/fleet_test.go
+++ b/internal/frontend/fleet_test.go
@@ -103,7 +103,7 @@
 	callers := f.listen()
 	m.url = "http://" + callers.Addr().String()
 	m.server = NewServer(callers, nil, m.frontend)
-	f.serve(gatekeeper.NewServer(peers, m.store.PeerServer("h2"), m.gatekeeper))
+	f.serve(gatekeeper.NewServer(peers, m.store.PeerServer("http/1.1"), m.gatekeeper))
 	f.serve(m.server)
 	return m
 }
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -16,6 +16,7 @@
 	"github.com/chervilwell/chervilwell/audit"
 	"github.com/chervilwell/chervilwell/catalogue"
 	"github.com/chervilwell/chervilwell/internal/headers"
+	"github.com/chervilwell/chervilwell/internal/httppool"
 	"github.com/chervilwell/chervilwell/internal/refusal"
 	"github.com/chervilwell/chervilwell/internal/stream"
 	"github.com/chervilwell/chervilwell/snapshot"
@@ -51,7 +52,7 @@
 type Gatekeeper struct {
 	config    Config
 	limits    atomic.Pointer[catalogue.ServiceLimits]
-	transport atomic.Pointer[http.Transport]
+	pool      atomic.Pointer[httppool.Pool]
 	setup     sync.Mutex
 	version   atomic.Uint64
 	turnstile turnstile
@@ -128,7 +129,7 @@
 	if refused != nil {
 		return nil, refused
 	}
-	return g.run(call, route, pass)
+	return g.run(call, pass)
 }
 
 // check holds the call against the configuration in force here, before its body is read.
@@ -159,21 +160,21 @@
 // configure puts the limits of a revision in force once.
 func (g *Gatekeeper) configure(config *snapshot.Config) {
 	revision := config.Version().Revision
-	if g.version.Load() >= revision && g.transport.Load() != nil {
+	if g.version.Load() >= revision && g.pool.Load() != nil {
 		return
 	}
 	g.setup.Lock()
 	defer g.setup.Unlock()
 	service := config.Service(g.config.Service)
-	if service == nil || (g.version.Load() >= revision && g.transport.Load() != nil) {
+	if service == nil || (g.version.Load() >= revision && g.pool.Load() != nil) {
 		return
 	}
 	old := g.limits.Load()
 	limits := service.Limits
-	if previous := g.transport.Load(); previous == nil || old.Connections != limits.Connections {
-		g.transport.Store(newTransport(limits.Connections))
+	if previous := g.pool.Load(); previous == nil || old.Connections != limits.Connections {
+		g.pool.Store(newTargetPool(g.config.TargetAddr, limits.Connections))
 		if previous != nil {
-			previous.CloseIdleConnections()
+			previous.Close()
 		}
 	}
 	g.limits.Store(&limits)
@@ -182,13 +183,12 @@
 }
 
 // run sends an admitted call to the target.
-func (g *Gatekeeper) run(call *Call, route *snapshot.Route, pass *pass) (*http.Response, *refusal.Refusal) {
-	ctx, track := track(call.Request.Context(), route.Repeat == catalogue.Never)
-	resp, err := g.transport.Load().RoundTrip(g.outgoing(ctx, call))
+func (g *Gatekeeper) run(call *Call, pass *pass) (*http.Response, *refusal.Refusal) {
+	ctx := call.Request.Context()
+	resp, err := g.pool.Load().Do(g.outgoing(ctx, call))
 	if err != nil {
-		wrote := track.giveUp()
 		pass.leave(resultOf(ctx, err))
-		return nil, failure(ctx, err, wrote)
+		return nil, failure(ctx, err, !errors.Is(err, httppool.ErrNotWritten))
 	}
 	pass.responded()
 	if !verifiable(resp) {
@@ -265,7 +265,7 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		kind = refusal.BodyTooLarge
-	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		kind = refusal.Timeout
 	case ctx.Err() != nil:
 		kind = refusal.Cancelled
--- a/internal/gatekeeper/server.go
+++ b/internal/gatekeeper/server.go
@@ -118,7 +118,6 @@
 func NewServer(listener net.Listener, config *tls.Config, g *Gatekeeper) *Server {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
-	protocols.SetHTTP2(true)
 	return &Server{listener: listener, http: &http.Server{
 		Handler:           g,
 		TLSConfig:         config,
