daemon: admission through the gatekeeper itself

Cause: the gatekeeper owns its gate now and lets its time pass by Serve. Change: the daemon adds the gatekeeper to its tree and has no gate of its own; requests between instances use HTTP/1.1. Conclusion: the daemon's and the process tests pass with the race detector.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -51,7 +51,6 @@
 	transport *peer.Quic
 	agent     *agent.Agent
 	gate      *gatekeeper.Gatekeeper
-	admission gatekeeper.Gate
 	requests  *gatekeeper.Server
 	front     *frontend.Frontend
 	callers   *frontend.Server
@@ -214,6 +213,7 @@
 		tree.Add(d.callerTLS)
 	}
 	tree.Add(d.agent)
+	tree.Add(d.gate)
 	tree.Add(d.requests)
 	tree.Add(d.callers)
 	tree.Add(d.operator)
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -42,13 +42,11 @@
 // buildRequests builds admission and the frontend, which reaches its own instance's admission by a call.
 func (d *Daemon) buildRequests() error {
 	s := d.settings
-	gate := gatekeeper.NewSlotGate()
-	d.admission = gate
 	d.gate = gatekeeper.New(gatekeeper.Config{
 		Instance: s.Instance, FailureDomain: s.FailureDomain, Service: s.Service, TargetAddr: s.Target.Addr,
-		Holder: d.holder, Gate: gate, Trail: d.trail, Log: d.log,
+		Holder: d.holder, Trail: d.trail, Log: d.log,
 	})
-	d.requests = gatekeeper.NewServer(d.listeners.requests, d.certs.PeerServer("h2"), d.gate)
+	d.requests = gatekeeper.NewServer(d.listeners.requests, d.certs.PeerServer("http/1.1"), d.gate)
 	d.front = frontend.New(frontend.Config{
 		Instance: s.Instance, FailureDomain: s.FailureDomain, Holder: d.holder,
 		Picker: frontend.NewNearPicker(s.FailureDomain),
@@ -74,6 +72,6 @@
 // buildService builds the watch over what operators take out of service.
 func (d *Daemon) buildService() error {
 	var err error
-	d.service, err = newServiceWatch(d.settings.FailureDomain, d.settings.Service, d.admission, d.trail)
+	d.service, err = newServiceWatch(d.settings.FailureDomain, d.settings.Service, d.gate, d.trail)
 	return err
 }
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -74,8 +74,8 @@
 // Phase returns the gate's belief about the target.
 func (g *Gatekeeper) Phase() admission.Phase { return g.turnstile.state().Phase }
 
-// TargetCold tells that the target or its host reported a cold start.
-func (g *Gatekeeper) TargetCold() { g.turnstile.cold() }
+// TurnCold tells that the target or its host reported a cold start.
+func (g *Gatekeeper) TurnCold() { g.turnstile.cold() }
 
 // Serve lets the gate's time pass until the context ends.
 func (g *Gatekeeper) Serve(ctx context.Context) error {
