--- a/internal/bench/exp_overhead.go
+++ b/internal/bench/exp_overhead.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -217,15 +216,6 @@
 	return n / time.Since(started).Seconds(), float64((processorTime() - cpu).Microseconds()) / n
 }
 
-// processorTime returns the processor time that the process has used.
-func processorTime() time.Duration {
-	var usage syscall.Rusage
-	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &usage); err != nil {
-		return 0
-	}
-	return time.Duration(usage.Utime.Nano() + usage.Stime.Nano())
-}
-
 func (o *overhead) result(cfg Config) *overheadResult {
 	r := &overheadResult{Calls: o.calls.Load(), Failed: o.failed.Load()}
 	direct, through, local := o.ways[0], o.ways[1], o.ways[2]
--- a/internal/bench/path.go
+++ b/internal/bench/path.go
@@ -146,7 +146,7 @@
 	}
 	m.frontend = frontend.New(frontend.Config{
 		Instance: place.name, FailureDomain: place.failureDomain, Holder: p.holder,
-		Picker:                  frontend.NewNearPicker(place.failureDomain),
+		Picker:                  frontend.NewPicker(place.name, place.failureDomain),
 		Carrier:                 &frontend.LocalCarrier{Instance: place.name, Gatekeeper: m.gatekeeper, Remote: carrier},
 		TrustOrganisationHeader: true,
 	})
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -49,7 +49,7 @@
 	d.requests = gatekeeper.NewServer(d.listeners.requests, d.certs.PeerServer("http/1.1"), d.gate)
 	d.front = frontend.New(frontend.Config{
 		Instance: s.Instance, FailureDomain: s.FailureDomain, Holder: d.holder,
-		Picker: frontend.NewNearPicker(s.FailureDomain),
+		Picker: frontend.NewPicker(s.Instance, s.FailureDomain),
 		Carrier: &frontend.LocalCarrier{
 			Instance: s.Instance, Gatekeeper: d.gate, Remote: frontend.NewHTTPCarrier(d.certs),
 		},
--- a/internal/frontend/carrier.go
+++ b/internal/frontend/carrier.go
@@ -17,6 +17,7 @@
 	"github.com/chervilwell/chervilwell/internal/httppool"
 	"github.com/chervilwell/chervilwell/internal/refusal"
 	"github.com/chervilwell/chervilwell/internal/stream"
+	"github.com/chervilwell/chervilwell/pick"
 	"github.com/chervilwell/chervilwell/platform"
 )
 
@@ -27,8 +28,8 @@
 	Organisation string
 	// Request carries the deadline in its context. The carrier may change its headers.
 	Request *http.Request
-	// Result takes what the instance says of its load.
-	Result *Result
+	// Answer takes what the instance says of itself; its Load stays nil if the instance could not be reached.
+	Answer pick.Answer
 }
 
 // Carrier brings requests to targets' instances. Exactly one of the results is set.
@@ -62,8 +63,9 @@
 		return c.Remote.Do(s)
 	}
 	resp, refused := c.Gatekeeper.Do(&gatekeeper.Call{Route: s.Route, Organisation: s.Organisation, Request: s.Request})
-	s.Result.Load, s.Result.HasLoad = c.Gatekeeper.Load(), true
-	s.Result.Leaving = c.Gatekeeper.Leaving()
+	load := c.Gatekeeper.Load()
+	s.Answer.Load = &pick.Load{InFlight: load.InFlight, Limit: load.Limit, Queued: load.Queued}
+	s.Answer.Leaving = c.Gatekeeper.Leaving()
 	return resp, refused
 }
 
@@ -170,10 +172,10 @@
 }
 
 func (s *Shipment) readLoad(h http.Header) {
-	s.Result.Leaving = h.Get(headers.Leaving) == "1"
+	s.Answer.Leaving = h.Get(headers.Leaving) == "1"
 	load, err := headers.ParseLoad(h.Get(headers.Load))
 	if err == nil {
-		s.Result.Load, s.Result.HasLoad = load, true
+		s.Answer.Load = &pick.Load{InFlight: load.InFlight, Limit: load.Limit, Queued: load.Queued}
 	}
 }
 
--- a/internal/frontend/fleet_test.go
+++ b/internal/frontend/fleet_test.go
@@ -97,7 +97,7 @@
 	})
 	carrier := &LocalCarrier{Instance: name, Gatekeeper: m.gatekeeper, Remote: NewHTTPCarrier(m.store)}
 	m.frontend = New(Config{
-		Instance: name, FailureDomain: domain, Holder: m.holder, Picker: NewNearPicker(domain), Carrier: carrier,
+		Instance: name, FailureDomain: domain, Holder: m.holder, Picker: NewPicker(name, domain), Carrier: carrier,
 		TrustOrganisationHeader: true,
 	})
 	callers := f.listen()
--- a/snapshot/snapshot.go
+++ b/snapshot/snapshot.go
@@ -18,10 +18,13 @@
 // Config is a catalogue compiled for look-ups.
 type Config struct {
 	version       document.Version
+	source        *catalogue.Catalogue
 	organisations map[string]*catalogue.Organisation
 	services      map[string]*catalogue.Service
 	routes        []*Route
 	routeByName   map[string]*Route
+	// byPrefix holds the routes of each path prefix in matching order, and prefixLengths the lengths of the prefixes,
+	// longest first, so that a match costs one look-up for each length and not one for each route.
 	byPrefix      map[string][]*Route
 	prefixLengths []int
 	regionOf      map[string]string
@@ -60,6 +63,7 @@
 func build(cat *catalogue.Catalogue, version document.Version) (*Config, error) {
 	c := &Config{
 		version:       version,
+		source:        cat,
 		organisations: make(map[string]*catalogue.Organisation, len(cat.Organisations)),
 		services:      make(map[string]*catalogue.Service, len(cat.Services)),
 		regionOf:      map[string]string{},
@@ -119,6 +123,19 @@
 	return nil
 }
 
+func (c *Config) indexRoutes() {
+	c.routeByName = make(map[string]*Route, len(c.routes))
+	c.byPrefix = make(map[string][]*Route, len(c.routes))
+	for _, r := range c.routes {
+		prefix := r.Match.PathPrefix
+		c.routeByName[r.Name] = r
+		c.byPrefix[prefix] = append(c.byPrefix[prefix], r)
+		if n := len(c.prefixLengths); n == 0 || c.prefixLengths[n-1] != len(prefix) {
+			c.prefixLengths = append(c.prefixLengths, len(prefix))
+		}
+	}
+}
+
 // intersect returns the regions common to all non-empty lists, or nil if all lists are empty.
 func intersect(lists ...[]string) map[string]bool {
 	var out map[string]bool
@@ -140,19 +157,8 @@
 // Version returns revision and digest of the catalogue.
 func (c *Config) Version() document.Version { return c.version }
 
-// indexRoutes builds the look-up tables of the sorted routes.
-func (c *Config) indexRoutes() {
-	c.routeByName = make(map[string]*Route, len(c.routes))
-	c.byPrefix = make(map[string][]*Route, len(c.routes))
-	for _, r := range c.routes {
-		c.routeByName[r.Name] = r
-		prefix := r.Match.PathPrefix
-		c.byPrefix[prefix] = append(c.byPrefix[prefix], r)
-		if n := len(c.prefixLengths); n == 0 || c.prefixLengths[n-1] != len(prefix) {
-			c.prefixLengths = append(c.prefixLengths, len(prefix))
-		}
-	}
-}
+// Catalogue returns the catalogue that the configuration was compiled from. The caller must not change it.
+func (c *Config) Catalogue() *catalogue.Catalogue { return c.source }
 
 // Match returns the route for a request, or nil. The longest matching prefix that takes the method wins.
 func (c *Config) Match(method, path string) *Route {
