--- a/internal/frontend/forward.go
+++ b/internal/frontend/forward.go
@@ -2,12 +2,16 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/chervilwell/chervilwell/catalogue"
 	"github.com/chervilwell/chervilwell/internal/headers"
 	"github.com/chervilwell/chervilwell/internal/refusal"
+	"github.com/chervilwell/chervilwell/pick"
 	"github.com/chervilwell/chervilwell/platform"
 )
 
@@ -19,9 +23,9 @@
 	var tried []string
 	var last *refusal.Refusal
 	for {
-		target, ok := f.config.Picker.Pick(Choice{State: req.state, Route: req.route, Tried: tried, Key: req.in.Header.Get(headers.IdempotencyKey)})
-		if !ok {
-			return nil, noTarget(req, last)
+		target, err := f.config.Picker.start(req.state, req.route, tried)
+		if err != nil {
+			return nil, noTarget(err, last)
 		}
 		resp, refused := f.attempt(ctx, req, target)
 		if refused == nil {
@@ -43,28 +47,88 @@
 	return latest
 }
 
-func noTarget(req *request, last *refusal.Refusal) *refusal.Refusal {
+func noTarget(err error, last *refusal.Refusal) *refusal.Refusal {
 	if last != nil {
 		return last
 	}
-	return refusal.New(refusal.NoTarget, "service %q has no target in service that route %q may use", req.route.Service, req.route.Name)
+	return refusal.New(refusal.NoTarget, "%v", err)
 }
 
 // attempt sends the request to one target.
 func (f *Frontend) attempt(ctx context.Context, req *request, target platform.Instance) (*http.Response, *refusal.Refusal) {
 	req.attempt++
-	f.config.Picker.Begin(target.Name)
-	result := Result{Instance: target.Name}
-	defer func() { f.config.Picker.End(result) }()
-	resp, refused := f.config.Carrier.Do(&Shipment{
-		Target:       target,
-		Route:        req.route.Name,
-		Organisation: req.organisation,
-		Request:      req.outgoing(ctx),
-		Result:       &result,
-	})
-	result.Failed = refused != nil && refused.Run == headers.Unknown
-	return resp, refused
+	shipment := &Shipment{Target: target, Route: req.route.Name, Organisation: req.organisation, Request: req.outgoing(ctx)}
+	resp, refused := f.config.Carrier.Do(shipment)
+	if refused != nil {
+		shipment.Answer.Result = resultOfRefusal(ctx, shipment, refused)
+		f.config.Picker.ended(target.Name, shipment.Answer)
+		return nil, refused
+	}
+	shipment.Answer.Result = pick.OK
+	if resp.StatusCode >= http.StatusInternalServerError {
+		shipment.Answer.Result = pick.Failed
+	}
+	resp.Body = &countedBody{ReadCloser: resp.Body, end: func(err error) {
+		answer := shipment.Answer
+		if err != nil {
+			answer.Result = resultOfCut(ctx)
+		}
+		f.config.Picker.ended(target.Name, answer)
+	}}
+	return resp, nil
+}
+
+// resultOfRefusal says what a refusal teaches about its target.
+func resultOfRefusal(ctx context.Context, s *Shipment, refused *refusal.Refusal) pick.Result {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled), refused.Kind == refusal.BodyTooLarge, refused.Kind == refusal.Cancelled:
+		return pick.Cancelled
+	case s.Answer.Load == nil:
+		return pick.Broken
+	case refused.Run == headers.Unknown:
+		return pick.Failed
+	}
+	return pick.OK
+}
+
+func resultOfCut(ctx context.Context) pick.Result {
+	if ctx.Err() != nil {
+		return pick.Cancelled
+	}
+	return pick.Failed
+}
+
+// countedBody reports the end of an answer once, with nil if it was whole.
+type countedBody struct {
+	io.ReadCloser
+	ended atomic.Bool
+	end   func(error)
+}
+
+// Read implements io.Reader.
+func (b *countedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	switch err {
+	case nil:
+	case io.EOF:
+		b.finish(nil)
+	default:
+		b.finish(err)
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *countedBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.finish(context.Canceled)
+	return err
+}
+
+func (b *countedBody) finish(err error) {
+	if b.ended.CompareAndSwap(false, true) {
+		b.end(err)
+	}
 }
 
 // outgoing returns the request as it leaves for one attempt.
--- a/internal/frontend/pick.go
+++ b/internal/frontend/pick.go
@@ -2,85 +2,65 @@
 
 import (
 	"math/rand/v2"
-	"slices"
+	"sync"
+	"time"
 
-	"github.com/chervilwell/chervilwell/internal/headers"
+	"github.com/chervilwell/chervilwell/pick"
 	"github.com/chervilwell/chervilwell/platform"
 	"github.com/chervilwell/chervilwell/snapshot"
 )
 
-// Choice is what a picker knows of a request.
-type Choice struct {
-	State *snapshot.State
-	Route *snapshot.Route
-	// Tried names the instances that refused the request already.
-	Tried []string
-	// Key is the idempotency key of a request that must go to one executor, or "".
-	Key string
+// Picker serializes the calls of the pure chooser and gives it time and randomness. It is safe for concurrent use.
+type Picker struct {
+	mu      sync.Mutex
+	chooser *pick.Chooser
+	rng     *rand.Rand
 }
 
-// Result is what became of an attempt.
-type Result struct {
-	Instance string
-	// Load is what the instance said of itself; HasLoad is false if it said nothing.
-	Load    headers.LoadState
-	HasLoad bool
-	// Leaving says that the instance takes no new work.
-	Leaving bool
-	// Failed says that the instance could not be reached or gave a broken answer.
-	Failed bool
+// NewPicker returns a picker for the process of an instance.
+func NewPicker(instance, failureDomain string) *Picker {
+	return &Picker{
+		chooser: pick.New(pick.Self{Instance: instance, FailureDomain: failureDomain}),
+		rng:     rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
 }
 
-// Picker chooses the targets of requests.
-type Picker interface {
-	// Pick returns the instance to try next. It reports false if there is none.
-	Pick(c Choice) (platform.Instance, bool)
-	// Begin tells that an attempt starts and End what became of it.
-	Begin(instance string)
-	End(r Result)
+// start picks a target and counts the request as sent to it. Call ended when it is over.
+func (p *Picker) start(state *snapshot.State, route *snapshot.Route, tried []string) (platform.Instance, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	choice, err := p.chooser.Pick(now, p.rng, state, route, tried)
+	if err != nil {
+		return platform.Instance{}, err
+	}
+	p.chooser.Started(now, choice.Instance.Name)
+	return choice.Instance, nil
 }
 
-// nearPicker takes any instance in the nearest place that has one.
-type nearPicker struct{ failureDomain string }
-
-// NewNearPicker returns a picker that goes by distance only.
-func NewNearPicker(failureDomain string) Picker { return nearPicker{failureDomain} }
-
-func (p nearPicker) Pick(c Choice) (platform.Instance, bool) {
-	var best []platform.Instance
-	nearest := 3
-	for _, inst := range c.State.Endpoints.ForService(c.Route.Service) {
-		d := p.distance(c, inst)
-		if d > nearest || d == 3 {
-			continue
-		}
-		if d < nearest {
-			best, nearest = best[:0], d
-		}
-		best = append(best, inst)
-	}
-	if len(best) == 0 {
-		return platform.Instance{}, false
-	}
-	return best[rand.IntN(len(best))], true
+func (p *Picker) ended(instance string, a pick.Answer) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.chooser.Ended(time.Now(), instance, a)
 }
 
-// distance returns 0 within the failure domain, 1 within the region, 2 in another allowed region, else 3.
-func (p nearPicker) distance(c Choice, inst platform.Instance) int {
-	config := c.State.Config
-	region := config.RegionOf(inst.FailureDomain)
-	switch {
-	case !c.Route.Allows(region) || inst.State != platform.Live || slices.Contains(c.Tried, inst.Name),
-		!config.DomainInService(inst.FailureDomain), !config.InstanceInService(inst.Name):
-		return 3
-	case inst.FailureDomain == p.failureDomain:
-		return 0
-	case region == config.RegionOf(p.failureDomain):
-		return 1
-	}
-	return 2
+// SetLeaving records an instance's own word that it is leaving or back.
+func (p *Picker) SetLeaving(instance string, leaving bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.chooser.SetLeaving(time.Now(), instance, leaving)
 }
 
-func (nearPicker) Begin(string) {}
+// Reset forgets what is known of the targets, as after a pause of the process.
+func (p *Picker) Reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.chooser.Reset()
+}
 
-func (nearPicker) End(Result) {}
+// Explain returns the verdict on every instance of the route's service.
+func (p *Picker) Explain(state *snapshot.State, route *snapshot.Route) []pick.Candidate {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.chooser.Explain(time.Now(), state, route)
+}
