--- a/internal/bench/mesh_net.go
+++ b/internal/bench/mesh_net.go
@@ -51,7 +51,7 @@
 	if r := n.relays[from]; r != nil {
 		return r.Address(), nil
 	}
-	r, err := n.mesh.Links.NewRelay(from, n.Instance.FailureDomain, n.Instance.RequestAddr)
+	r, err := n.mesh.Links.NewRelay(from, n.Instance.FailureDomain, n.Instance.Name, n.Instance.RequestAddr)
 	if err != nil {
 		return "", err
 	}
@@ -85,20 +85,21 @@
 type linkedTransport struct {
 	*peer.Quic
 	mesh *Mesh
-	from string
+	node *Node
 }
 
-func (m *Mesh) linked(t *peer.Quic, domain string) peer.Transport {
-	return &linkedTransport{Quic: t, mesh: m, from: domain}
+func (n *Node) linked(t *peer.Quic) peer.Transport {
+	return &linkedTransport{Quic: t, mesh: n.mesh, node: n}
 }
 
 // Send implements peer.Transport.
 func (t *linkedTransport) Send(to distribution.Address, msg distribution.Message) {
-	domain := t.mesh.domainOf(to)
-	if t.mesh.Links.Cut(t.from, domain) {
+	links := t.mesh.Links
+	from, domain := t.node.Instance.FailureDomain, t.mesh.domainOf(to)
+	if links.Cut(from, domain) || links.Stalled(t.node.Instance.Name) || links.Stalled(to.Name) {
 		return
 	}
-	time.AfterFunc(t.mesh.Links.Delay(t.from, domain), func() { t.Quic.Send(to, msg) })
+	time.AfterFunc(links.Delay(from, domain), func() { t.Quic.Send(to, msg) })
 }
 
 // domainOf returns the failure domain of a peer by its address, or "".
--- a/internal/bench/mesh_node.go
+++ b/internal/bench/mesh_node.go
@@ -133,7 +133,7 @@
 	n.mesh.addPeer(n.Instance.PeerAddr, domain)
 	p.agent = agent.New(agent.Config{
 		Self: n.Instance, Region: n.mesh.regions[domain], StoreRegions: []string{homeRegion}, Seeds: n.mesh.seeds(n),
-		Source: &cutSource{Source: n.mesh.Platform, links: n.mesh.Links, domain: domain}, Transport: n.mesh.linked(p.transport, domain),
+		Source: &cutSource{Source: n.mesh.Platform, links: n.mesh.Links, domain: domain}, Transport: n.linked(p.transport),
 		Holder: p.holder, Log: n.mesh.log, FleetSize: len(n.mesh.placements()),
 	})
 	parts := n.mesh.options.Parts
--- a/internal/standin/ledger.go
+++ b/internal/standin/ledger.go
@@ -25,6 +25,8 @@
 // Run is one execution of a request at a target: the truth that callers' answers are compared with.
 type Run struct {
 	Request string
+	// Attempt is the caller's number of the attempt, or "".
+	Attempt string
 	Target  string
 	// Life counts the starts of the target.
 	Life  int
--- a/internal/standin/links.go
+++ b/internal/standin/links.go
@@ -84,6 +84,15 @@
 	l.changed = make(chan struct{})
 }
 
+// hostPair names a host in the table of cuts.
+func hostPair(host string) pair { return pair{from: "host", to: host} }
+
+// Stall holds back all bytes from and to a host, as the pause of its processes would, or lets them go on.
+func (l *Links) Stall(host string, on bool) { p := hostPair(host); l.SetCut(p.from, p.to, on) }
+
+// Stalled reports whether a host is stalled.
+func (l *Links) Stalled(host string) bool { p := hostPair(host); return l.Cut(p.from, p.to) }
+
 // Cut reports whether the link between two failure domains is cut.
 func (l *Links) Cut(from, to string) bool {
 	l.mu.Lock()
@@ -184,6 +193,7 @@
 type mover struct {
 	links   *Links
 	pair    pair
+	host    pair // a host that may be stalled, or zero
 	delay   time.Duration
 	limiter *rate.Limiter
 }
@@ -220,6 +230,7 @@
 		}
 		time.Sleep(time.Until(p.due))
 		_ = m.links.passable(context.Background(), m.pair)
+		_ = m.links.passable(context.Background(), m.host)
 		if p.data == nil {
 			_ = dst.Close()
 			continue
--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -12,6 +12,7 @@
 	listener net.Listener
 	links    *Links
 	from, to string
+	host     string
 	target   string
 
 	mu    sync.Mutex
@@ -19,13 +20,13 @@
 	done  bool
 }
 
-// NewRelay returns a relay for connections from one failure domain to an address in another.
-func (l *Links) NewRelay(from, to, target string) (*Relay, error) {
+// NewRelay returns a relay for connections from one failure domain to the address of a host in another.
+func (l *Links) NewRelay(from, to, host, target string) (*Relay, error) {
 	listener, err := net.Listen("tcp", loopback)
 	if err != nil {
 		return nil, errors.Wrap(err, "listen for a relay")
 	}
-	r := &Relay{listener: listener, links: l, from: from, to: to, target: target, conns: map[net.Conn]bool{}}
+	r := &Relay{listener: listener, links: l, from: from, to: to, host: host, target: target, conns: map[net.Conn]bool{}}
 	go r.accept()
 	return r, nil
 }
@@ -66,8 +67,10 @@
 	}
 	defer r.drop(near, far)
 	var wait sync.WaitGroup
-	wait.Go(func() { r.links.mover(r.from, r.to).move(near, far) })
-	wait.Go(func() { r.links.mover(r.to, r.from).move(far, near) })
+	out, in := r.links.mover(r.from, r.to), r.links.mover(r.to, r.from)
+	out.host, in.host = hostPair(r.host), hostPair(r.host)
+	wait.Go(func() { out.move(near, far) })
+	wait.Go(func() { in.move(far, near) })
 	wait.Wait()
 }
 
--- a/internal/standin/target_http.go
+++ b/internal/standin/target_http.go
@@ -18,6 +18,8 @@
 const (
 	// RequestHeader names the request in the ledger. The answer repeats it in this header and in each line of its body.
 	RequestHeader = "Standin-Request"
+	// AttemptHeader numbers a caller's sends of one request in the ledger.
+	AttemptHeader = "Standin-Attempt"
 	// CrashHeader marks a request that crashes the target that runs it.
 	CrashHeader = "Standin-Crash"
 	// ServiceHeader overrides the median service time, such as "40ms".
@@ -70,7 +72,9 @@
 // run holds the slot for the service time and answers.
 func (t *Target) run(w http.ResponseWriter, r *http.Request, a admission) {
 	id := r.Header.Get(RequestHeader)
-	index := t.cfg.Ledger.begin(Run{Request: id, Target: t.cfg.Name, Life: a.life, Start: time.Now(), Poison: a.poison})
+	index := t.cfg.Ledger.begin(Run{
+		Request: id, Attempt: r.Header.Get(AttemptHeader), Target: t.cfg.Name, Life: a.life, Start: time.Now(), Poison: a.poison,
+	})
 	end := t.work(r, a)
 	if end == Answered {
 		t.answer(w, r, id)
