--- a/internal/frontend/fleet_test.go
+++ b/internal/frontend/fleet_test.go
@@ -97,13 +97,13 @@
 	})
 	carrier := &LocalCarrier{Instance: name, Gatekeeper: m.gatekeeper, Remote: NewHTTPCarrier(m.store)}
 	m.frontend = New(Config{
-		Instance: name, FailureDomain: domain, Holder: m.holder, Picker: NewNearPicker(domain), Carrier: carrier,
+		Instance: name, FailureDomain: domain, Holder: m.holder, Picker: NewPicker(name, domain), Carrier: carrier,
 		TrustOrganisationHeader: true,
 	})
 	callers := f.listen()
 	m.url = "http://" + callers.Addr().String()
 	m.server = NewServer(callers, nil, m.frontend)
-	f.serve(gatekeeper.NewServer(peers, m.store.PeerServer("h2"), m.gatekeeper))
+	f.serve(gatekeeper.NewServer(peers, m.store.PeerServer("http/1.1"), m.gatekeeper))
 	f.serve(m.server)
 	return m
 }
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -12,9 +12,11 @@
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
+	"github.com/chervilwell/chervilwell/admission"
 	"github.com/chervilwell/chervilwell/audit"
 	"github.com/chervilwell/chervilwell/catalogue"
 	"github.com/chervilwell/chervilwell/internal/headers"
+	"github.com/chervilwell/chervilwell/internal/httppool"
 	"github.com/chervilwell/chervilwell/internal/refusal"
 	"github.com/chervilwell/chervilwell/internal/stream"
 	"github.com/chervilwell/chervilwell/snapshot"
@@ -30,8 +32,6 @@
 	TargetAddr string
 	// Holder has the configuration in force.
 	Holder *snapshot.Holder
-	// Gate decides what the target runs.
-	Gate Gate
 	// Trail takes the audit records; it may be nil.
 	Trail *audit.Trail
 	Log   zerolog.Logger
@@ -52,9 +52,10 @@
 type Gatekeeper struct {
 	config    Config
 	limits    atomic.Pointer[catalogue.ServiceLimits]
-	transport atomic.Pointer[http.Transport]
+	pool      atomic.Pointer[httppool.Pool]
 	setup     sync.Mutex
 	version   atomic.Uint64
+	turnstile turnstile
 	draining  atomic.Bool
 	running   sync.WaitGroup
 	drainLock sync.RWMutex
@@ -62,16 +63,33 @@
 
 // New returns a gatekeeper.
 func New(config Config) *Gatekeeper {
-	if config.Gate == nil {
-		config.Gate = NewSlotGate()
-	}
 	g := &Gatekeeper{config: config}
 	g.limits.Store(&catalogue.ServiceLimits{})
 	return g
 }
 
 // Load returns the load of the target.
-func (g *Gatekeeper) Load() headers.LoadState { return g.config.Gate.Load() }
+func (g *Gatekeeper) Load() headers.LoadState { return g.turnstile.load() }
+
+// Phase returns the gate's belief about the target.
+func (g *Gatekeeper) Phase() admission.Phase { return g.turnstile.state().Phase }
+
+// TurnCold tells that the target or its host reported a cold start.
+func (g *Gatekeeper) TurnCold() { g.turnstile.cold() }
+
+// Serve lets the gate's time pass until the context ends.
+func (g *Gatekeeper) Serve(ctx context.Context) error {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-timer.C:
+			timer.Reset(g.turnstile.tick())
+		}
+	}
+}
 
 // Leaving reports whether the gatekeeper refuses new work because the instance is leaving.
 func (g *Gatekeeper) Leaving() bool { return g.draining.Load() }
@@ -107,13 +125,11 @@
 		return nil, refused
 	}
 	g.configure(state.Config)
-	ctx := call.Request.Context()
-	deadline, _ := ctx.Deadline()
-	leave, refused := g.config.Gate.Enter(ctx, Entry{Organisation: call.Organisation, Class: route.Class, Deadline: deadline})
+	pass, refused := g.turnstile.enter(call.Request.Context(), call.Organisation, route.Class)
 	if refused != nil {
 		return nil, refused
 	}
-	return g.run(call, route, leave)
+	return g.run(call, pass)
 }
 
 // check holds the call against the configuration in force here, before its body is read.
@@ -144,52 +160,78 @@
 // configure puts the limits of a revision in force once.
 func (g *Gatekeeper) configure(config *snapshot.Config) {
 	revision := config.Version().Revision
-	if g.version.Load() >= revision && g.transport.Load() != nil {
+	if g.version.Load() >= revision && g.pool.Load() != nil {
 		return
 	}
 	g.setup.Lock()
 	defer g.setup.Unlock()
 	service := config.Service(g.config.Service)
-	if service == nil || (g.version.Load() >= revision && g.transport.Load() != nil) {
+	if service == nil || (g.version.Load() >= revision && g.pool.Load() != nil) {
 		return
 	}
 	old := g.limits.Load()
 	limits := service.Limits
-	if previous := g.transport.Load(); previous == nil || old.Connections != limits.Connections {
-		g.transport.Store(newTransport(limits.Connections))
+	if previous := g.pool.Load(); previous == nil || old.Connections != limits.Connections {
+		g.pool.Store(newTargetPool(g.config.TargetAddr, limits.Connections))
 		if previous != nil {
-			previous.CloseIdleConnections()
+			previous.Close()
 		}
 	}
 	g.limits.Store(&limits)
-	g.config.Gate.Configure(limits, config.Organisations())
+	g.turnstile.configure(limits, config.Organisations())
 	g.version.Store(revision)
 }
 
 // run sends an admitted call to the target.
-func (g *Gatekeeper) run(call *Call, route *snapshot.Route, leave func(Outcome)) (*http.Response, *refusal.Refusal) {
-	started := time.Now()
-	ctx, track := track(call.Request.Context(), route.Repeat == catalogue.Never)
-	resp, err := g.transport.Load().RoundTrip(g.outgoing(ctx, call))
+func (g *Gatekeeper) run(call *Call, pass *pass) (*http.Response, *refusal.Refusal) {
+	ctx := call.Request.Context()
+	resp, err := g.pool.Load().Do(g.outgoing(ctx, call))
 	if err != nil {
-		wrote := track.giveUp()
-		leave(Outcome{Latency: time.Since(started), Failed: true})
-		return nil, failure(ctx, err, wrote)
+		pass.leave(resultOf(ctx, err))
+		return nil, failure(ctx, err, !errors.Is(err, httppool.ErrNotWritten))
 	}
+	pass.responded()
 	if !verifiable(resp) {
 		resp.Body.Close()
-		leave(Outcome{Latency: time.Since(started), Failed: true})
+		pass.leave(admission.Failed)
 		return nil, refusal.Unknown(refusal.BrokenAnswer, "answer has neither Content-Length nor chunked encoding")
 	}
 	headers.StripInternal(resp.Header)
 	headers.StripHopByHop(resp.Header)
 	resp.Body = &answerBody{ReadCloser: resp.Body, end: func(err error) {
-		leave(Outcome{Latency: time.Since(started), Failed: err != nil || resp.StatusCode == http.StatusServiceUnavailable})
+		pass.leave(resultOfAnswer(ctx, resp.StatusCode, err))
 		g.running.Done()
 	}}
 	return resp, nil
 }
 
+// resultOf says how a request ended that got no answer.
+func resultOf(ctx context.Context, err error) admission.Result {
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+		return admission.Failed
+	case ctx.Err() != nil || errors.As(err, &tooLarge):
+		return admission.Cancelled
+	}
+	return admission.Crashed
+}
+
+// resultOfAnswer says how a request ended whose answer began.
+func resultOfAnswer(ctx context.Context, status int, err error) admission.Result {
+	switch {
+	case errors.Is(err, errAbandoned):
+		return admission.Cancelled
+	case err != nil:
+		return resultOf(ctx, err)
+	case status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests:
+		return admission.Shed
+	case status >= http.StatusInternalServerError:
+		return admission.Failed
+	}
+	return admission.OK
+}
+
 // outgoing returns the request as the target gets it.
 func (g *Gatekeeper) outgoing(ctx context.Context, call *Call) *http.Request {
 	r := call.Request
@@ -223,7 +265,7 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		kind = refusal.BodyTooLarge
-	case errors.Is(context.Cause(ctx), context.DeadlineExceeded):
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		kind = refusal.Timeout
 	case ctx.Err() != nil:
 		kind = refusal.Cancelled
