internal/daemon: serve the operators' handler

Cause: the daemon answered only health, readiness, metrics and a part of the status. Change: the daemon serves internal/operator and counts changes against budgets in a supervised duty. Conclusion: go test ./cmd/chervilwelld ./internal/daemon passes (18.0 s).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/chervilwell/chervilwell/internal/certs"
 	"github.com/chervilwell/chervilwell/internal/frontend"
 	"github.com/chervilwell/chervilwell/internal/gatekeeper"
+	"github.com/chervilwell/chervilwell/internal/operator"
 	"github.com/chervilwell/chervilwell/internal/peer"
 	"github.com/chervilwell/chervilwell/platform"
 	"github.com/chervilwell/chervilwell/settings"
@@ -56,6 +57,7 @@
 	front     *frontend.Frontend
 	callers   *frontend.Server
 	operator  *operatorServer
+	budget    *operator.Budget
 	service   *serviceWatch
 
 	listeners listeners
@@ -100,7 +102,7 @@
 }
 
 func (d *Daemon) build() error {
-	for _, step := range []func() error{d.loadCerts, d.listen, d.buildAgent, d.buildRequests, d.buildService, d.buildOperator, d.buildLife} {
+	for _, step := range []func() error{d.loadCerts, d.listen, d.buildAgent, d.buildRequests, d.buildService, d.buildLife, d.buildOperator} {
 		if err := step(); err != nil {
 			return err
 		}
@@ -217,6 +219,7 @@
 	tree.Add(d.requests)
 	tree.Add(d.callers)
 	tree.Add(d.operator)
+	tree.Add(d.budget)
 	tree.Add(&lifeDuty{d})
 	tree.Add(&serviceDuty{holder: d.holder, watch: d.service})
 	return tree
--- a/internal/daemon/life.go
+++ b/internal/daemon/life.go
@@ -43,9 +43,6 @@
 	return l.machine.State()
 }
 
-// Serving reports whether callers' requests are taken.
-func (l *life) Serving() bool { return l.State() == charts.ProcessServing }
-
 // Fire takes the event's transition and carries out its actions. It reports false where the state does not take the event.
 func (l *life) Fire(event chart.Event) bool {
 	from, to, todo, ok := l.transition(event)
--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -2,13 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
-	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/chervilwell/chervilwell/internal/operator"
 )
 
 const operatorHeaderTimeout = 5 * time.Second
@@ -33,25 +33,19 @@
 	return ctx.Err()
 }
 
+// buildOperator builds the handler of the operators' listener and the count of each organisation's changes.
 func (d *Daemon) buildOperator() error {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
-	mux.HandleFunc("GET /readyz", d.serveReady)
-	mux.HandleFunc("GET /v1/status", d.serveStatus)
-	mux.Handle("GET /metrics", promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{}))
-	d.operator = &operatorServer{listener: d.listeners.operator, handler: mux}
+	s := d.settings
+	d.budget = operator.NewBudget(d.holder, d.trail, d.registry)
+	d.operator = &operatorServer{listener: d.listeners.operator, handler: operator.New(operator.Config{
+		Identity:     operator.Identity{Instance: s.Instance, FailureDomain: s.FailureDomain, Region: s.Region, Service: s.Service},
+		Holder:       d.holder,
+		Trail:        d.trail,
+		Process:      d.life,
+		Distribution: d.agent,
+		Budget:       d.budget,
+		Gatherer:     d.registry,
+		Log:          d.log,
+	})}
 	return nil
 }
-
-func (d *Daemon) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if !d.life.Serving() {
-		http.Error(w, string(d.life.State()), http.StatusServiceUnavailable)
-		return
-	}
-	w.WriteHeader(http.StatusOK)
-}
-
-func (d *Daemon) serveStatus(w http.ResponseWriter, _ *http.Request) {
-	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(d.agent.Status())
-}
