--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/chervilwell/chervilwell/chart"
 	"github.com/chervilwell/chervilwell/internal/operator"
 )
 
@@ -33,19 +34,20 @@
 	return ctx.Err()
 }
 
-// buildOperator builds the handler of the operators' listener and the count of each organisation's changes.
+// buildOperator builds the operators' listener and the count of organisations' changes.
 func (d *Daemon) buildOperator() error {
-	s := d.settings
 	d.budget = operator.NewBudget(d.holder, d.trail, d.registry)
-	d.operator = &operatorServer{listener: d.listeners.operator, handler: operator.New(operator.Config{
-		Identity:     operator.Identity{Instance: s.Instance, FailureDomain: s.FailureDomain, Region: s.Region, Service: s.Service},
-		Holder:       d.holder,
-		Trail:        d.trail,
-		Process:      d.life,
-		Distribution: d.agent,
-		Budget:       d.budget,
-		Gatherer:     d.registry,
-		Log:          d.log,
-	})}
+	handler := operator.New(operator.Config{
+		Identity: operator.Identity{
+			Instance: d.settings.Instance, FailureDomain: d.settings.FailureDomain,
+			Region: d.settings.Region, Service: d.settings.Service,
+		},
+		Holder: d.holder, Trail: d.trail, Process: d, Distribution: d.agent, Budget: d.budget,
+		Gatherer: d.registry, Log: d.log,
+	})
+	d.operator = &operatorServer{listener: d.listeners.operator, handler: handler}
 	return nil
 }
+
+// State returns the state of the process on its chart.
+func (d *Daemon) State() chart.State { return d.life.State() }
