--- a/catalogue/diff.go
+++ b/catalogue/diff.go
@@ -21,7 +21,7 @@
 // Change is what happened to one entry between two catalogues.
 type Change struct {
 	Kind ChangeKind `json:"kind"`
-	// Entry is the kind of the entry: organisation, region, link, instance, service or route.
+	// Entry is the kind of the entry: organisation, region, failure domain, link, instance, service or route.
 	Entry string `json:"entry"`
 	Name  string `json:"name"`
 	// Owner is the organisation that the change counts for, or empty where it is the operators' own.
@@ -61,7 +61,10 @@
 func Diff(older, newer *Catalogue) Difference {
 	d := Difference{OldRevision: older.Revision, NewRevision: newer.Revision}
 	diffList(&d, "organisation", older.Organisations, newer.Organisations, func(o *Organisation) (string, string) { return o.Name, o.Name })
-	diffList(&d, "region", older.Regions, newer.Regions, func(r *Region) (string, string) { return r.Name, "" })
+	oldRegions, oldDomains := flatten(older.Regions)
+	newRegions, newDomains := flatten(newer.Regions)
+	diffList(&d, "region", oldRegions, newRegions, func(r *regionName) (string, string) { return r.Name, "" })
+	diffList(&d, "failure domain", oldDomains, newDomains, func(f *placedDomain) (string, string) { return f.Name, "" })
 	diffList(&d, "link", older.Links, newer.Links, func(l *Link) (string, string) { return l.Between[0] + "/" + l.Between[1], "" })
 	diffList(&d, "instance", older.Instances, newer.Instances, func(i *InstanceState) (string, string) { return i.Name, "" })
 	diffList(&d, "service", older.Services, newer.Services, func(s *Service) (string, string) { return s.Name, s.Owner })
@@ -70,6 +73,31 @@
 	return d
 }
 
+// regionName is a region without its failure domains.
+type regionName struct {
+	Name string `json:"name"`
+}
+
+// placedDomain is a failure domain with the region that it lies in.
+type placedDomain struct {
+	Name   string `json:"name"`
+	Region string `json:"region"`
+	State  State  `json:"state"`
+}
+
+// flatten returns regions and failure domains as separate lists, so that each failure domain is compared by itself.
+func flatten(regions []Region) ([]regionName, []placedDomain) {
+	var names []regionName
+	var domains []placedDomain
+	for _, r := range regions {
+		names = append(names, regionName{r.Name})
+		for _, f := range r.FailureDomains {
+			domains = append(domains, placedDomain{Name: f.Name, Region: r.Name, State: f.State})
+		}
+	}
+	return names, domains
+}
+
 // diffList compares two lists whose items are named and owned as identify says.
 func diffList[T any](d *Difference, entry string, older, newer []T, identify func(*T) (name, owner string)) {
 	before := make(map[string]*T, len(older))
--- a/catalogue/manifest.go
+++ b/catalogue/manifest.go
@@ -173,3 +173,26 @@
 	}
 	return doc, nil
 }
+
+// Value is one value to publish on the platform.
+type Value struct {
+	Key  string
+	Data []byte
+}
+
+// Publication returns the values to publish for a catalogue, in the order of publication: the chunks, then the manifest.
+func Publication(c *Catalogue) ([]Value, error) {
+	m, chunks, err := Render(c)
+	if err != nil {
+		return nil, err
+	}
+	values := make([]Value, 0, len(chunks)+1)
+	for _, chunk := range chunks {
+		values = append(values, Value{Key: chunk.Key(), Data: chunk.Data})
+	}
+	data, err := json.Marshal(m)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode the manifest")
+	}
+	return append(values, Value{Key: platform.ManifestKey, Data: data}), nil
+}
