bench: follow the gatekeeper's own admission; experiments failure and fairness

Cause: the gate and the picker are no longer chosen from outside, so the mesh did not build; failure and fairness were missing. Change: the mesh uses the parts as the daemon does; the baseline without a cold-start limit is a catalogue with coldSlots equal to slots, the one in order of arrival accounts all calls to one organisation.

--- a/internal/bench/exp_departure.go
+++ b/internal/bench/exp_departure.go
@@ -7,7 +7,6 @@
 	"time"
 
 	"github.com/chervilwell/chervilwell/catalogue"
-	"github.com/chervilwell/chervilwell/internal/gatekeeper"
 	"github.com/chervilwell/chervilwell/internal/standin"
 )
 
@@ -84,7 +83,7 @@
 func runDeparture(ctx context.Context, cfg Config) (any, error) {
 	options := MeshOptions{Seed: cfg.Seed, Log: cfg.Log, Instances: cfg.Instances}
 	baseline := options
-	baseline.Parts = plainParts{}
+	baseline.Change = unlimitedCold
 	meshes, err := NewMeshes(ctx, options, baseline)
 	if err != nil {
 		return nil, err
@@ -121,11 +120,13 @@
 	}, nil
 }
 
-// plainParts have neither a cold-start limit nor an order but that of arrival.
-type plainParts struct{ DaemonParts }
-
-// Gate implements Parts.
-func (plainParts) Gate() gatekeeper.Gate { return gatekeeper.NewSlotGate() }
+// unlimitedCold lifts the cold-start limit of every service in the catalogue; the targets bear no more than before.
+func unlimitedCold(c *catalogue.Catalogue) {
+	for i := range c.Services {
+		limits := &c.Services[i].Limits
+		limits.ColdSlots = limits.Slots
+	}
+}
 
 func depart(ctx context.Context, m *Mesh, seed uint64, baseline bool) (*departure, error) {
 	load := NewLoad(m)
--- a/internal/bench/exp_failure.go
+++ b/internal/bench/exp_failure.go
@@ -109,7 +109,7 @@
 func runFailure(ctx context.Context, cfg Config) (any, error) {
 	options := MeshOptions{Seed: cfg.Seed, Log: cfg.Log, Instances: cfg.Instances}
 	baseline := options
-	baseline.Parts = plainParts{}
+	baseline.Change = unlimitedCold
 	meshes, err := NewMeshes(ctx, options, baseline)
 	if err != nil {
 		return nil, err
@@ -119,7 +119,7 @@
 	if err != nil {
 		return nil, err
 	}
-	cfg.Log.Info().Msg("baseline: order of arrival, no cold-start limit, nearest target")
+	cfg.Log.Info().Msg("baseline without a cold-start limit")
 	base, err := fail(ctx, meshes[1], cfg.Seed)
 	if err != nil {
 		return nil, err
--- a/internal/bench/exp_fairness.go
+++ b/internal/bench/exp_fairness.go
@@ -72,19 +72,18 @@
 
 func runFairness(ctx context.Context, cfg Config) (any, error) {
 	options := MeshOptions{Seed: cfg.Seed, Log: cfg.Log, Instances: cfg.Instances, Target: func(t *standin.TargetConfig) { t.Service = fairService }}
-	plain := options
-	plain.Parts = plainParts{}
-	meshes, err := NewMeshes(ctx, options, plain)
+	meshes, err := NewMeshes(ctx, options, options)
 	if err != nil {
 		return nil, err
 	}
 	defer closeAll(meshes)
-	// Both meshes run at once, so that the machine's state is the same for both.
+	// Both meshes run at once, so that the machine's state is the same for both. In the baseline all calls are accounted to
+	// one organisation: the queues are in order of arrival.
 	runs := make([]*fairRun, len(meshes))
 	errs := make([]error, len(meshes))
 	var wait sync.WaitGroup
 	for i, m := range meshes {
-		wait.Go(func() { runs[i], errs[i] = share(ctx, m, cfg.Seed) })
+		wait.Go(func() { runs[i], errs[i] = share(ctx, m, cfg.Seed, i == 1) })
 	}
 	wait.Wait()
 	for _, err := range errs {
@@ -104,7 +103,7 @@
 // lightOrganisations stay inside their shares.
 var lightOrganisations = []string{"haulier-b", "haulier-c"}
 
-func share(ctx context.Context, m *Mesh, seed uint64) (*fairRun, error) {
+func share(ctx context.Context, m *Mesh, seed uint64, inOrder bool) (*fairRun, error) {
 	run := &fairRun{alone: map[string]float64{}, with: map[string]float64{}}
 	light := map[string]float64{}
 	for _, o := range lightOrganisations {
@@ -116,15 +115,15 @@
 		all[o] = lightPart
 		saturated[o] = saturating
 	}
-	alone, err := m.phase(ctx, "alone", light, seed)
+	alone, err := m.phase(ctx, "alone", light, seed, inOrder)
 	if err != nil {
 		return nil, err
 	}
-	with, err := m.phase(ctx, "heavy", all, seed)
+	with, err := m.phase(ctx, "heavy", all, seed, inOrder)
 	if err != nil {
 		return nil, err
 	}
-	full, err := m.phase(ctx, "saturated", saturated, seed)
+	full, err := m.phase(ctx, "saturated", saturated, seed, inOrder)
 	if err != nil {
 		return nil, err
 	}
@@ -153,7 +152,7 @@
 
 // phase offers calls of one service for a while: for each organisation a multiple of its share of the targets' capacity.
 // The first seconds, in which queues and limits settle, are not judged.
-func (m *Mesh) phase(ctx context.Context, name string, offer map[string]float64, seed uint64) (*phaseResult, error) {
+func (m *Mesh) phase(ctx context.Context, name string, offer map[string]float64, seed uint64, inOrder bool) (*phaseResult, error) {
 	const service = "lagerstand"
 	slots := 0
 	for _, n := range m.Nodes {
@@ -175,6 +174,9 @@
 			Name: fmt.Sprintf("%s-%s", name, o.Name), Organisation: o.Name, Method: http.MethodGet, Path: "/lagerstand/depot",
 			Rate: offer[o.Name] * o.Share * float64(slots) / mean,
 		}
+		if inOrder {
+			s.Account = m.catalogue.Organisations[0].Name
+		}
 		wait.Go(func() { load.Run(loadCtx, s, seed+uint64(i)) })
 	}
 	wait.Wait()
--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -45,8 +46,10 @@
 type Stream struct {
 	Name         string
 	Organisation string
-	Method       string
-	Path         string
+	// Account is the organisation that the calls name; empty stands for Organisation.
+	Account string
+	Method  string
+	Path    string
 	// Rate is in calls per second.
 	Rate float64
 	// Never marks calls of a route that must not be repeated.
@@ -165,7 +168,7 @@
 	for name, values := range s.Header {
 		req.Header[name] = values
 	}
-	req.Header.Set(headers.Organisation, s.Organisation)
+	req.Header.Set(headers.Organisation, cmp.Or(s.Account, s.Organisation))
 	req.Header.Set(standin.RequestHeader, id)
 	req.Header.Set("X-Length", strconv.Itoa(s.Body))
 	// A request with a body that can't be read again is never resent by the transport itself.
--- a/internal/bench/mesh.go
+++ b/internal/bench/mesh.go
@@ -76,8 +76,6 @@
 	Change func(*catalogue.Catalogue)
 	// Target edits the configuration of each target.
 	Target func(*standin.TargetConfig)
-	// Parts chooses the parts of each process; nil takes those of the daemon.
-	Parts Parts
 	// Instances is the number of instances; beyond the deployment's thirteen, placements repeat.
 	Instances int
 }
--- a/internal/bench/mesh_net.go
+++ b/internal/bench/mesh_net.go
@@ -8,8 +8,6 @@
 	"github.com/pkg/errors"
 
 	"github.com/chervilwell/chervilwell/distribution"
-	"github.com/chervilwell/chervilwell/internal/frontend"
-	"github.com/chervilwell/chervilwell/internal/gatekeeper"
 	"github.com/chervilwell/chervilwell/internal/peer"
 	"github.com/chervilwell/chervilwell/internal/standin"
 	"github.com/chervilwell/chervilwell/platform"
@@ -18,23 +16,6 @@
 // platformDomain stands for the platform's place in the network.
 const platformDomain = "platform"
 
-// Parts chooses the decisions that a mesh's processes use.
-type Parts interface {
-	Gate() gatekeeper.Gate
-	Picker(failureDomain string) frontend.Picker
-}
-
-// DaemonParts are the decisions of the daemon.
-type DaemonParts struct{}
-
-// Gate implements Parts.
-func (DaemonParts) Gate() gatekeeper.Gate { return gatekeeper.NewSlotGate() }
-
-// Picker implements Parts.
-func (DaemonParts) Picker(failureDomain string) frontend.Picker {
-	return frontend.NewNearPicker(failureDomain)
-}
-
 // relay returns the address under which a failure domain reaches an instance.
 func (m *Mesh) relay(from string, to platform.Instance) (string, error) {
 	for _, n := range m.Nodes {
--- a/internal/bench/mesh_node.go
+++ b/internal/bench/mesh_node.go
@@ -136,17 +136,13 @@
 		Source: &cutSource{Source: n.mesh.Platform, links: n.mesh.Links, domain: domain}, Transport: n.linked(p.transport),
 		Holder: p.holder, Log: n.mesh.log, FleetSize: len(n.mesh.placements()),
 	})
-	parts := n.mesh.options.Parts
-	if parts == nil {
-		parts = DaemonParts{}
-	}
 	p.gatekeeper = gatekeeper.New(gatekeeper.Config{
 		Instance: n.Instance.Name, FailureDomain: domain, Service: n.Instance.Service, TargetAddr: n.Target.Address(),
-		Holder: p.holder, Gate: parts.Gate(), Log: n.mesh.log,
+		Holder: p.holder, Log: n.mesh.log,
 	})
 	p.requests = gatekeeper.NewServer(requests, n.store.PeerServer("h2"), p.gatekeeper)
 	front := frontend.New(frontend.Config{
-		Instance: n.Instance.Name, FailureDomain: domain, Holder: p.holder, Picker: parts.Picker(domain),
+		Instance: n.Instance.Name, FailureDomain: domain, Holder: p.holder, Picker: frontend.NewPicker(n.Instance.Name, domain),
 		Carrier: &frontend.LocalCarrier{
 			Instance: n.Instance.Name, Gatekeeper: p.gatekeeper,
 			Remote: &linkCarrier{mesh: n.mesh, from: domain, carrier: frontend.NewHTTPCarrier(n.store)},
@@ -160,7 +156,7 @@
 func (p *process) run() {
 	ctx, stop := context.WithCancel(context.Background())
 	p.stop = stop
-	for _, duty := range []func(context.Context) error{p.agent.Serve, p.requests.Serve, p.frontend.Serve} {
+	for _, duty := range []func(context.Context) error{p.agent.Serve, p.gatekeeper.Serve, p.requests.Serve, p.frontend.Serve} {
 		p.duties.Go(func() { _ = duty(ctx) }) // ends with the life
 	}
 }
