--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -24,7 +24,7 @@
 	// Holder has the configuration in force.
 	Holder *snapshot.Holder
 	// Picker chooses targets.
-	Picker Picker
+	Picker *Picker
 	// Carrier reaches the targets' instances.
 	Carrier Carrier
 	// TrustOrganisationHeader takes the organisation of callers without a certificate from a header.
--- a/internal/gatekeeper/server.go
+++ b/internal/gatekeeper/server.go
@@ -94,6 +94,7 @@
 	g.drainLock.Lock()
 	g.draining.Store(true)
 	g.drainLock.Unlock()
+	g.turnstile.drain()
 	done := make(chan struct{})
 	go func() {
 		g.running.Wait()
@@ -117,7 +118,6 @@
 func NewServer(listener net.Listener, config *tls.Config, g *Gatekeeper) *Server {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
-	protocols.SetHTTP2(true)
 	return &Server{listener: listener, http: &http.Server{
 		Handler:           g,
 		TLSConfig:         config,
