chervilwellctl render: refuse a revision that may not follow

Cause: a trial rendered revision 1 over revision 2 without a word; the daemons refused it later. Change: render compares with the manifest in its directory; open alerts are ordered. Conclusion: go test -race ./internal/ctl ./internal/operator passes.

--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -153,6 +153,12 @@
 	if _, err := catalogue.Assemble(m, nil, chunks); err != nil {
 		t.Fatal(err)
 	}
+	if _, code := call("render", "-out", dir, "testdata/streusalz-2.jsonc"); code != 0 {
+		t.Errorf("next revision: exit code %d", code)
+	}
+	if out, code := call("render", "-out", dir, "../../examples/streusalz.jsonc"); code != 1 || !strings.Contains(out, "higher revision") {
+		t.Errorf("older revision: exit code %d, %s", code, out)
+	}
 	empty := t.TempDir()
 	if _, code := call("render", "-out", empty, "../../catalogue/testdata/bad-homes.jsonc"); code != 1 {
 		t.Errorf("bad catalogue: exit code %d", code)
--- a/internal/ctl/files.go
+++ b/internal/ctl/files.go
@@ -15,6 +15,7 @@
 
 	"github.com/chervilwell/chervilwell/catalogue"
 	"github.com/chervilwell/chervilwell/chart/charts"
+	"github.com/chervilwell/chervilwell/platform"
 )
 
 // validate checks a catalogue.
@@ -171,7 +172,8 @@
 func newRender(env *environment) *render {
 	return &render{env: env, info: info{
 		"render", aboutCatalogues, "write the manifest and chunks to publish",
-		"render -out DIR FILE\n  Write DIR/KEY for each value to publish on the platform. Publish the chunks first and the manifest last.",
+		"render -out DIR FILE\n  Write DIR/KEY for each value to publish on the platform. Publish the chunks first and the manifest last.\n" +
+			"  A catalogue that may not follow the one in DIR by its revision is refused.",
 	}}
 }
 
@@ -187,6 +189,9 @@
 	if err != nil {
 		return c.env.fail(err)
 	}
+	if err := checkFollows(c.dir, cat); err != nil {
+		return c.env.fail(err)
+	}
 	values, err := catalogue.Publication(cat)
 	if err != nil {
 		return c.env.fail(err)
@@ -200,6 +205,30 @@
 	return exitDone
 }
 
+// checkFollows refuses a catalogue that processes would refuse after the one that was rendered into dir before.
+func checkFollows(dir string, cat *catalogue.Catalogue) error {
+	data, err := os.ReadFile(filepath.Join(dir, filepath.FromSlash(platform.ManifestKey)))
+	if errors.Is(err, os.ErrNotExist) {
+		return nil
+	}
+	if err != nil {
+		return errors.Wrap(err, "give -out a directory that can be read")
+	}
+	before, err := catalogue.ParseManifest(data)
+	if err != nil {
+		return err
+	}
+	doc, err := catalogue.Encode(cat)
+	if err != nil {
+		return err
+	}
+	if cat.Revision < before.Revision || cat.Revision == before.Revision && doc.Digest() != before.Digest {
+		return errors.Errorf("%s holds revision %d and revision %d would be refused after it; give the catalogue a higher revision",
+			dir, before.Revision, cat.Revision)
+	}
+	return nil
+}
+
 // writeValue writes a value to the file that its key names. The file appears whole or not at all.
 func writeValue(dir string, v catalogue.Value) error {
 	path := filepath.Join(dir, filepath.FromSlash(v.Key))
--- a/internal/operator/alerts.go
+++ b/internal/operator/alerts.go
@@ -1,6 +1,7 @@
 package operator
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strings"
@@ -10,7 +11,7 @@
 )
 
 // alertsOf returns the open alerts of a state, each owned by an organisation: a service without a target that takes work,
-// and a route without one in the regions that it is bound to.
+// and a route without one in the regions that it is bound to. They are ordered by organisation and subject.
 func alertsOf(state *snapshot.State) []Alert {
 	if state.Config == nil {
 		return nil
@@ -36,6 +37,9 @@
 			})
 		}
 	}
+	slices.SortFunc(out, func(a, b Alert) int {
+		return cmp.Or(cmp.Compare(a.Organisation, b.Organisation), cmp.Compare(a.Subject, b.Subject))
+	})
 	return out
 }
 
