--- a/admission/gate.go
+++ b/admission/gate.go
@@ -98,8 +98,8 @@
 		return Decision{Verdict: Refused, Reason: PastDeadline}
 	}
 	var changes Changes
-	if g.queue.queued >= g.limits.Queue {
-		victim := g.queue.victim(f, g.limits.Queue)
+	if bound := g.queueBound(now); g.queue.queued >= bound {
+		victim := g.queue.victim(f, bound)
 		if victim == nil {
 			return Decision{Verdict: Refused, Reason: g.fullReason(now)}
 		}
@@ -120,6 +120,16 @@
 	return Decision{Verdict: Queued, Changes: changes}
 }
 
+// queueBound returns the number of requests that may wait. It shrinks with the limit, so that the wait at a cold target is no
+// longer than at a warm one and the rest is refused while another target can still run it.
+func (g *Gate) queueBound(now time.Time) int {
+	limit := g.limiter.limit(now)
+	if limit >= g.limiter.slots {
+		return g.limits.Queue
+	}
+	return min(g.limits.Queue, max(1, g.limits.Queue*limit/g.limiter.slots))
+}
+
 func (g *Gate) fullReason(now time.Time) Reason {
 	if g.limiter.limit(now) < g.limiter.slots {
 		return ColdTarget
--- a/internal/bench/exp_fairness.go
+++ b/internal/bench/exp_fairness.go
@@ -157,7 +157,7 @@
 	slots := 0
 	for _, n := range m.Nodes {
 		if n.Instance.Service == service {
-			slots += m.serviceLimits(service).Slots
+			slots += m.limits[service].Slots
 		}
 	}
 	mean := fairService.Seconds() * math.Exp(targetSpread*targetSpread/2)
--- a/internal/bench/mesh.go
+++ b/internal/bench/mesh.go
@@ -72,7 +72,7 @@
 type MeshOptions struct {
 	Seed uint64
 	Log  zerolog.Logger
-	// Change edits the catalogue before it is published for the first time.
+	// Change edits the catalogue before it is published for the first time. The targets bear what they did before.
 	Change func(*catalogue.Catalogue)
 	// Target edits the configuration of each target.
 	Target func(*standin.TargetConfig)
@@ -93,6 +93,7 @@
 	authority *certs.Authority
 	catalogue *catalogue.Catalogue
 	regions   map[string]string
+	limits    map[string]catalogue.ServiceLimits // what the targets of each service bear
 
 	mu    sync.Mutex
 	peers map[string]string // failure domain of each peer address
@@ -117,9 +118,13 @@
 		authority: authority,
 		catalogue: cat,
 		regions:   map[string]string{},
+		limits:    map[string]catalogue.ServiceLimits{},
 		peers:     map[string]string{},
 	}
 	m.setLinks()
+	for _, service := range cat.Services {
+		m.limits[service.Name] = service.Limits
+	}
 	if options.Change != nil {
 		options.Change(cat)
 	}
@@ -315,11 +320,15 @@
 
 // Close ends all processes and targets abruptly.
 func (m *Mesh) Close() {
+	var wait sync.WaitGroup
 	for _, n := range m.Nodes {
-		n.Kill()
-		n.Target.Close()
-		n.closeRelays()
+		wait.Go(func() {
+			n.closeRelays()
+			n.Kill()
+			n.Target.Close()
+		})
 	}
+	wait.Wait()
 }
 
 // instanceOf returns the entry of a placement on the platform's list, without its addresses.
--- a/internal/bench/verdict.go
+++ b/internal/bench/verdict.go
@@ -1,6 +1,7 @@
 package bench
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/chervilwell/chervilwell/internal/standin"
@@ -56,6 +57,17 @@
 	return float64(v.Good) / float64(v.Calls)
 }
 
+// Details counts the calls that did not end well by stream, ending and second of their start.
+func Details(calls []Call, start time.Time) map[string]int {
+	out := map[string]int{}
+	for _, c := range calls {
+		if c.Ending != Good {
+			out[fmt.Sprintf("%02ds %s via %s: %s %s", int(c.Start.Sub(start)/time.Second), c.Stream.Name, c.Via, c.Ending, c.Reason)]++
+		}
+	}
+	return out
+}
+
 // SuccessCurve returns the part of calls that ended well for each second of their start.
 func SuccessCurve(name string, calls []Call, start time.Time) Series {
 	var all, good []int
--- a/internal/standin/relay.go
+++ b/internal/standin/relay.go
@@ -3,10 +3,14 @@
 import (
 	"net"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 )
 
+// acceptBackoff is the pause after a connection could not be accepted.
+const acceptBackoff = 10 * time.Millisecond
+
 // Relay listens on a free port of 127.0.0.1 and passes connections on to another address over a link.
 type Relay struct {
 	listener net.Listener
@@ -48,9 +52,13 @@
 func (r *Relay) accept() {
 	for {
 		near, err := r.listener.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			return
 		}
+		if err != nil {
+			time.Sleep(acceptBackoff) // such as too many open files
+			continue
+		}
 		go r.pass(near)
 	}
 }
