--- a/distribution/accept.go
+++ b/distribution/accept.go
@@ -19,16 +19,38 @@
 
 // onPush applies deltas, each on the base that it names.
 func (c *Core) onPush(now time.Time, from Address, p *Push) {
-	for _, data := range p.Deltas {
+	if u := c.tree.upstreams[from.Name]; u != nil {
+		c.heardPush(now, u)
+	}
+	for _, wire := range p.Deltas {
 		var d document.Delta
-		if err := document.Unpack(data, &d); err != nil {
+		if err := document.Unpack(wire.Packed, &d); err != nil {
 			c.reportDamaged(from, DocumentVersion{}, err)
 			continue
 		}
+		d.Base = document.Version{}
+		if base := c.store.base(DocumentVersion{Name: d.Name, Revision: wire.BaseRevision, Digest: wire.BaseDigest}); base != nil {
+			d.Base = base.Version()
+		}
 		c.acceptDelta(now, from, d)
 	}
 }
 
+// heardPush takes a push as a sign of life, which puts off the next heartbeat. The subscription is still renewed in time.
+func (c *Core) heardPush(now time.Time, u *upstream) {
+	u.since = time.Time{}
+	interval, renewal := c.cfg.Timing.Heartbeat, 2*c.cfg.Timing.Heartbeat
+	if u.link {
+		c.tree.linkHeard = now
+		interval, renewal = c.cfg.Timing.LinkHeartbeat, c.cfg.Timing.LinkRenewal
+	}
+	if due := now.Add(interval); due.Before(u.sentAt.Add(renewal)) {
+		u.nextAt = due
+	} else {
+		u.nextAt = u.sentAt.Add(renewal)
+	}
+}
+
 func (c *Core) reportDamaged(from Address, v DocumentVersion, err error) {
 	v.Name = "damaged/" + from.Name
 	c.reportOnce(v, Report{
@@ -159,24 +181,59 @@
 }
 
 // forward pushes the current version of a document to the children that lack it, each on the base that it holds.
+// Across the link changes that follow each other closely are gathered, since each packet costs about half a delta.
 func (c *Core) forward(now time.Time, name, origin string) {
 	version := c.store.version(name)
 	for _, id := range sortedNames(c.relay.children) {
 		ch := c.relay.children[id]
-		if id == origin {
+		switch {
+		case id == origin:
 			ch.known[name] = version
-			continue
+		case ch.link && now.Before(ch.nextPush):
+			ch.waiting = true
+		default:
+			c.pushTo(now, ch, name)
 		}
+	}
+}
+
+// flush sends what was gathered for children across the link.
+func (c *Core) flush(now time.Time) {
+	for _, id := range sortedNames(c.relay.children) {
+		ch := c.relay.children[id]
+		if ch.waiting && !now.Before(ch.nextPush) {
+			ch.waiting = false
+			c.pushTo(now, ch, documentNames(c.store.versions)...)
+		}
+	}
+}
+
+func documentNames(versions []DocumentVersion) []string {
+	out := make([]string, len(versions))
+	for i, v := range versions {
+		out[i] = v.Name
+	}
+	return out
+}
+
+// pushTo sends a child the documents named that it lacks, in one message.
+func (c *Core) pushTo(now time.Time, ch *child, names ...string) {
+	var push []Delta
+	for _, name := range names {
+		version := c.store.version(name)
 		base, ok := ch.known[name]
 		if (!ok && !ch.synced) || base.Revision >= version.Revision {
 			continue
 		}
-		if !ok {
-			base = DocumentVersion{Name: name}
-		}
-		if push := c.appendDelta(now, nil, base); len(push) > 0 {
+		base.Name = name
+		before := len(push)
+		push = c.appendDelta(now, push, base)
+		if len(push) > before {
 			ch.known[name] = version
-			c.send(ch.to, Message{Push: &Push{Deltas: push}})
 		}
 	}
+	if len(push) > 0 {
+		c.send(ch.to, Message{Push: &Push{Deltas: push}})
+		ch.nextPush = now.Add(c.cfg.Timing.LinkBatch)
+	}
 }
--- a/distribution/config.go
+++ b/distribution/config.go
@@ -81,6 +81,10 @@
 	Heartbeat time.Duration
 	// LinkHeartbeat is the interval between heartbeats across the link between regions.
 	LinkHeartbeat time.Duration
+	// LinkRenewal is the longest time between heartbeats across the link while pushes show that the peer lives.
+	LinkRenewal time.Duration
+	// LinkBatch is the least time between two pushes to one peer across the link; changes in between travel together.
+	LinkBatch time.Duration
 	// Retry is the time after which an unanswered heartbeat is repeated.
 	Retry time.Duration
 	// Silence is the time without an answer after which an upstream is suspect.
@@ -132,8 +136,10 @@
 }
 
 func (t Timing) withDefaults() Timing {
-	t.Heartbeat = or(t.Heartbeat, 500*time.Millisecond)
+	t.Heartbeat = or(t.Heartbeat, time.Second)
 	t.LinkHeartbeat = or(t.LinkHeartbeat, 2*time.Second)
+	t.LinkRenewal = or(t.LinkRenewal, 5*time.Second)
+	t.LinkBatch = or(t.LinkBatch, 500*time.Millisecond)
 	t.Retry = or(t.Retry, 400*time.Millisecond)
 	t.Silence = or(t.Silence, 1500*time.Millisecond)
 	t.Suspicion = or(t.Suspicion, 3*time.Second)
@@ -149,8 +155,8 @@
 }
 
 func (l Limits) withDefaults() Limits {
-	l.Fanout = or(l.Fanout, 8)
-	l.Children = or(l.Children, 32)
+	l.Fanout = or(l.Fanout, 4)
+	l.Children = or(l.Children, 12)
 	l.History = or(l.History, 8)
 	l.ReadsPerSecond = or(l.ReadsPerSecond, 4)
 	l.ReadBurst = or(l.ReadBurst, 40)
--- a/distribution/core.go
+++ b/distribution/core.go
@@ -114,6 +114,7 @@
 		c.prune = now.Add(membership.HeardFor)
 	}
 	c.expireChildren(now)
+	c.flush(now)
 	c.expireNotices(now)
 	if c.phase == Joining {
 		c.joinTick(now)
--- a/distribution/fleet_test.go
+++ b/distribution/fleet_test.go
@@ -294,10 +294,11 @@
 	if m.Push == nil {
 		return data
 	}
-	deltas := make([][]byte, len(m.Push.Deltas))
+	deltas := make([]Delta, len(m.Push.Deltas))
 	for i, d := range m.Push.Deltas {
-		deltas[i] = append([]byte(nil), d...)
-		deltas[i][f.rng.IntN(len(d))] ^= byte(1 + f.rng.IntN(255))
+		deltas[i] = d
+		deltas[i].Packed = append([]byte(nil), d.Packed...)
+		deltas[i].Packed[f.rng.IntN(len(d.Packed))] ^= byte(1 + f.rng.IntN(255))
 	}
 	m.Push = &Push{Deltas: deltas}
 	data, err := Encode(m)
--- a/distribution/message.go
+++ b/distribution/message.go
@@ -70,7 +70,7 @@
 type Heartbeat struct {
 	// Vector is the hash over the versions of all documents held.
 	Vector uint64 `cbor:"1,keyasint"`
-	// IntervalMs is the time to the next heartbeat in milliseconds.
+	// IntervalMs is the longest time to the next heartbeat in milliseconds; 0 ends the subscription.
 	IntervalMs uint32 `cbor:"2,keyasint"`
 }
 
@@ -89,9 +89,17 @@
 	Full bool `cbor:"7,keyasint,omitempty"`
 }
 
-// Push carries packed deltas (document.Pack of document.Delta).
+// Push carries deltas.
 type Push struct {
-	Deltas [][]byte `cbor:"1,keyasint"`
+	Deltas []Delta `cbor:"1,keyasint"`
+}
+
+// Delta is a packed document.Delta whose base is named compactly beside it instead of within, to spare bytes.
+type Delta struct {
+	// BaseRevision and BaseDigest name the base as DocumentVersion does; a full delta has none.
+	BaseRevision uint64 `cbor:"1,keyasint,omitempty"`
+	BaseDigest   uint64 `cbor:"2,keyasint,omitempty"`
+	Packed       []byte `cbor:"3,keyasint"`
 }
 
 // Pull asks for documents. Each element names the version held, which may serve as base; revision 0 means none.
--- a/distribution/reader.go
+++ b/distribution/reader.go
@@ -209,6 +209,9 @@
 
 // noteSource reports when the platform stops or resumes answering.
 func (c *Core) noteSource(err error) {
+	if errors.Is(err, platform.ErrNotFound) {
+		return
+	}
 	failing := err != nil
 	if failing == c.reader.failing {
 		return
@@ -290,9 +293,7 @@
 	}
 	delete(f.waiting, e.Digest)
 	if e.Err != nil {
-		if !errors.Is(e.Err, platform.ErrNotFound) {
-			c.noteSource(e.Err)
-		}
+		c.noteSource(e.Err)
 		f.nextAt = c.retryAfter(now, &f.delay)
 		return
 	}
--- a/distribution/relay.go
+++ b/distribution/relay.go
@@ -12,7 +12,7 @@
 // Bounds of relaying.
 const (
 	// leaseIntervals is the number of heartbeat intervals after which a silent child is dropped.
-	leaseIntervals = 4
+	leaseIntervals = 3
 	// maxHeartbeatInterval bounds the interval that a child may name.
 	maxHeartbeatInterval = 30 * time.Second
 	// pullAgain is the time after which a pull that was not answered is repeated.
@@ -31,6 +31,10 @@
 	known map[string]DocumentVersion
 	// synced says that known is complete.
 	synced bool
+	// link says that the child is in another region. Pushes to it are gathered until nextPush.
+	link     bool
+	waiting  bool
+	nextPush time.Time
 }
 
 // relayState holds the subscribers and the bounds of what is sent to them.
@@ -65,6 +69,10 @@
 	if c.phase == Leaving {
 		return
 	}
+	if m.Heartbeat.IntervalMs == 0 {
+		delete(c.relay.children, from.Name)
+		return
+	}
 	if !c.serving() {
 		c.introduced(from)
 		c.send(from, Message{Ack: &Ack{Joining: true, Introduce: !known}, Sender: c.self()})
@@ -76,7 +84,11 @@
 	}
 	ch := c.subscribe(now, from, m.Heartbeat)
 	ack.Full = ch == nil
-	if m.Heartbeat.Vector != c.store.vector {
+	if ch != nil && ch.waiting {
+		// What was gathered for the child goes out now; comparing before would repeat it.
+		ch.waiting = false
+		c.pushTo(now, ch, documentNames(c.store.versions)...)
+	} else if m.Heartbeat.Vector != c.store.vector {
 		ack.Versions = c.store.versions
 	} else if ch != nil {
 		ch.synced = true
@@ -98,7 +110,7 @@
 		if len(c.relay.children) >= c.cfg.Limits.Children {
 			return nil
 		}
-		ch = &child{known: map[string]DocumentVersion{}}
+		ch = &child{known: map[string]DocumentVersion{}, link: c.acrossLink(from.Name)}
 		c.relay.children[from.Name] = ch
 	}
 	interval := min(time.Duration(h.IntervalMs)*time.Millisecond, maxHeartbeatInterval)
@@ -107,6 +119,16 @@
 	return ch
 }
 
+// acrossLink reports whether a peer is known to be in another region.
+func (c *Core) acrossLink(name string) bool {
+	m := c.members.Get(name)
+	if m == nil {
+		return false
+	}
+	region := c.topology.RegionOf(m.FailureDomain)
+	return region != "" && region != c.region()
+}
+
 // onAck notes that an upstream lives, and pulls or pushes where versions differ.
 func (c *Core) onAck(now time.Time, from Address, a *Ack) {
 	u := c.tree.upstreams[from.Name]
@@ -148,7 +170,7 @@
 func (c *Core) reconcile(now time.Time, from Address, theirs []DocumentVersion) {
 	var wants []DocumentVersion
 	named := map[string]bool{}
-	var push [][]byte
+	var push []Delta
 	for _, v := range theirs {
 		named[v.Name] = true
 		mine := c.store.version(v.Name)
@@ -194,12 +216,15 @@
 }
 
 // appendDelta adds the delta from base to the version held; a full one only within the budget.
-func (c *Core) appendDelta(now time.Time, list [][]byte, base DocumentVersion) [][]byte {
+func (c *Core) appendDelta(now time.Time, list []Delta, base DocumentVersion) []Delta {
 	data, full, err := c.store.delta(base)
 	if err != nil || data == nil || (full && !c.relay.full.AllowN(now, min(len(data), c.cfg.Limits.FullBurst))) {
 		return list
 	}
-	return append(list, data)
+	if full {
+		base = DocumentVersion{}
+	}
+	return append(list, Delta{BaseRevision: base.Revision, BaseDigest: base.Digest, Packed: data})
 }
 
 // onPull sends the documents asked for as deltas on the versions named, or in full within the budget.
@@ -207,7 +232,7 @@
 	if c.phase == Leaving {
 		return
 	}
-	var push [][]byte
+	var push []Delta
 	ch := c.relay.children[from.Name]
 	refused, full := false, false
 	for _, v := range m.Pull.Held {
--- a/distribution/store.go
+++ b/distribution/store.go
@@ -125,7 +125,9 @@
 			return p.data, from == nil, nil
 		}
 	}
-	data, err = document.Pack(document.Diff(from, h.current))
+	diff := document.Diff(from, h.current)
+	diff.Base = document.Version{} // named beside the packed delta
+	data, err = document.Pack(diff)
 	if err != nil {
 		return nil, false, err
 	}
--- a/distribution/tree.go
+++ b/distribution/tree.go
@@ -48,8 +48,10 @@
 func (c *Core) treeTick(now time.Time) {
 	c.suspectSilent(now)
 	wanted := c.chooseUpstreams(now)
-	for name := range c.tree.upstreams {
+	for _, name := range sortedNames(c.tree.upstreams) {
 		if _, ok := wanted[name]; !ok {
+			// An interval of zero ends the subscription.
+			c.send(c.tree.upstreams[name].to, Message{Heartbeat: &Heartbeat{Vector: c.store.vector}})
 			delete(c.tree.upstreams, name)
 		}
 	}
@@ -91,7 +93,12 @@
 	if u.link {
 		interval = c.cfg.Timing.LinkHeartbeat
 	}
-	m := Message{Heartbeat: &Heartbeat{Vector: c.store.vector, IntervalMs: uint32(interval.Milliseconds())}}
+	// The subscription must outlast the longest time between two heartbeats.
+	lease := 2 * c.cfg.Timing.Heartbeat
+	if u.link {
+		lease = c.cfg.Timing.LinkRenewal
+	}
+	m := Message{Heartbeat: &Heartbeat{Vector: c.store.vector, IntervalMs: uint32(lease.Milliseconds())}}
 	if !u.introduced {
 		m.Sender = c.self()
 	}
--- a/internal/agent/api.go
+++ b/internal/agent/api.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/chervilwell/chervilwell/distribution"
+	"github.com/chervilwell/chervilwell/document"
 	"github.com/chervilwell/chervilwell/platform"
 )
 
@@ -65,3 +66,10 @@
 	case <-ctx.Done():
 	}
 }
+
+// Documents returns the documents held, in order of name.
+func (a *Agent) Documents() []*document.Document {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.core.Documents()
+}
--- /dev/null
+++ b/internal/bench/mesh.go
@@ -0,0 +1,349 @@
+package bench
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/chervilwell/chervilwell/audit"
+	"github.com/chervilwell/chervilwell/catalogue"
+	"github.com/chervilwell/chervilwell/document"
+	"github.com/chervilwell/chervilwell/internal/agent"
+	"github.com/chervilwell/chervilwell/internal/peer"
+	"github.com/chervilwell/chervilwell/internal/standin"
+	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/snapshot"
+)
+
+// Figures of the deployment that the mesh stands for.
+const (
+	sameDomainDelay  = 200 * time.Microsecond
+	crossDomainDelay = 1500 * time.Microsecond
+	crossRegionDelay = 12 * time.Millisecond
+	linkBytesPerSec  = 30_000_000 / 8
+	platformDelay    = 3 * time.Millisecond
+	listLag          = 500 * time.Millisecond
+	// storeRegion is where the platform is.
+	storeRegion = "obb"
+	// meshServices is the number of services of the catalogue; each has a route.
+	meshServices = 40
+	// readsPerInstance is the platform's read budget in proportion to the fleet: 2,000/s for 20,000 instances.
+	readsPerInstance = 0.1
+)
+
+// httpOverhead is what a read of the platform adds to the value on the wire: headers of both directions and packets.
+const httpOverhead = 400
+
+var meshDomains = []string{"obb-muc", "obb-ro", "nbb-la", "nbb-pa"}
+
+func meshRegion(failureDomain string) string { return failureDomain[:3] }
+
+// mesh runs the distribution of a whole fleet in one process, over a network with the delays and bandwidth of a
+// deployment.
+type mesh struct {
+	log      zerolog.Logger
+	rng      *rand.Rand
+	platform *standin.Platform
+	network  *peer.Network
+	members  []*meshMember
+	seeds    []string
+	fleet    int
+	services []catalogue.Service
+
+	mu        sync.Mutex
+	catalogue *document.Document
+	storeCut  map[string]bool
+}
+
+// meshMember is one instance with the life that it has now.
+type meshMember struct {
+	mesh *mesh
+	inst platform.Instance
+
+	mu   sync.Mutex
+	life *meshLife
+	// carried is the sum of bytes of earlier lives.
+	carried int64
+}
+
+// meshLife is one life of an instance.
+type meshLife struct {
+	agent  *agent.Agent
+	holder *snapshot.Holder
+	port   *peer.Port
+	began  time.Time
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// newMesh builds a fleet that is not started, with revision 1 published.
+func newMesh(cfg Config) (*mesh, error) {
+	m := &mesh{
+		log: cfg.Log, rng: rand.New(rand.NewPCG(cfg.Seed, 11)), fleet: cfg.Instances, storeCut: map[string]bool{},
+		platform: standin.NewPlatform(standin.PlatformConfig{
+			ReadsPerSecond: readsPerInstance * float64(cfg.Instances), Delay: platformDelay, InstanceLag: listLag,
+		}),
+	}
+	m.network = peer.NewNetwork(meshPath)
+	for _, link := range meshLinks {
+		m.network.SetLink(link, linkBytesPerSec)
+	}
+	for i := range meshServices {
+		m.services = append(m.services, meshService(i))
+	}
+	for i := range cfg.Instances {
+		fd := meshDomains[i%len(meshDomains)]
+		name := fmt.Sprintf("%s-%d", fd, i/len(meshDomains))
+		member := &meshMember{mesh: m, inst: platform.Instance{
+			Name: name, FailureDomain: fd, Service: m.services[i%meshServices].Name,
+			PeerAddr: name + ":7000", RequestAddr: name + ":8000", State: platform.Live,
+		}}
+		m.members = append(m.members, member)
+		if i < 2*len(meshDomains) {
+			m.seeds = append(m.seeds, member.inst.PeerAddr)
+		}
+	}
+	m.list()
+	return m, m.publish(1)
+}
+
+// meshLinks are the two directions of the link between the regions.
+var meshLinks = []string{"obb>nbb", "nbb>obb"}
+
+func meshPath(from, to platform.Instance) peer.Path {
+	a, b := meshRegion(from.FailureDomain), meshRegion(to.FailureDomain)
+	switch {
+	case a != b:
+		return peer.Path{Delay: crossRegionDelay, Link: a + ">" + b}
+	case from.FailureDomain != to.FailureDomain:
+		return peer.Path{Delay: crossDomainDelay}
+	}
+	return peer.Path{Delay: sameDomainDelay}
+}
+
+func meshService(i int) catalogue.Service {
+	return catalogue.Service{
+		Name: fmt.Sprintf("lagerstand-%02d", i), Owner: "haulier-a", Class: catalogue.Interactive,
+		Limits: catalogue.ServiceLimits{
+			Slots: 20, Connections: 120, Queue: 40, ColdSlots: 2,
+			ColdPeriod: catalogue.Duration(20 * time.Second), Drain: catalogue.Duration(10 * time.Second),
+		},
+	}
+}
+
+// list puts all instances on the platform's list.
+func (m *mesh) list() {
+	all := make([]platform.Instance, len(m.members))
+	for i, member := range m.members {
+		all[i] = member.inst
+	}
+	m.platform.PutInstance(all...)
+}
+
+// publish publishes a catalogue in which one service's limits differ from the revision before.
+func (m *mesh) publish(revision uint64) error {
+	changed := &m.services[int(revision)%meshServices]
+	changed.Limits.Queue = 40 + int(revision)
+	c := catalogue.Catalogue{
+		Revision:      revision,
+		Organisations: []catalogue.Organisation{{Name: "haulier-a", Share: 0.5, LinkShare: 0.5}},
+		Services:      m.services,
+	}
+	for _, region := range []string{"obb", "nbb"} {
+		r := catalogue.Region{Name: region}
+		for _, fd := range meshDomains {
+			if meshRegion(fd) == region {
+				r.FailureDomains = append(r.FailureDomains, catalogue.FailureDomain{Name: fd, State: catalogue.In})
+			}
+		}
+		c.Regions = append(c.Regions, r)
+	}
+	for _, s := range m.services {
+		c.Routes = append(c.Routes, catalogue.Route{
+			Name: "stock-view-" + s.Name, Owner: s.Owner, Class: s.Class, Service: s.Name,
+			Match: catalogue.Match{PathPrefix: "/" + s.Name + "/"}, Repeat: catalogue.Safe,
+			Limits: catalogue.RouteLimits{Timeout: catalogue.Duration(800 * time.Millisecond), Concurrency: 200, BodyBytes: 1 << 20},
+		})
+	}
+	doc, err := catalogue.Encode(&c)
+	if err != nil {
+		return err
+	}
+	m.mu.Lock()
+	m.catalogue = doc
+	m.mu.Unlock()
+	return m.platform.PublishDocument(doc)
+}
+
+func (m *mesh) published() *document.Document {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.catalogue
+}
+
+// churn moves one endpoint to another port, as the end of one target and the start of another would.
+func (m *mesh) churn(n int) {
+	member := m.members[m.rng.IntN(len(m.members))]
+	inst := member.inst
+	inst.RequestAddr = fmt.Sprintf("%s:%d", inst.Name, 8001+n%1000)
+	m.platform.PutInstance(inst)
+}
+
+// start begins a new life of an instance.
+func (b *meshMember) start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	life := &meshLife{
+		holder: snapshot.NewHolder(), port: b.mesh.network.Attach(b.inst), began: time.Now(), cancel: cancel, done: make(chan struct{}),
+	}
+	life.agent = agent.New(agent.Config{
+		Self: b.inst, Region: meshRegion(b.inst.FailureDomain), StoreRegions: []string{storeRegion}, Seeds: b.mesh.seeds,
+		Source: &placedSource{mesh: b.mesh, failureDomain: b.inst.FailureDomain, next: b.mesh.platform},
+		Transport: life.port, Holder: life.holder, Audit: audit.New(64, zerolog.Nop()), Log: zerolog.Nop(), FleetSize: b.mesh.fleet,
+	})
+	go func() {
+		defer close(life.done)
+		_ = life.agent.Serve(ctx)
+	}()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.life = life
+}
+
+// stop ends the life of an instance without notice. It does nothing if the instance is stopped.
+func (b *meshMember) stop() {
+	b.mu.Lock()
+	life := b.life
+	b.life = nil
+	b.mu.Unlock()
+	if life == nil {
+		return
+	}
+	life.port.Close()
+	life.cancel()
+	<-life.done
+	b.mu.Lock()
+	b.carried += life.port.Bytes()
+	b.mu.Unlock()
+}
+
+// current returns the life of the instance, or nil while it is stopped.
+func (b *meshMember) current() *meshLife {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.life
+}
+
+// bytes returns the bytes sent and received over all lives.
+func (b *meshMember) bytes() int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.life == nil {
+		return b.carried
+	}
+	return b.carried + b.life.port.Bytes()
+}
+
+// each calls f for all members at once and waits.
+func (m *mesh) each(f func(*meshMember)) {
+	var wait sync.WaitGroup
+	for _, b := range m.members {
+		wait.Go(func() { f(b) })
+	}
+	wait.Wait()
+}
+
+// cutRegions cuts or heals the link between the regions, for the platform too.
+func (m *mesh) cutRegions(cut bool) {
+	for _, a := range meshDomains {
+		for _, b := range meshDomains {
+			if meshRegion(a) != meshRegion(b) {
+				m.network.SetCut(a, b, cut)
+			}
+		}
+		m.mu.Lock()
+		m.storeCut[a] = cut && meshRegion(a) != storeRegion
+		m.mu.Unlock()
+	}
+}
+
+// linkBytes returns the bytes that crossed the link between the regions in both directions.
+func (m *mesh) linkBytes() int64 {
+	return m.network.LinkBytes(meshLinks[0]) + m.network.LinkBytes(meshLinks[1])
+}
+
+// placedSource is the platform as seen from a failure domain: across the link it is slower and takes up room, and it can
+// be cut off.
+type placedSource struct {
+	mesh          *mesh
+	failureDomain string
+	next          platform.Source
+}
+
+func (s *placedSource) away() bool { return meshRegion(s.failureDomain) != storeRegion }
+
+func (s *placedSource) reachable() error {
+	s.mesh.mu.Lock()
+	defer s.mesh.mu.Unlock()
+	if s.mesh.storeCut[s.failureDomain] {
+		return platform.ErrUnavailable
+	}
+	return nil
+}
+
+// cross accounts for an answer of the given size and waits for its way.
+func (s *placedSource) cross(ctx context.Context, bytes int) error {
+	if !s.away() {
+		return s.reachable()
+	}
+	done := s.mesh.network.Use(storeRegion+">"+meshRegion(s.failureDomain), bytes+httpOverhead)
+	select {
+	case <-time.After(time.Until(done) + 2*crossRegionDelay):
+		return s.reachable()
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// Read implements platform.Source.
+func (s *placedSource) Read(ctx context.Context, key string) (platform.Value, error) {
+	return s.Watch(ctx, key, "")
+}
+
+// Watch implements platform.Source.
+func (s *placedSource) Watch(ctx context.Context, key, after string) (platform.Value, error) {
+	if err := s.reachable(); err != nil {
+		return platform.Value{}, err
+	}
+	v, err := s.next.Watch(ctx, key, after)
+	if err != nil {
+		return v, err
+	}
+	return v, s.cross(ctx, len(v.Data))
+}
+
+// Instances implements platform.Source.
+func (s *placedSource) Instances(ctx context.Context, failureDomain string, after uint64) (platform.InstanceList, error) {
+	if err := s.reachable(); err != nil {
+		return platform.InstanceList{}, err
+	}
+	l, err := s.next.Instances(ctx, failureDomain, after)
+	if err != nil {
+		return l, err
+	}
+	return l, s.cross(ctx, listBytes(l))
+}
+
+// listBytes estimates the size of a list as JSON.
+func listBytes(l platform.InstanceList) int {
+	n := 0
+	for _, i := range l.Instances {
+		n += len(i.Name) + len(i.FailureDomain) + len(i.Service) + len(i.PeerAddr) + len(i.RequestAddr) + len(i.State) +
+			len(strings.Repeat(`"name":"",`, 6))
+	}
+	return n
+}
--- /dev/null
+++ b/internal/bench/steady.go
@@ -0,0 +1,196 @@
+package bench
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/chervilwell/chervilwell/document"
+)
+
+// Load of a steady run.
+const (
+	steadyChanges  = 22
+	changeInterval = time.Second
+	churnInterval  = 500 * time.Millisecond
+	// steadyTail is the longest time that a run waits for the last change.
+	steadyTail = 6 * time.Second
+)
+
+// steadyRun is what a fleet did under changes of the catalogue and endpoint churn, beside the baseline.
+type steadyRun struct {
+	observer *observer
+	baseline *watchers
+	changes  int // of the catalogue
+	churns   int // of the lists of instances
+	seconds  float64
+
+	linkBytes, baselineLinkBytes int64
+	// deltaBytes is the mean size of one compressed delta over all changes.
+	deltaBytes float64
+	// instanceRates are bytes per second of each instance, sorted.
+	instanceRates []float64
+}
+
+// steady starts a fleet and its baseline, and makes changes at a steady rate.
+func steady(ctx context.Context, cfg Config) (*steadyRun, error) {
+	m, err := newMesh(cfg)
+	if err != nil {
+		return nil, err
+	}
+	r := &steadyRun{observer: newObserver(m), baseline: newWatchers(m)}
+	ctx, cancel := context.WithCancel(ctx)
+	defer func() {
+		cancel()
+		m.each((*meshMember).stop)
+		r.baseline.wait.Wait()
+	}()
+	go r.observer.run(ctx)
+	m.each((*meshMember).start)
+	if err := r.baseline.publish(1); err != nil {
+		return nil, err
+	}
+	r.baseline.run(ctx)
+	if err := m.awaitAll(ctx); err != nil {
+		return nil, errors.Wrap(err, "the fleet did not start")
+	}
+	r.baseline.await(ctx, 1)
+	if err := m.settle(ctx); err != nil {
+		return nil, err
+	}
+	r.baseline.limit()
+	cfg.Log.Info().Msg("fleet runs")
+	return r, r.change(ctx, m)
+}
+
+// settle waits until the roles after a start have settled: every failure domain near the platform has its reader.
+func (m *mesh) settle(ctx context.Context) error {
+	select {
+	case <-time.After(3 * time.Second):
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+// change makes the changes and measures while they run.
+func (r *steadyRun) change(ctx context.Context, m *mesh) error {
+	r.observer.forget()
+	r.baseline.latency = NewLatency()
+	start := time.Now()
+	link, baselineLink := m.linkBytes(), r.baseline.mesh.linkBytes()
+	before := make([]int64, len(m.members))
+	for i, b := range m.members {
+		before[i] = b.bytes()
+	}
+	var deltas deltaSizes
+	lists := m.listDocuments()
+	churn := time.NewTimer(churnInterval)
+	defer churn.Stop()
+	next := time.NewTicker(changeInterval)
+	defer next.Stop()
+	revision := uint64(1)
+	for revision <= steadyChanges {
+		select {
+		case <-churn.C:
+			m.churn(r.churns)
+			r.baseline.mesh.churn(r.churns)
+			r.churns++
+			// Endpoints come and go at random times, so that changes of lists and of the catalogue do not keep step.
+			churn.Reset(time.Duration(m.rng.ExpFloat64() * float64(churnInterval)))
+		case <-next.C:
+			revision++
+			previous := m.published()
+			if err := r.observer.publish(revision); err != nil {
+				return err
+			}
+			if err := r.baseline.publish(revision); err != nil {
+				return err
+			}
+			deltas.add(previous, m.published())
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	r.changes = int(revision - 1)
+	r.observer.await(withLimit(ctx, steadyTail), revision)
+	r.seconds = time.Since(start).Seconds()
+	r.linkBytes = m.linkBytes() - link
+	for i, b := range m.members {
+		r.instanceRates = append(r.instanceRates, float64(b.bytes()-before[i])/r.seconds)
+	}
+	slices.Sort(r.instanceRates)
+	for name, doc := range m.listDocuments() {
+		deltas.addMany(lists[name], doc)
+	}
+	r.deltaBytes = deltas.mean()
+	r.baseline.await(withLimit(ctx, steadyTail), revision)
+	r.baseline.finish()
+	r.baselineLinkBytes = r.baseline.mesh.linkBytes() - baselineLink
+	return nil
+}
+
+// withLimit returns a context that also ends after d.
+func withLimit(ctx context.Context, d time.Duration) context.Context {
+	limited, cancel := context.WithTimeout(ctx, d)
+	context.AfterFunc(limited, cancel)
+	return limited
+}
+
+// forget drops what was recorded before the measurement.
+func (o *observer) forget() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.latency = NewLatency()
+}
+
+// listDocuments returns the lists of instances that the first instance holds.
+func (m *mesh) listDocuments() map[string]*document.Document {
+	out := map[string]*document.Document{}
+	for _, doc := range m.members[0].current().agent.Documents() {
+		if doc.Name() != m.published().Name() {
+			out[doc.Name()] = doc
+		}
+	}
+	return out
+}
+
+// deltaSizes adds up the sizes of compressed deltas.
+type deltaSizes struct {
+	bytes, count int
+}
+
+// add counts the delta between two following versions.
+func (s *deltaSizes) add(base, target *document.Document) {
+	data, err := document.Pack(document.Diff(base, target))
+	if err != nil {
+		return
+	}
+	s.bytes += len(data)
+	s.count++
+}
+
+// addMany counts the deltas of a list that went through several versions, each of them as large as one of one entry.
+func (s *deltaSizes) addMany(base, target *document.Document) {
+	versions := int(target.Revision() - base.Revision())
+	delta := document.Diff(base, target)
+	if versions == 0 || len(delta.Set) == 0 {
+		return
+	}
+	delta.Set = delta.Set[:1]
+	data, err := document.Pack(delta)
+	if err != nil {
+		return
+	}
+	s.bytes += versions * len(data)
+	s.count += versions
+}
+
+func (s *deltaSizes) mean() float64 {
+	if s.count == 0 {
+		return 0
+	}
+	return float64(s.bytes) / float64(s.count)
+}
--- /dev/null
+++ b/internal/standin/budget.go
@@ -0,0 +1,13 @@
+package standin
+
+import "golang.org/x/time/rate"
+
+// SetBudget replaces the read budget; 0 means unlimited. The burst is one second's worth.
+func (p *Platform) SetBudget(readsPerSecond float64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.budget = nil
+	if readsPerSecond > 0 {
+		p.budget = rate.NewLimiter(rate.Limit(readsPerSecond), max(1, int(readsPerSecond)))
+	}
+}
