frontend: bound slow callers; tests that cause each fault on the path

Cause: a caller that sends its body slowly held up the refusal of its request, and the server then waited for the rest of the body. Change: the state of a body is read without its lock, all reading and writing ends with the request's deadline, and a body that was left is never waited for. Tests cause half answers, cuts, smuggling, floods, slow bodies, drains, wrong regions and forged headers.

--- a/internal/frontend/body.go
+++ b/internal/frontend/body.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 
 	"github.com/pkg/errors"
+
+	"github.com/chervilwell/chervilwell/internal/stream"
 )
 
 // replayBytes is the largest part of a request's body that is kept for another attempt.
@@ -21,9 +23,13 @@
 	mu     sync.Mutex
 	source io.ReadCloser
 	kept   []byte
-	lost   bool
+	// lost says that no further attempt can have the whole body. It is read without the lock, which a slow caller may hold up.
+	lost atomic.Bool
+	// whole says that the body was read to its end.
+	whole  atomic.Bool
 	err    error
 	length int64
+	read   int64
 }
 
 // newReplayBody returns the body of a caller's request, of at most limit bytes.
@@ -37,9 +43,7 @@
 
 // replayable reports whether an attempt can send the whole body.
 func (b *replayBody) replayable() bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return !b.lost
+	return !b.lost.Load()
 }
 
 // open returns the body from its start for one attempt, or http.NoBody.
@@ -51,13 +55,18 @@
 }
 
 // end keeps nothing further.
-func (b *replayBody) end() {
-	if b.length == 0 {
+func (b *replayBody) end() { b.lost.Store(true) }
+
+// leave ends the reading of a body that was not read whole. It waits until no read is under way: the server would take back
+// the deadline of one and then wait for a slow caller to send the rest.
+func (b *replayBody) leave(w http.ResponseWriter, r *http.Request) {
+	if b.length == 0 || b.whole.Load() {
 		return
 	}
+	stream.LeaveBody(w, r)
 	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.lost = true
+	b.err = errStale
+	b.mu.Unlock()
 }
 
 // bodyView is the body as one attempt reads it.
@@ -87,16 +96,20 @@
 	b.keep(p[:n])
 	v.offset += n
 	b.err = err
+	b.read += int64(n)
+	if err == io.EOF || b.read == b.length {
+		b.whole.Store(true)
+	}
 	return n, err
 }
 
 // keep remembers what was read, or gives up on another attempt. The caller holds the lock.
 func (b *replayBody) keep(p []byte) {
-	if b.lost {
+	if b.lost.Load() {
 		return
 	}
 	if len(b.kept)+len(p) > replayBytes {
-		b.lost = true
+		b.lost.Store(true)
 		b.kept = nil
 		return
 	}
--- /dev/null
+++ b/internal/frontend/faults_test.go
@@ -0,0 +1,425 @@
+package frontend
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/chervilwell/chervilwell/catalogue"
+	"github.com/chervilwell/chervilwell/internal/headers"
+	"github.com/chervilwell/chervilwell/internal/refusal"
+)
+
+// raw sends bytes to a server and returns all that comes back until it closes the connection.
+func raw(t *testing.T, addr, request string) string {
+	t.Helper()
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if _, err := io.WriteString(conn, request); err != nil {
+		t.Fatal(err)
+	}
+	data, _ := io.ReadAll(conn)
+	return string(data)
+}
+
+func addrOf(m *member) string { return strings.TrimPrefix(m.url, "http://") }
+
+// takeOut takes the failure domain of the first member out of service, so that its frontend calls the others.
+func (f *fleet) takeOut() {
+	f.catalogue.Revision++
+	f.catalogue.Regions[0].FailureDomains[0].State = catalogue.Out
+	f.publish()
+}
+
+// onBothPaths runs a check with the target behind the own instance and behind another one.
+func onBothPaths(t *testing.T, handler func(int) http.Handler, check func(t *testing.T, f *fleet)) {
+	t.Run("own instance", func(t *testing.T) { check(t, newFleet(t, handler, "obb-muc")) })
+	t.Run("other instance", func(t *testing.T) {
+		f := newFleet(t, handler, "obb-muc", "nbb-la")
+		f.takeOut()
+		check(t, f)
+	})
+}
+
+func TestHalfAnswerIsNeverTakenForWhole(t *testing.T) {
+	half := func(int) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/stock/sized" {
+				w.Header().Set("Content-Length", "100")
+			}
+			_, _ = io.WriteString(w, "half")
+			w.(http.Flusher).Flush()
+			panic(http.ErrAbortHandler)
+		})
+	}
+	onBothPaths(t, half, func(t *testing.T, f *fleet) {
+		for _, path := range []string{"/stock/sized", "/stock/chunked"} {
+			req, _ := http.NewRequest("POST", f.members[0].url+path, nil)
+			req.Header.Set(headers.Organisation, "haulier-a")
+			resp, err := http.DefaultClient.Do(req)
+			if err != nil {
+				continue
+			}
+			body, err := io.ReadAll(resp.Body)
+			resp.Body.Close()
+			// The break may also be noticed before the caller gets any of the answer; then it is told so.
+			if err == nil && (resp.StatusCode != http.StatusBadGateway || resp.Header.Get(headers.Run) != "unknown") {
+				t.Fatalf("%s: caller took %q for the whole answer", path, body)
+			}
+		}
+	})
+}
+
+func TestUnsizedAnswerIsRefused(t *testing.T) {
+	unsized := func(int) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			conn, _, _ := w.(http.Hijacker).Hijack()
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nwho knows")
+			conn.Close()
+		})
+	}
+	onBothPaths(t, unsized, func(t *testing.T, f *fleet) {
+		resp, body := call(t, "POST", f.members[0].url+"/order/x", "")
+		if resp.StatusCode != http.StatusBadGateway || resp.Header.Get(headers.Run) != "unknown" || !strings.Contains(body, "broken-answer") {
+			t.Fatalf("%d %v %s", resp.StatusCode, resp.Header, body)
+		}
+	})
+}
+
+func TestCutBeforeTheAnswerIsUnknownAndNotResent(t *testing.T) {
+	var runs atomic.Int64
+	cut := func(int) http.Handler {
+		return http.HandlerFunc(func(http.ResponseWriter, *http.Request) {
+			runs.Add(1)
+			panic(http.ErrAbortHandler)
+		})
+	}
+	onBothPaths(t, cut, func(t *testing.T, f *fleet) {
+		for _, method := range []string{"GET", "POST"} {
+			runs.Store(0)
+			resp, body := call(t, method, f.members[0].url+"/order/x", "", headers.IdempotencyKey, method)
+			if resp.Header.Get(headers.Run) != "unknown" {
+				t.Fatalf("%s: %v %s", method, resp.Header, body)
+			}
+			if runs.Load() != 1 {
+				t.Fatalf("%s ran %d times", method, runs.Load())
+			}
+		}
+	})
+}
+
+func TestTargetDownIsNotRunAndTriedElsewhere(t *testing.T) {
+	var count atomic.Int64
+	f := newFleet(t, echo(&count), "obb-muc", "nbb-la")
+	f.members[0].target.Close()
+	resp, body := call(t, "POST", f.members[0].url+"/order/x", "salt")
+	if resp.StatusCode != http.StatusOK || body != "salt" || count.Load() != 1 {
+		t.Fatalf("%d %q, %d runs", resp.StatusCode, body, count.Load())
+	}
+	f.members[1].target.Close()
+	resp, body = call(t, "POST", f.members[0].url+"/order/x", "salt")
+	if resp.Header.Get(headers.Run) != "not-run" {
+		t.Fatalf("nothing ran: %v %s", resp.Header, body)
+	}
+}
+
+func TestCancellationReachesTarget(t *testing.T) {
+	running, ended := make(chan struct{}, 1), make(chan struct{}, 1)
+	wait := func(int) http.Handler {
+		return http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			running <- struct{}{}
+			<-r.Context().Done()
+			ended <- struct{}{}
+		})
+	}
+	onBothPaths(t, wait, func(t *testing.T, f *fleet) {
+		ctx, cancel := context.WithCancel(context.Background())
+		req, _ := http.NewRequestWithContext(ctx, "GET", f.members[0].url+"/stock/x", nil)
+		req.Header.Set(headers.Organisation, "haulier-a")
+		go func() {
+			<-running
+			cancel()
+		}()
+		if _, err := http.DefaultClient.Do(req); err == nil {
+			t.Fatal("a cancelled request was answered")
+		}
+		<-ended
+	})
+}
+
+func TestDeadlineTravelsAndEndsRequest(t *testing.T) {
+	left := make(chan string, 1)
+	wait := func(int) http.Handler {
+		return http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			left <- r.Header.Get(headers.Timeout)
+			<-r.Context().Done()
+		})
+	}
+	onBothPaths(t, wait, func(t *testing.T, f *fleet) {
+		resp, body := call(t, "POST", f.members[0].url+"/order/x", "", headers.Timeout, "150")
+		if resp.StatusCode != http.StatusGatewayTimeout || resp.Header.Get(headers.Run) != "unknown" {
+			t.Fatalf("%d %v %s", resp.StatusCode, resp.Header, body)
+		}
+		if d, ok := headers.ParseTimeout(<-left); !ok || d > 150*time.Millisecond {
+			t.Fatalf("target was given %v", d)
+		}
+	})
+}
+
+func TestRunningRequestsOutliveDrain(t *testing.T) {
+	running, finish := make(chan struct{}, 4), make(chan struct{})
+	slow := func(int) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			running <- struct{}{}
+			<-finish
+			_, _ = io.WriteString(w, "whole")
+		})
+	}
+	f := newFleet(t, slow, "obb-muc", "nbb-la")
+	answers := make(chan string, 4)
+	for i := range 4 {
+		go func() {
+			_, body := call(t, "GET", f.members[i%2].url+"/stock/x", "")
+			answers <- body
+		}()
+	}
+	for range 4 {
+		<-running
+	}
+	drained := make(chan error, 2)
+	go func() { drained <- f.members[0].gatekeeper.Drain(context.Background()) }()
+	go func() { drained <- f.members[0].server.Shutdown(context.Background()) }()
+	for !f.members[0].gatekeeper.Leaving() {
+		time.Sleep(time.Millisecond)
+	}
+	if _, refused := f.members[0].gatekeeper.Do(nil); refused == nil || refused.Kind != refusal.Leaving || refused.Run != headers.NotRun {
+		t.Fatalf("new work at a leaving instance: %v", refused)
+	}
+	close(finish)
+	for range 4 {
+		if body := <-answers; body != "whole" {
+			t.Fatalf("a running request was cut: %q", body)
+		}
+	}
+	for range 2 {
+		if err := <-drained; err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func TestWrongRegionLeavesBodyUnread(t *testing.T) {
+	var count atomic.Int64
+	f := newFleet(t, echo(&count), "obb-muc", "nbb-la")
+	request := "POST /home/x HTTP/1.1\r\nHost: x\r\n" + headers.Organisation + ": haulier-a\r\nContent-Length: 1000\r\n%s\r\n"
+	// The server answers although no byte of the body ever comes, and asks for none.
+	for _, expect := range []string{"", "Expect: 100-continue\r\n"} {
+		got := raw(t, addrOf(f.members[1]), fmt.Sprintf(request, expect))
+		if !strings.HasPrefix(got, "HTTP/1.1 421 ") || strings.Contains(got, "100 Continue") || !strings.Contains(got, "home regions: obb") {
+			t.Fatalf("got %q", got)
+		}
+	}
+	// The next hop checks by itself.
+	call := shipmentTo(f, "home")
+	if _, refused := NewHTTPCarrier(f.members[0].store).Do(call); refused == nil || refused.Kind != refusal.WrongRegion {
+		t.Fatalf("gatekeeper in the wrong region: %v", refused)
+	}
+	if count.Load() != 0 {
+		t.Fatal("target ran")
+	}
+}
+
+// shipmentTo returns a request of a route for the second member.
+func shipmentTo(f *fleet, route string) *Shipment {
+	req, _ := http.NewRequest("POST", "http://x/"+route+"/x", strings.NewReader("salt"))
+	return &Shipment{Target: f.members[1].instance, Route: route, Organisation: "haulier-a", Request: req}
+}
+
+func TestSmuggledAndHostileRequests(t *testing.T) {
+	var count atomic.Int64
+	f := newFleet(t, echo(&count), "obb-muc")
+	org := headers.Organisation + ": haulier-a\r\n"
+	hidden := "0\r\n\r\nGET /order/hidden HTTP/1.1\r\nHost: x\r\n" + org + "\r\n"
+	for _, c := range []struct {
+		name, request, status string
+		runs                  int64
+	}{
+		{"two framings", "POST /stock/x HTTP/1.1\r\nHost: x\r\n" + org + "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n" + hidden, "200", 1},
+		{"two lengths", "POST /stock/x HTTP/1.1\r\nHost: x\r\n" + org + "Content-Length: 4\r\nContent-Length: 5\r\n\r\nsalt", "400", 0},
+		{"odd encoding", "POST /stock/x HTTP/1.1\r\nHost: x\r\n" + org + "Transfer-Encoding: xchunked\r\n\r\n" + hidden, "501", 0},
+		{"space before colon", "POST /stock/x HTTP/1.1\r\nHost: x\r\n" + org + "Content-Length : 4\r\n\r\nsalt", "400", 0},
+		{"header flood", "GET /stock/x HTTP/1.1\r\nHost: x\r\n" + org + strings.Repeat("X-Flood: 0123456789\r\n", 8000) + "\r\n", "431", 0},
+		{"connect", "CONNECT x:80 HTTP/1.1\r\nHost: x:80\r\n" + org + "Connection: close\r\n\r\n", "501", 0},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			count.Store(0)
+			got := raw(t, addrOf(f.members[0]), c.request)
+			if !strings.HasPrefix(got, "HTTP/1.1 "+c.status) || strings.Count(got, "HTTP/1.1 ") != 1 {
+				t.Fatalf("got %.300q", got)
+			}
+			if count.Load() != c.runs {
+				t.Fatalf("%d runs, want %d", count.Load(), c.runs)
+			}
+		})
+	}
+}
+
+func TestSlowBodyEndsAtDeadline(t *testing.T) {
+	var count atomic.Int64
+	f := newFleet(t, echo(&count), "obb-muc")
+	got := raw(t, addrOf(f.members[0]), "POST /order/x HTTP/1.1\r\nHost: x\r\n"+headers.Organisation+": haulier-a\r\n"+
+		headers.Timeout+": 100\r\nContent-Length: 1000\r\n\r\nslow")
+	if !strings.HasPrefix(got, "HTTP/1.1 504 ") {
+		t.Fatalf("got %q", got)
+	}
+}
+
+func TestUnauthenticatedPeerIsRefused(t *testing.T) {
+	var count atomic.Int64
+	f := newFleet(t, echo(&count), "obb-muc")
+	resp, err := http.Get("http://" + f.members[0].instance.RequestAddr + "/stock/x")
+	if err == nil {
+		defer resp.Body.Close()
+		if resp.StatusCode < http.StatusBadRequest {
+			t.Fatalf("plain HTTP got %d", resp.StatusCode)
+		}
+	}
+	pair, err := f.authority.Caller("haulier-a", "tablet")
+	if err != nil {
+		t.Fatal(err)
+	}
+	cert, err := pair.TLS()
+	if err != nil {
+		t.Fatal(err)
+	}
+	config := f.members[0].store.PeerClient("")
+	config.GetClientCertificate = nil
+	config.Certificates = append(config.Certificates, cert)
+	client := &http.Client{Transport: &http.Transport{TLSClientConfig: config}}
+	if resp, err := client.Get("https://" + f.members[0].instance.RequestAddr + "/stock/x"); err == nil {
+		resp.Body.Close()
+		t.Fatalf("a caller's certificate got %d", resp.StatusCode)
+	}
+	if count.Load() != 0 {
+		t.Fatal("target ran")
+	}
+}
+
+func TestRequestKeepsItsStateWhileAnotherIsPutInForce(t *testing.T) {
+	entered, swapped := make(chan struct{}, 1), make(chan struct{})
+	handler := func(int) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			entered <- struct{}{}
+			<-swapped
+			_, _ = io.Copy(w, r.Body)
+		})
+	}
+	f := newFleet(t, handler, "obb-muc")
+	answer := make(chan string, 1)
+	go func() {
+		_, body := call(t, "POST", f.members[0].url+"/stock/x", "salt")
+		answer <- body
+	}()
+	<-entered
+	f.catalogue.Revision++
+	f.catalogue.Routes = f.catalogue.Routes[1:]
+	f.publish()
+	close(swapped)
+	if body := <-answer; body != "salt" {
+		t.Fatalf("got %q", body)
+	}
+	if resp, _ := call(t, "POST", f.members[0].url+"/stock/x", "salt"); resp.StatusCode != http.StatusNotFound {
+		t.Fatalf("a route that is gone gave %d", resp.StatusCode)
+	}
+}
+
+// noCarrier fails the test if a request leaves the instance.
+type noCarrier struct{ t *testing.T }
+
+func (c noCarrier) Do(s *Shipment) (*http.Response, *refusal.Refusal) {
+	c.t.Errorf("request left for %q", s.Target.Name)
+	return nil, refusal.New(refusal.Unreachable, "no network")
+}
+
+func TestOwnInstanceTakesNoHop(t *testing.T) {
+	var count atomic.Int64
+	f := newFleet(t, echo(&count), "obb-muc", "nbb-la")
+	m := f.members[0]
+	m.frontend.config.Carrier.(*LocalCarrier).Remote = noCarrier{t}
+	for range 20 {
+		if resp, body := call(t, "POST", m.url+"/stock/x", "salt"); resp.StatusCode != http.StatusOK || body != "salt" {
+			t.Fatalf("%d %q", resp.StatusCode, body)
+		}
+	}
+}
+
+func TestForgedInternalHeadersHaveNoEffect(t *testing.T) {
+	seen := make(chan http.Header, 1)
+	handler := func(int) http.Handler {
+		return http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) { seen <- r.Header.Clone() })
+	}
+	onBothPaths(t, handler, func(t *testing.T, f *fleet) {
+		f.members[0].frontend.config.TrustOrganisationHeader = true
+		call(t, "GET", f.members[0].url+"/stock/x", "", headers.Route, "order", headers.Load, "0/99/0",
+			headers.Leaving, "1", headers.Run, "not-run", headers.Timeout, "99999999", headers.Attempt, "-7", "Chervilwell-New", "1")
+		h := <-seen
+		for _, name := range []string{headers.Route, headers.Load, headers.Leaving, headers.Run, "Chervilwell-New"} {
+			if h.Get(name) != "" {
+				t.Fatalf("target got %s: %s", name, h.Get(name))
+			}
+		}
+		if d, _ := headers.ParseTimeout(h.Get(headers.Timeout)); d > 5*time.Second || h.Get(headers.Attempt) != "1" {
+			t.Fatalf("target got %v", h)
+		}
+	})
+}
+
+func TestAnswerMayComeBeforeTheEndOfTheBody(t *testing.T) {
+	early := func(int) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			_ = http.NewResponseController(w).EnableFullDuplex()
+			in := bufio.NewReader(r.Body)
+			for {
+				line, err := in.ReadString('\n')
+				_, _ = io.WriteString(w, strings.ToUpper(line))
+				w.(http.Flusher).Flush()
+				if err != nil {
+					return
+				}
+			}
+		})
+	}
+	onBothPaths(t, early, func(t *testing.T, f *fleet) {
+		body, feed := io.Pipe()
+		req, _ := http.NewRequest("POST", f.members[0].url+"/stock/x", body)
+		req.Header.Set(headers.Organisation, "haulier-a")
+		go func() { _, _ = io.WriteString(feed, "one\n") }()
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		out := bufio.NewReader(resp.Body)
+		for _, word := range []string{"two", "three"} {
+			if _, err := out.ReadString('\n'); err != nil {
+				t.Fatal(err)
+			}
+			_, _ = io.WriteString(feed, word+"\n")
+		}
+		feed.Close()
+		rest, err := io.ReadAll(out)
+		if err != nil || string(rest) != "THREE\n" {
+			t.Fatalf("%q %v", rest, err)
+		}
+	})
+}
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -47,6 +47,9 @@
 	return &Frontend{config: config, metrics: newMetrics(config.Registerer)}
 }
 
+// refusalTime is the time that a caller has to take a refusal.
+const refusalTime = 5 * time.Second
+
 // request is a caller's request with everything that was decided for it. It pins one state for its whole life.
 type request struct {
 	state        *snapshot.State
@@ -67,13 +70,15 @@
 	}
 	req, refused := f.accept(r, started)
 	if refused != nil {
+		stream.Bound(w, r, started.Add(refusalTime))
 		f.refuse(w, r, refused)
 		return
 	}
 	defer f.routes.leave(req.route.Name)
-	allowEarlyAnswer(w, r)
+	stream.Bound(w, r, req.deadline.Add(refusalTime))
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
 	defer cancel()
+	defer req.body.leave(w, r)
 	resp, refused := f.forward(ctx, req)
 	req.body.end()
 	if refused != nil {
@@ -175,8 +180,8 @@
 	f.metrics.refusals.WithLabelValues(string(refused.Kind), string(refused.Run)).Inc()
 	f.config.Log.Debug().Str("kind", string(refused.Kind)).Str("run", string(refused.Run)).Str("detail", refused.Detail).
 		Str("method", r.Method).Msg("refused")
-	if r.ContentLength != 0 && r.ProtoMajor == 1 {
-		w.Header().Set("Connection", "close")
+	if r.ContentLength != 0 {
+		stream.LeaveBody(w, r)
 	}
 	refused.Write(w)
 }
@@ -194,13 +199,6 @@
 	f.config.Log.Debug().Str("route", req.route.Name).Str("organisation", req.organisation).Int("status", resp.StatusCode).Msg("answered")
 }
 
-// allowEarlyAnswer keeps an HTTP/1 server from dropping the rest of a body when the target answers before its end.
-func allowEarlyAnswer(w http.ResponseWriter, r *http.Request) {
-	if r.ProtoMajor == 1 && r.ContentLength != 0 {
-		_ = http.NewResponseController(w).EnableFullDuplex()
-	}
-}
-
 // chunkedRequest reports whether a request could have carried both Content-Length and Transfer-Encoding. The server has
 // dropped the former then; RFC 9112, section 6.1, wants the connection closed after the answer.
 func chunkedRequest(r *http.Request) bool {
--- a/internal/gatekeeper/server.go
+++ b/internal/gatekeeper/server.go
@@ -20,6 +20,8 @@
 	headerTimeout = 5 * time.Second
 	idlePeer      = 5 * time.Minute
 	maxHeader     = 128 << 10
+	// answerTime is the time beyond the deadline that a frontend has to take a refusal.
+	answerTime = 5 * time.Second
 )
 
 // ServeHTTP takes a request from the frontend of another instance.
@@ -30,11 +32,15 @@
 		return
 	}
 	if refused := g.checkOrigin(peer, r); refused != nil {
+		stream.LeaveBody(w, r)
 		g.refuse(w, refused)
 		return
 	}
 	ctx, cancel := deadlineOf(r)
 	defer cancel()
+	if deadline, ok := ctx.Deadline(); ok {
+		stream.Bound(w, r, deadline.Add(answerTime))
+	}
 	call := &Call{Route: r.Header.Get(headers.Route), Organisation: r.Header.Get(headers.Organisation)}
 	attempt := r.Header.Get(headers.Attempt)
 	headers.StripInternal(r.Header)
@@ -42,6 +48,9 @@
 	call.Request = r.WithContext(ctx)
 	resp, refused := g.Do(call)
 	if refused != nil {
+		if refused.Kind == refusal.WrongRegion {
+			stream.LeaveBody(w, r)
+		}
 		g.refuse(w, refused)
 		return
 	}
