internal/operator: metrics of state, platform and open alerts

Cause: alerts need readiness, the platform's state and open alerts as metrics; a scrape gave none of them. Change: a collector in internal/operator, registered by the daemon. Conclusion: go test -race ./internal/operator passes.

--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -43,7 +43,7 @@
 			Region: d.settings.Region, Service: d.settings.Service,
 		},
 		Holder: d.holder, Trail: d.trail, Process: d, Distribution: d.agent, Budget: d.budget,
-		Gatherer: d.registry, Log: d.log,
+		Registerer: d.registry, Gatherer: d.registry, Log: d.log,
 	})
 	d.operator = &operatorServer{listener: d.listeners.operator, handler: handler}
 	return nil
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -49,6 +49,8 @@
 	Explainer Explainer
 	// Budget counts changes; nil means that none are counted.
 	Budget *Budget
+	// Registerer takes the handler's own metrics; it may be nil.
+	Registerer prometheus.Registerer
 	// Gatherer gives the metrics.
 	Gatherer prometheus.Gatherer
 	// Now returns the current time; nil means time.Now.
@@ -68,6 +70,9 @@
 		config.Now = time.Now
 	}
 	h := &Handler{config: config, mux: http.NewServeMux()}
+	if config.Registerer != nil {
+		config.Registerer.MustRegister(stateCollector{h})
+	}
 	h.mux.HandleFunc("GET "+PathHealth, h.serveHealth)
 	h.mux.HandleFunc("GET "+PathReady, h.serveReady)
 	h.mux.Handle("GET "+PathMetrics, promhttp.HandlerFor(config.Gatherer, promhttp.HandlerOpts{}))
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -54,7 +54,7 @@
 	b.Handler = New(Config{
 		Identity: Identity{Instance: "obb-muc-1", FailureDomain: "obb-muc", Service: "lagerstand"},
 		Holder:   b.holder, Trail: b.trail, Process: b.process, Distribution: fakeDistributor{}, Budget: b.budget,
-		Gatherer: registry, Now: func() time.Time { return noon }, Log: zerolog.Nop(),
+		Registerer: registry, Gatherer: registry, Now: func() time.Time { return noon }, Log: zerolog.Nop(),
 	})
 	return b
 }
@@ -197,8 +197,15 @@
 	if got := b.trail.Count(audit.Budget); got != 1 {
 		t.Fatalf("%d records of a budget exceeded, want 1", got)
 	}
-	if body := b.get(PathMetrics).Body.String(); !strings.Contains(body, `chervilwell_organisation_changes_today{organisation="haulier-a"} 3`) {
-		t.Fatalf("metrics lack the changes:\n%s", body)
+	body := b.get(PathMetrics).Body.String()
+	for _, want := range []string{
+		`chervilwell_organisation_changes_today{organisation="haulier-a"} 3`, `chervilwell_audit_records_total{kind="budget"} 1`,
+		"chervilwell_ready 1", `chervilwell_process_state{state="serving"} 1`, "chervilwell_platform_failing 0",
+		`chervilwell_open_alerts{organisation="haulier-c"} 1`, "chervilwell_instances_known 0",
+	} {
+		if !strings.Contains(body, want+"\n") {
+			t.Errorf("metrics lack %s", want)
+		}
 	}
 	if got := b.budget.Today(noon.Add(12*time.Hour), "haulier-a"); got != 0 {
 		t.Fatalf("%d changes counted on the next day", got)
