--- a/internal/bench/mesh_node.go
+++ b/internal/bench/mesh_node.go
@@ -140,7 +140,7 @@
 		Instance: n.Instance.Name, FailureDomain: domain, Service: n.Instance.Service, TargetAddr: n.Target.Address(),
 		Holder: p.holder, Log: n.mesh.log,
 	})
-	p.requests = gatekeeper.NewServer(requests, n.store.PeerServer("h2"), p.gatekeeper)
+	p.requests = gatekeeper.NewServer(requests, n.store.PeerServer("http/1.1"), p.gatekeeper)
 	front := frontend.New(frontend.Config{
 		Instance: n.Instance.Name, FailureDomain: domain, Holder: p.holder, Picker: frontend.NewPicker(n.Instance.Name, domain),
 		Carrier: &frontend.LocalCarrier{
--- a/internal/frontend/faults_test.go
+++ b/internal/frontend/faults_test.go
@@ -423,3 +423,18 @@
 		}
 	})
 }
+
+func TestAttemptsOfNestedCallsComeBack(t *testing.T) {
+	nested := func(int) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set(headers.Attempt, "3")
+			w.Header().Set("X-Seen", r.Header.Get(headers.Attempt))
+		})
+	}
+	onBothPaths(t, nested, func(t *testing.T, f *fleet) {
+		resp, _ := call(t, "GET", f.members[0].url+"/stock/x", "", headers.Attempt, "2")
+		if resp.Header.Get("X-Seen") != "2" || resp.Header.Get(headers.Attempt) != "3" {
+			t.Fatalf("headers %v", resp.Header)
+		}
+	})
+}
--- a/internal/frontend/forward.go
+++ b/internal/frontend/forward.go
@@ -13,11 +13,9 @@
 	"github.com/chervilwell/chervilwell/internal/refusal"
 	"github.com/chervilwell/chervilwell/pick"
 	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/retry"
 )
 
-// maxAttempts bounds the attempts of one request, over all nested calls.
-const maxAttempts = 3
-
 // forward tries targets until one answers or no further attempt is allowed.
 func (f *Frontend) forward(ctx context.Context, req *request) (*http.Response, *refusal.Refusal) {
 	var tried []string
@@ -29,6 +27,7 @@
 		}
 		resp, refused := f.attempt(ctx, req, target)
 		if refused == nil {
+			f.budgets.succeeded(req.route.Service)
 			return resp, nil
 		}
 		last = merge(last, refused)
@@ -56,7 +55,6 @@
 
 // attempt sends the request to one target.
 func (f *Frontend) attempt(ctx context.Context, req *request, target platform.Instance) (*http.Response, *refusal.Refusal) {
-	req.attempt++
 	shipment := &Shipment{Target: target, Route: req.route.Name, Organisation: req.organisation, Request: req.outgoing(ctx)}
 	resp, refused := f.config.Carrier.Do(shipment)
 	if refused != nil {
@@ -64,6 +62,7 @@
 		f.config.Picker.ended(target.Name, shipment.Answer)
 		return nil, refused
 	}
+	req.retries = req.retries.Absorb(countOf(resp.Header))
 	shipment.Answer.Result = pick.OK
 	if resp.StatusCode >= http.StatusInternalServerError {
 		shipment.Answer.Result = pick.Failed
@@ -78,6 +77,11 @@
 	return resp, nil
 }
 
+// countOf returns the retries that headers tell of.
+func countOf(h http.Header) retry.Count {
+	return retry.Count(max(0, headers.ParseAttempt(h.Get(headers.Attempt))-1))
+}
+
 // resultOfRefusal says what a refusal teaches about its target.
 func resultOfRefusal(ctx context.Context, s *Shipment, refused *refusal.Refusal) pick.Result {
 	switch {
@@ -137,31 +141,52 @@
 	out.Header = req.in.Header.Clone()
 	headers.StripHopByHop(out.Header)
 	headers.StripInternal(out.Header)
-	out.Header[headers.Attempt] = []string{headers.FormatAttempt(req.attempt)}
+	out.Header[headers.Attempt] = []string{headers.FormatAttempt(int(req.retries) + 1)}
 	out.Header[headers.Timeout] = []string{headers.FormatTimeout(time.Until(req.deadline))}
 	out.Body = req.body.open()
 	out.GetBody = nil
 	return out
 }
 
-// mayRetry reports whether a refused request may be sent again: it is proven not run, or may run twice.
+// mayRetry decides on another attempt, counts it and waits its delay.
 func (f *Frontend) mayRetry(ctx context.Context, req *request, refused *refusal.Refusal) bool {
-	if ctx.Err() != nil || req.attempt >= maxAttempts || !req.body.replayable() {
+	decision := f.budgets.decide(req.route.Service, retry.Failure{
+		Repeat:   repeatOf(req),
+		NotRun:   refused.Run == headers.NotRun,
+		BodyGone: !req.body.replayable(),
+		Final:    final(refused.Kind),
+		Retries:  req.retries,
+		Deadline: req.deadline,
+	})
+	if !decision.Retry || ctx.Err() != nil {
 		return false
 	}
-	if refused.Run == headers.NotRun {
-		return retryableKind(refused.Kind)
+	req.retries = decision.Retries
+	timer := time.NewTimer(decision.After)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
 	}
-	return req.route.Repeat == catalogue.Safe && idempotent(req.in.Method)
 }
 
-// retryableKind reports whether another target may accept what one refused.
-func retryableKind(kind refusal.Kind) bool {
+// repeatOf says whether a request may be repeated: its route and its method must both allow it.
+func repeatOf(req *request) catalogue.Repeat {
+	if req.route.Repeat == catalogue.Safe && idempotent(req.in.Method) {
+		return catalogue.Safe
+	}
+	return catalogue.Never
+}
+
+// final reports whether no other target would answer otherwise.
+func final(kind refusal.Kind) bool {
 	switch kind {
 	case refusal.BodyTooLarge, refusal.NoOrganisation, refusal.Cancelled, refusal.Timeout, refusal.TooLate, refusal.Quarantined:
-		return false
+		return true
 	}
-	return true
+	return false
 }
 
 // idempotent reports whether a method may be repeated (RFC 9110, section 9.2.2).
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -14,6 +14,7 @@
 	"github.com/chervilwell/chervilwell/internal/headers"
 	"github.com/chervilwell/chervilwell/internal/refusal"
 	"github.com/chervilwell/chervilwell/internal/stream"
+	"github.com/chervilwell/chervilwell/retry"
 	"github.com/chervilwell/chervilwell/snapshot"
 )
 
@@ -38,6 +39,7 @@
 type Frontend struct {
 	config  Config
 	routes  routeLimits
+	budgets retryBudgets
 	metrics *metrics
 	closing closing
 }
@@ -57,9 +59,10 @@
 	organisation string
 	region       string
 	deadline     time.Time
-	attempt      int
-	body         *replayBody
-	in           *http.Request
+	// retries is the number spent so far, by the processes before this one too.
+	retries retry.Count
+	body    *replayBody
+	in      *http.Request
 }
 
 // ServeHTTP answers a caller.
@@ -119,7 +122,7 @@
 	if left, ok := headers.ParseTimeout(r.Header.Get(headers.Timeout)); ok && now.Add(left).Before(req.deadline) {
 		req.deadline = now.Add(left)
 	}
-	req.attempt = headers.ParseAttempt(r.Header.Get(headers.Attempt))
+	req.retries = countOf(r.Header)
 	req.body = newReplayBody(r, req.route.Limits.BodyBytes)
 	return req, nil
 }
@@ -187,6 +190,7 @@
 }
 
 func (f *Frontend) answer(w http.ResponseWriter, req *request, resp *http.Response, started time.Time) {
+	w.Header()[headers.Attempt] = []string{headers.FormatAttempt(int(req.retries) + 1)}
 	if chunkedRequest(req.in) {
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -196,8 +196,12 @@
 		pass.leave(admission.Failed)
 		return nil, refusal.Unknown(refusal.BrokenAnswer, "answer has neither Content-Length nor chunked encoding")
 	}
+	attempt := resp.Header[headers.Attempt]
 	headers.StripInternal(resp.Header)
 	headers.StripHopByHop(resp.Header)
+	if len(attempt) == 1 {
+		resp.Header[headers.Attempt] = attempt // the count of the target's own calls, for its caller
+	}
 	resp.Body = &answerBody{ReadCloser: resp.Body, end: func(err error) {
 		pass.leave(resultOfAnswer(ctx, resp.StatusCode, err))
 		g.running.Done()
--- a/internal/gatekeeper/server.go
+++ b/internal/gatekeeper/server.go
@@ -93,6 +93,9 @@
 
 func (g *Gatekeeper) answer(w http.ResponseWriter, resp *http.Response) {
 	g.mark(w.Header())
+	if attempt, ok := resp.Header[headers.Attempt]; ok {
+		w.Header()[headers.Attempt] = attempt
+	}
 	stream.Answer(w, resp, func(err error) {
 		g.config.Log.Debug().Err(err).Msg("answer aborted")
 	})
