quarantine: requests that crash their targets are found and kept away

Cause: a caller's resends carry one crashing request from target to target. Change: package quarantine makes the requests in flight at a crash suspects; a suspect runs alone, at one home instance, and is quarantined after a second crash or cleared by a success; notices tolerate loss, doubling and lateness. Conclusion: the bound holds while instances hear the notices before callers are answered.

--- /dev/null
+++ b/quarantine/quarantine_test.go
@@ -0,0 +1,160 @@
+package quarantine
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+func TestPoisonIsQuarantinedAfterTwoCrashes(t *testing.T) {
+	a, b := New("a"), New("b")
+	const poison, innocent = Fingerprint(1), Fingerprint(2)
+	a.Begin(epoch, poison, false)
+	a.Begin(epoch, innocent, false)
+	b.Apply(epoch, a.Crashed(epoch))
+	a.End(epoch, poison, false)
+	a.End(epoch, innocent, false)
+
+	if v := b.Begin(epoch, poison, false); v != Suspect {
+		t.Fatalf("a suspect away from home: %d", v)
+	}
+	now := epoch.Add(time.Second)
+	if v := b.Begin(now, poison, true); v != Suspect {
+		t.Fatalf("a suspect at home: %d", v)
+	}
+	if v := b.Begin(now, innocent, true); v != Busy {
+		t.Fatalf("a second suspect: %d", v)
+	}
+	a.Apply(now, b.Crashed(now))
+	b.End(now, poison, false)
+	if a.Judge(now, poison) != Quarantined || b.Judge(now, poison) != Quarantined {
+		t.Fatal("not quarantined after its second crash")
+	}
+	b.Begin(now, innocent, true)
+	now = now.Add(time.Second)
+	a.Apply(now, b.End(now, innocent, true))
+	if a.Judge(now, innocent) != Free || b.Judge(now, innocent) != Free {
+		t.Fatal("not cleared after its success")
+	}
+	if a.Judge(now.Add(QuarantineLife), poison) != Free {
+		t.Fatal("quarantine does not end")
+	}
+}
+
+func TestLateNoticesDoNotUndo(t *testing.T) {
+	l := New("a")
+	at := func(d time.Duration) int64 { return epoch.Add(d).UnixNano() }
+	l.Apply(epoch, Notice{At: at(2 * time.Second), Cleared: []Fingerprint{1}})
+	l.Apply(epoch, Notice{At: at(time.Second), Suspects: []Fingerprint{1, 2}})
+	if l.Judge(epoch, 1) != Free {
+		t.Error("an older suspicion undid a clearance")
+	}
+	l.Apply(epoch, Notice{At: at(time.Second), Quarantined: []Fingerprint{2}})
+	l.Apply(epoch, Notice{At: at(3 * time.Second), Cleared: []Fingerprint{2}})
+	if l.Judge(epoch, 2) != Quarantined {
+		t.Error("a clearance undid a quarantine")
+	}
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	l := New("a")
+	for i := range 3 * MaxEntries {
+		l.Apply(epoch, Notice{At: epoch.UnixNano() + int64(i), Suspects: []Fingerprint{Fingerprint(i)}})
+	}
+	if len(l.entries) > MaxEntries {
+		t.Fatalf("%d entries", len(l.entries))
+	}
+}
+
+func TestFingerprintsDiffer(t *testing.T) {
+	base := Request{"org", "route", "POST", "/x", "key", 1}
+	seen := map[Fingerprint]bool{Of(base): true}
+	for _, r := range []Request{
+		{"orgroute", "", "POST", "/x", "key", 1},
+		{"org", "route", "PUT", "/x", "key", 1},
+		{"org", "route", "POST", "/y", "key", 1},
+		{"org", "route", "POST", "/x", "yek", 1},
+		{"org", "route", "POST", "/x", "key", 2},
+	} {
+		if f := Of(r); seen[f] {
+			t.Errorf("%+v has a fingerprint seen before", r)
+		} else {
+			seen[f] = true
+		}
+	}
+}
+
+// fleet runs requests on instances that hear each other's notices.
+type fleet struct {
+	lists   []*List
+	names   []string
+	running [][]Fingerprint
+	crashes map[Fingerprint]int
+}
+
+func (f *fleet) tell(now time.Time, n Notice, twice bool) {
+	for _, l := range f.lists {
+		l.Apply(now, n)
+		if twice {
+			l.Apply(now, n)
+		}
+	}
+}
+
+// crash ends everything that runs at an instance because of a poisonous request.
+func (f *fleet) crash(now time.Time, at int, poison Fingerprint, twice bool) {
+	f.crashes[poison]++
+	f.tell(now, f.lists[at].Crashed(now), twice)
+	for _, r := range f.running[at] {
+		f.lists[at].End(now, r, false)
+	}
+	f.running[at] = nil
+}
+
+// However requests are sent again, a poisonous one crashes at most two targets, and the others run in the end.
+func TestCrashesAreBounded(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &fleet{crashes: map[Fingerprint]int{}}
+		for i := range rapid.IntRange(2, 5).Draw(t, "instances") {
+			f.names = append(f.names, fmt.Sprint("i", i))
+			f.lists = append(f.lists, New(f.names[i]))
+			f.running = append(f.running, nil)
+		}
+		const requests = 8
+		poison := Fingerprint(rapid.IntRange(1, requests).Draw(t, "poison"))
+		now := epoch
+		for range rapid.IntRange(1, 200).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(1, 200).Draw(t, "ms")) * time.Millisecond)
+			at := rapid.IntRange(0, len(f.lists)-1).Draw(t, "at")
+			l := f.lists[at]
+			if len(f.running[at]) > 0 && rapid.Bool().Draw(t, "end") {
+				r := f.running[at][0]
+				f.running[at] = f.running[at][1:]
+				f.tell(now, l.End(now, r, true), false)
+				continue
+			}
+			r := Fingerprint(rapid.IntRange(1, requests).Draw(t, "request"))
+			v := l.Begin(now, r, Home(r, f.names) == f.names[at])
+			if v != Free && (v != Suspect || Home(r, f.names) != f.names[at]) {
+				continue
+			}
+			f.running[at] = append(f.running[at], r)
+			if r == poison {
+				f.crash(now, at, r, rapid.Bool().Draw(t, "twice"))
+			}
+		}
+		if f.crashes[poison] > 2 {
+			t.Fatalf("%d crashes", f.crashes[poison])
+		}
+		later := now.Add(SuspectLife + time.Second)
+		for r := Fingerprint(1); r <= requests; r++ {
+			if r != poison && f.lists[0].Judge(later, r) != Free {
+				t.Fatalf("request %d did not crash a target but is not free", r)
+			}
+		}
+	})
+}
