linkshare: byte budgets of the link between regions, lent by the token

Cause: organisations share a narrow, paid link, and no instance may depend on another to stay inside the budget. Figures: TestUnusedPartsAreLent: one busy instance of four uses at least 0.8 of an idle link by loans and its own 0.125 after a cut. Conclusion: TestCapacityIsKept holds under loss, doubling, delay, pauses and two lenders.

--- /dev/null
+++ b/linkshare/linkshare_test.go
@@ -0,0 +1,208 @@
+package linkshare
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+var (
+	epoch = time.Unix(1_700_000_000, 0)
+	link  = Pool{From: "obb", To: "nbb"}
+)
+
+func TestOwnPartAlone(t *testing.T) {
+	a := NewAccount(epoch, "i1")
+	a.SetParts(epoch, []Part{{link, "a", Own(1000, 0.5, 5)}})
+	now := epoch.Add(StartAfter)
+	if ok, _ := a.Take(now, link, "a", 1); ok {
+		t.Fatal("a new account spent before the others count it")
+	}
+	now = now.Add(Depth)
+	if ok, _ := a.Take(now, link, "a", 50); !ok {
+		t.Fatal("a full account refused what it owns")
+	}
+	ok, wait := a.Take(now, link, "a", 25)
+	if ok || wait != 250*time.Millisecond {
+		t.Fatalf("took %v, wait %v; want a wait of 250ms", ok, wait)
+	}
+	if ok, _ := a.Take(now, link, "b", 1); ok {
+		t.Fatal("an organisation without a part spent")
+	}
+}
+
+func TestDivide(t *testing.T) {
+	wants := []Want{{Bytes: 10, Weight: 100}, {Bytes: 1000, Weight: 100}, {Bytes: 1000, Weight: 200}}
+	got := divide(310, wants)
+	if got[0] != 10 || got[1] != 100 || got[2] != 200 {
+		t.Fatalf("divided %v", got)
+	}
+}
+
+// region is a set of instances with lossy, doubling, slow messages and pauses.
+type region struct {
+	rng      *rand.Rand
+	accounts []*Account
+	lenders  []*Lender
+	paused   []bool
+	skew     []time.Duration
+	post     []func(time.Time)
+	loss     float64
+}
+
+func newRegion(seed uint64, instances int, parts []Part) *region {
+	r := &region{rng: rand.New(rand.NewPCG(seed, 4)), paused: make([]bool, instances)}
+	for i := range instances {
+		r.skew = append(r.skew, time.Duration(r.rng.Int64N(int64(MaxSkew)))-MaxSkew/2)
+		name := fmt.Sprint("i", i)
+		a := NewAccount(epoch.Add(r.skew[i]), name)
+		a.SetParts(epoch.Add(r.skew[i]), parts)
+		r.accounts = append(r.accounts, a)
+		r.lenders = append(r.lenders, NewLender(epoch.Add(r.skew[i]), name))
+	}
+	return r
+}
+
+func (r *region) send(deliver func(time.Time)) {
+	r.post = append(r.post, deliver)
+	for r.rng.Float64() < r.loss {
+		r.post = append(r.post, deliver)
+	}
+}
+
+func (r *region) deliver(now time.Time) {
+	var later []func(time.Time)
+	for _, m := range r.post {
+		switch x := r.rng.Float64(); {
+		case x < r.loss/2:
+		case x < r.loss:
+			later = append(later, m)
+		default:
+			m(now)
+		}
+	}
+	r.post = later
+}
+
+func (r *region) index(name string) int {
+	var i int
+	_, _ = fmt.Sscanf(name, "i%d", &i)
+	return i
+}
+
+// round lets all instances offer, want and lend. While views differ there may be two lenders.
+func (r *region) round(now time.Time) {
+	r.deliver(now)
+	for i, a := range r.accounts {
+		if r.paused[i] {
+			continue
+		}
+		local := now.Add(r.skew[i])
+		lender := 0
+		if r.rng.Float64() < r.loss {
+			lender = len(r.lenders) - 1
+		}
+		for _, o := range a.Offers(local) {
+			r.send(func(at time.Time) { r.lenders[lender].Offered(at.Add(r.skew[lender]), o) })
+		}
+		for _, w := range a.Wants(local) {
+			r.send(func(at time.Time) { r.lenders[lender].Wanted(at.Add(r.skew[lender]), w) })
+		}
+		for _, l := range r.lenders[i].Lend(local) {
+			to := r.index(l.To)
+			r.send(func(at time.Time) { r.accounts[to].Receive(at.Add(r.skew[to]), l) })
+		}
+	}
+}
+
+const testCapacity = 1_000_000
+
+func testParts(instances int) []Part {
+	return []Part{
+		{link, "a", Own(testCapacity, 0.5, instances)},
+		{link, "b", Own(testCapacity, 0.3, instances)},
+		{link, "c", Own(testCapacity, 0.2, instances)},
+	}
+}
+
+// Whatever happens to messages and processes, the link's capacity is kept in every window of time.
+func TestCapacityIsKept(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		instances := rapid.IntRange(1, 6).Draw(t, "instances")
+		r := newRegion(rapid.Uint64().Draw(t, "seed"), instances, testParts(instances))
+		r.loss = rapid.Float64Range(0, 0.5).Draw(t, "loss")
+		const step = 50 * time.Millisecond
+		var spent []float64
+		now := epoch
+		for i := range rapid.IntRange(1, 600).Draw(t, "steps") {
+			now = now.Add(step)
+			spent = append(spent, r.spend(now))
+			if i%5 == 0 {
+				r.round(now)
+			}
+			if k := r.rng.IntN(instances); r.rng.IntN(20) == 0 {
+				r.paused[k] = !r.paused[k]
+			}
+		}
+		for from := range spent {
+			sum := 0.0
+			for to := from; to < len(spent); to++ {
+				sum += spent[to]
+				if limit := testCapacity * (time.Duration(to-from+1)*step + Burst).Seconds(); sum > limit {
+					t.Fatalf("spent %.0f in %v, more than %.0f", sum, time.Duration(to-from+1)*step, limit)
+				}
+			}
+		}
+	})
+}
+
+// spend lets every instance spend as much as it may in random amounts.
+func (r *region) spend(now time.Time) float64 {
+	total := 0.0
+	for i, a := range r.accounts {
+		for range 10 {
+			if r.paused[i] {
+				break
+			}
+			bytes := 1 + r.rng.Int64N(60_000)
+			org := [...]string{"a", "b", "c"}[r.rng.IntN(3)]
+			if ok, _ := a.Take(now.Add(r.skew[i]), link, org, bytes); ok {
+				total += float64(bytes)
+			}
+		}
+	}
+	return total
+}
+
+// One busy instance and organisation gets most of the link by loans while the others are idle, and after a cut only its
+// own part.
+func TestUnusedPartsAreLent(t *testing.T) {
+	const instances = 4
+	r := newRegion(1, instances, testParts(instances))
+	now := epoch.Add(StartAfter + MaxSkew)
+	run := func(length time.Duration, connected bool) float64 {
+		total := 0.0
+		for end := now.Add(length); now.Before(end); now = now.Add(Interval / 5) {
+			for range 20 {
+				if ok, _ := r.accounts[1].Take(now.Add(r.skew[1]), link, "a", 10_000); ok {
+					total += 10_000
+				}
+			}
+			if connected && now.Sub(epoch)%Interval < Interval/5 {
+				r.round(now)
+			}
+		}
+		return total / length.Seconds() / testCapacity
+	}
+	run(5*time.Second, true)
+	if got := run(20*time.Second, true); got < 0.8 || got > 1 {
+		t.Errorf("used %.2f of an idle link", got)
+	}
+	run(LoanLife+MaxSkew, false)
+	if got, own := run(20*time.Second, false), 0.5/instances; got > own*1.01 || got < own*0.9 {
+		t.Errorf("used %.3f of the link after a cut, its own part is %.3f", got, own)
+	}
+}
