--- a/catalogue/publish_test.go
+++ b/catalogue/publish_test.go
@@ -55,7 +55,7 @@
 }
 
 func TestChunkCountFollowsContent(t *testing.T) {
-	for _, tt := range []struct{ entries, chunks int }{{0, 16}, {32, 16}, {400, 64}, {1200, 256}} {
+	for _, tt := range []struct{ entries, chunks int }{{0, 1}, {3, 1}, {4, 16}, {32, 16}, {400, 64}, {1200, 256}} {
 		var entries []document.Entry
 		for i := range tt.entries {
 			entries = append(entries, document.Entry{Key: fmt.Sprintf("route/%d", i), Value: make([]byte, 16<<10)})
--- a/internal/bench/exp_outage.go
+++ b/internal/bench/exp_outage.go
@@ -45,7 +45,7 @@
 }
 
 func runOutage(ctx context.Context, cfg Config) (any, error) {
-	m, err := newMesh(cfg)
+	m, err := newRelayFleet(cfg)
 	if err != nil {
 		return nil, err
 	}
@@ -53,10 +53,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer func() {
 		cancel()
-		m.each((*meshMember).stop)
+		m.each((*relayMember).stop)
 	}()
 	go o.run(ctx)
-	m.each((*meshMember).start)
+	m.each((*relayMember).start)
 	if err := m.awaitAll(ctx); err != nil {
 		return nil, errors.Wrap(err, "the fleet did not start")
 	}
@@ -78,7 +78,7 @@
 }
 
 // outage takes the fleet through the phases and returns how long it took to converge after the last.
-func (m *mesh) outage(ctx context.Context, o *observer, result *outageResult) (time.Duration, error) {
+func (m *relayFleet) outage(ctx context.Context, o *observer, result *outageResult) (time.Duration, error) {
 	for revision := uint64(2); revision <= 4; revision++ {
 		if err := o.publish(revision); err != nil {
 			return 0, err
@@ -109,7 +109,7 @@
 }
 
 // replaceOver replaces a number of random processes, spread over a time.
-func (m *mesh) replaceOver(ctx context.Context, d time.Duration, count int, result *outageResult) {
+func (m *relayFleet) replaceOver(ctx context.Context, d time.Duration, count int, result *outageResult) {
 	var wait sync.WaitGroup
 	defer wait.Wait()
 	for _, i := range m.rng.Perm(len(m.members))[:count] {
@@ -128,7 +128,7 @@
 }
 
 // lookups asks every process regularly until ctx ends.
-func (m *mesh) lookups(ctx context.Context, result *outageResult) <-chan struct{} {
+func (m *relayFleet) lookups(ctx context.Context, result *outageResult) <-chan struct{} {
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -136,7 +136,7 @@
 		ticker := time.NewTicker(lookupEvery)
 		defer ticker.Stop()
 		for n := 0; ; n++ {
-			service := m.services[n%meshServices].Name
+			service := m.services[n%relayServices].Name
 			for _, b := range m.members {
 				if life := b.current(); life != nil {
 					result.Lookups++
@@ -157,7 +157,7 @@
 }
 
 // finds reports whether the process has joined and finds the route and the endpoints of a service.
-func (l *meshLife) finds(service string) bool {
+func (l *relayLife) finds(service string) bool {
 	if !l.agent.Joined() {
 		return false
 	}
--- a/internal/bench/exp_storm.go
+++ b/internal/bench/exp_storm.go
@@ -55,7 +55,7 @@
 }
 
 func runStorm(ctx context.Context, cfg Config) (any, error) {
-	m, err := newMesh(cfg)
+	m, err := newRelayFleet(cfg)
 	if err != nil {
 		return nil, err
 	}
@@ -63,10 +63,10 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer func() {
 		cancel()
-		m.each((*meshMember).stop)
+		m.each((*relayMember).stop)
 	}()
 	go o.run(ctx)
-	m.each((*meshMember).start)
+	m.each((*relayMember).start)
 	if err := m.awaitAll(ctx); err != nil {
 		return nil, errors.Wrap(err, "the fleet did not start")
 	}
@@ -86,7 +86,7 @@
 }
 
 // storm replaces every process, waits until all are back and the roles have settled, and adds what it cost.
-func (m *mesh) storm(ctx context.Context, result *stormResult, rejoin *Latency) error {
+func (m *relayFleet) storm(ctx context.Context, result *stormResult, rejoin *Latency) error {
 	before := m.platform.Reads().Total
 	limited, cancel := context.WithTimeout(ctx, stormLimit)
 	defer cancel()
@@ -95,7 +95,7 @@
 		delays[i] = time.Duration(m.rng.Int64N(int64(stormSpread)))
 	}
 	peaks := m.watchPeak(limited)
-	m.each((*meshMember).stop)
+	m.each((*relayMember).stop)
 	var wait sync.WaitGroup
 	var mu sync.Mutex
 	for i, b := range m.members {
@@ -124,7 +124,7 @@
 }
 
 // awaitJoin waits until the instance serves, and returns the time since it was started.
-func (b *meshMember) awaitJoin(ctx context.Context) (time.Duration, bool) {
+func (b *relayMember) awaitJoin(ctx context.Context) (time.Duration, bool) {
 	life := b.current()
 	for ctx.Err() == nil {
 		state := life.holder.Load()
@@ -137,7 +137,7 @@
 }
 
 // watchPeak returns the largest number of reads within any second until ctx ends, in steps of a tenth.
-func (m *mesh) watchPeak(ctx context.Context) <-chan int64 {
+func (m *relayFleet) watchPeak(ctx context.Context) <-chan int64 {
 	const steps = 10
 	out := make(chan int64, 1)
 	go func() {
@@ -161,7 +161,7 @@
 }
 
 // stormBaseline starts a fleet in which each instance reads the platform, as often as there were storms.
-func (m *mesh) stormBaseline(ctx context.Context, result *stormResult) error {
+func (m *relayFleet) stormBaseline(ctx context.Context, result *stormResult) error {
 	back := 0
 	for range storms {
 		w := newWatchers(m)
@@ -174,7 +174,7 @@
 		w.await(limited, 1)
 		cancel()
 		w.wait.Wait()
-		result.BaselineRead += w.mesh.platform.Reads().Total
+		result.BaselineRead += w.fleet.platform.Reads().Total
 		back += w.reached[1]
 	}
 	result.BaselineBack = float64(back) / float64(storms*len(m.members))
--- a/internal/bench/mesh.go
+++ b/internal/bench/mesh.go
@@ -3,347 +3,343 @@
 import (
 	"context"
 	"fmt"
-	"math/rand/v2"
-	"strings"
+	"math"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
 
-	"github.com/chervilwell/chervilwell/audit"
 	"github.com/chervilwell/chervilwell/catalogue"
-	"github.com/chervilwell/chervilwell/document"
-	"github.com/chervilwell/chervilwell/internal/agent"
-	"github.com/chervilwell/chervilwell/internal/peer"
+	"github.com/chervilwell/chervilwell/examples"
+	"github.com/chervilwell/chervilwell/internal/certs"
 	"github.com/chervilwell/chervilwell/internal/standin"
 	"github.com/chervilwell/chervilwell/platform"
-	"github.com/chervilwell/chervilwell/snapshot"
 )
 
-// Figures of the deployment that the mesh stands for.
+// The network of the gritting-salt deployment.
 const (
-	sameDomainDelay  = 200 * time.Microsecond
-	crossDomainDelay = 1500 * time.Microsecond
-	crossRegionDelay = 12 * time.Millisecond
-	linkBytesPerSec  = 30_000_000 / 8
-	platformDelay    = 3 * time.Millisecond
-	listLag          = 500 * time.Millisecond
-	// storeRegion is where the platform is.
-	storeRegion = "obb"
-	// meshServices is the number of services of the catalogue; each has a route.
-	meshServices = 40
-	// readsPerInstance is the platform's read budget in proportion to the fleet: 2,000/s for 20,000 instances.
-	readsPerInstance = 0.1
+	domainDelay        = 1500 * time.Microsecond
+	regionDelay        = 12 * time.Millisecond
+	clientDelay        = 3 * time.Millisecond
+	linkBytesPerSecond = 30e6 / 8
 )
 
-// httpOverhead is what a read of the platform adds to the value on the wire: headers of both directions and packets.
-const httpOverhead = 400
-
-var meshDomains = []string{"obb-muc", "obb-ro", "nbb-la", "nbb-pa"}
-
-func meshRegion(failureDomain string) string { return failureDomain[:3] }
+// The targets of the deployment.
+const (
+	targetService   = 100 * time.Millisecond
+	targetSpread    = 0.3
+	targetDownTime  = time.Second
+	targetHealthLag = 5 * time.Second
+	targetAnswer    = 512
+)
 
-// mesh runs the distribution of a whole fleet in one process, over a network with the delays and bandwidth of a
-// deployment.
-type mesh struct {
-	log      zerolog.Logger
-	rng      *rand.Rand
-	platform *standin.Platform
-	network  *peer.Network
-	members  []*meshMember
-	seeds    []string
-	fleet    int
-	services []catalogue.Service
+// The platform of the deployment.
+const (
+	platformReads = 2000
+	platformDelay = 3 * time.Millisecond
+	instanceLag   = time.Second
+)
 
-	mu        sync.Mutex
-	catalogue *document.Document
-	storeCut  map[string]bool
+// placement is where an instance lies and what it runs.
+type placement struct {
+	domain, service string
+	count           int
 }
 
-// meshMember is one instance with the life that it has now.
-type meshMember struct {
-	mesh *mesh
-	inst platform.Instance
+// streusalz lists the thirteen instances of the deployment.
+var streusalz = []placement{
+	{"obb-muc", "lagerstand", 2},
+	{"obb-muc", "disposition", 1},
+	{"obb-muc", "wiegebeleg", 1},
+	{"obb-ro", "lagerstand", 1},
+	{"obb-ro", "disposition", 1},
+	{"obb-ro", "wiegebeleg", 1},
+	{"nbb-la", "lagerstand", 1},
+	{"nbb-la", "disposition", 1},
+	{"nbb-la", "wiegebeleg", 1},
+	{"nbb-pa", "lagerstand", 1},
+	{"nbb-pa", "disposition", 1},
+	{"nbb-pa", "wiegebeleg", 1},
+}
 
-	mu   sync.Mutex
-	life *meshLife
-	// carried is the sum of bytes of earlier lives.
-	carried int64
+// homeRegion is the region of the platform.
+const homeRegion = "obb"
+
+// MeshOptions vary a mesh from the deployment.
+type MeshOptions struct {
+	Seed uint64
+	Log  zerolog.Logger
+	// Change edits the catalogue before it is published for the first time.
+	Change func(*catalogue.Catalogue)
+	// Target edits the configuration of each target.
+	Target func(*standin.TargetConfig)
+	// Instances is the number of instances; beyond the deployment's thirteen, placements repeat.
+	Instances int
 }
 
-// meshLife is one life of an instance.
-type meshLife struct {
-	agent  *agent.Agent
-	holder *snapshot.Holder
-	port   *peer.Port
-	began  time.Time
-	cancel context.CancelFunc
-	done   chan struct{}
+// Mesh is a whole deployment in one process: the real parts of every instance over stand-ins for the platform, the targets
+// and the network.
+type Mesh struct {
+	Nodes    []*Node
+	Platform *standin.Platform
+	Links    *standin.Links
+	Ledger   *standin.Ledger
+
+	options   MeshOptions
+	log       zerolog.Logger // of the processes
+	authority *certs.Authority
+	catalogue *catalogue.Catalogue
+	regions   map[string]string
+
+	mu    sync.Mutex
+	peers map[string]string // failure domain of each peer address
 }
 
-// newMesh builds a fleet that is not started, with revision 1 published.
-func newMesh(cfg Config) (*mesh, error) {
-	m := &mesh{
-		log: cfg.Log, rng: rand.New(rand.NewPCG(cfg.Seed, 11)), fleet: cfg.Instances, storeCut: map[string]bool{},
-		platform: standin.NewPlatform(standin.PlatformConfig{
-			ReadsPerSecond: readsPerInstance * float64(cfg.Instances), Delay: platformDelay, InstanceLag: listLag,
-		}),
+// NewMesh starts a mesh whose targets are warm and waits until every instance serves.
+func NewMesh(ctx context.Context, options MeshOptions) (*Mesh, error) {
+	authority, err := certs.NewAuthority("bench")
+	if err != nil {
+		return nil, err
 	}
-	m.network = peer.NewNetwork(meshPath)
-	for _, link := range meshLinks {
-		m.network.SetLink(link, linkBytesPerSec)
+	cat, err := catalogue.Parse("streusalz.jsonc", examples.Streusalz)
+	if err != nil {
+		return nil, err
 	}
-	for i := range meshServices {
-		m.services = append(m.services, meshService(i))
+	m := &Mesh{
+		Platform:  standin.NewPlatform(standin.PlatformConfig{ReadsPerSecond: platformReads, Delay: platformDelay, InstanceLag: instanceLag}),
+		Links:     standin.NewLinks(),
+		Ledger:    standin.NewLedger(),
+		options:   options,
+		log:       options.Log.Level(zerolog.ErrorLevel),
+		authority: authority,
+		catalogue: cat,
+		regions:   map[string]string{},
+		peers:     map[string]string{},
 	}
-	for i := range cfg.Instances {
-		fd := meshDomains[i%len(meshDomains)]
-		name := fmt.Sprintf("%s-%d", fd, i/len(meshDomains))
-		member := &meshMember{mesh: m, inst: platform.Instance{
-			Name: name, FailureDomain: fd, Service: m.services[i%meshServices].Name,
-			PeerAddr: name + ":7000", RequestAddr: name + ":8000", State: platform.Live,
-		}}
-		m.members = append(m.members, member)
-		if i < 2*len(meshDomains) {
-			m.seeds = append(m.seeds, member.inst.PeerAddr)
-		}
+	m.setLinks()
+	if options.Change != nil {
+		options.Change(cat)
 	}
-	m.list()
-	return m, m.publish(1)
-}
-
-// meshLinks are the two directions of the link between the regions.
-var meshLinks = []string{"obb>nbb", "nbb>obb"}
-
-func meshPath(from, to platform.Instance) peer.Path {
-	a, b := meshRegion(from.FailureDomain), meshRegion(to.FailureDomain)
-	switch {
-	case a != b:
-		return peer.Path{Delay: crossRegionDelay, Link: a + ">" + b}
-	case from.FailureDomain != to.FailureDomain:
-		return peer.Path{Delay: crossDomainDelay}
+	if err := m.start(ctx); err != nil {
+		m.Close()
+		return nil, err
 	}
-	return peer.Path{Delay: sameDomainDelay}
+	return m, nil
 }
 
-func meshService(i int) catalogue.Service {
-	return catalogue.Service{
-		Name: fmt.Sprintf("lagerstand-%02d", i), Owner: "haulier-a", Class: catalogue.Interactive,
-		Limits: catalogue.ServiceLimits{
-			Slots: 20, Connections: 120, Queue: 40, ColdSlots: 2,
-			ColdPeriod: catalogue.Duration(20 * time.Second), Drain: catalogue.Duration(10 * time.Second),
-		},
+// NewMeshes starts several meshes side by side.
+func NewMeshes(ctx context.Context, options ...MeshOptions) ([]*Mesh, error) {
+	meshes := make([]*Mesh, len(options))
+	var group errgroup.Group
+	for i, o := range options {
+		group.Go(func() (err error) {
+			meshes[i], err = NewMesh(ctx, o)
+			return err
+		})
+	}
+	if err := group.Wait(); err != nil {
+		closeAll(meshes)
+		return nil, err
 	}
+	return meshes, nil
 }
 
-// list puts all instances on the platform's list.
-func (m *mesh) list() {
-	all := make([]platform.Instance, len(m.members))
-	for i, member := range m.members {
-		all[i] = member.inst
+func closeAll(meshes []*Mesh) {
+	for _, m := range meshes {
+		if m != nil {
+			m.Close()
+		}
 	}
-	m.platform.PutInstance(all...)
 }
 
-// publish publishes a catalogue in which one service's limits differ from the revision before.
-func (m *mesh) publish(revision uint64) error {
-	changed := &m.services[int(revision)%meshServices]
-	changed.Limits.Queue = 40 + int(revision)
-	c := catalogue.Catalogue{
-		Revision:      revision,
-		Organisations: []catalogue.Organisation{{Name: "haulier-a", Share: 0.5, LinkShare: 0.5}},
-		Services:      m.services,
+// setLinks joins the failure domains as in the deployment.
+func (m *Mesh) setLinks() {
+	for _, r := range m.catalogue.Regions {
+		for _, d := range r.FailureDomains {
+			m.regions[d.Name] = r.Name
+		}
 	}
-	for _, region := range []string{"obb", "nbb"} {
-		r := catalogue.Region{Name: region}
-		for _, fd := range meshDomains {
-			if meshRegion(fd) == region {
-				r.FailureDomains = append(r.FailureDomains, catalogue.FailureDomain{Name: fd, State: catalogue.In})
+	between := standin.NewCapacity(linkBytesPerSecond)
+	for a, regionA := range m.regions {
+		for b, regionB := range m.regions {
+			switch {
+			case a >= b:
+			case regionA == regionB:
+				m.Links.Set(a, b, standin.Link{Delay: domainDelay})
+			default:
+				m.Links.Set(a, b, standin.Link{Delay: regionDelay, Capacity: between.Facing(regionA < regionB)})
 			}
 		}
-		c.Regions = append(c.Regions, r)
-	}
-	for _, s := range m.services {
-		c.Routes = append(c.Routes, catalogue.Route{
-			Name: "stock-view-" + s.Name, Owner: s.Owner, Class: s.Class, Service: s.Name,
-			Match: catalogue.Match{PathPrefix: "/" + s.Name + "/"}, Repeat: catalogue.Safe,
-			Limits: catalogue.RouteLimits{Timeout: catalogue.Duration(800 * time.Millisecond), Concurrency: 200, BodyBytes: 1 << 20},
-		})
 	}
-	doc, err := catalogue.Encode(&c)
-	if err != nil {
-		return err
-	}
-	m.mu.Lock()
-	m.catalogue = doc
-	m.mu.Unlock()
-	return m.platform.PublishDocument(doc)
 }
 
-func (m *mesh) published() *document.Document {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.catalogue
-}
-
-// churn moves one endpoint to another port, as the end of one target and the start of another would.
-func (m *mesh) churn(n int) {
-	member := m.members[m.rng.IntN(len(m.members))]
-	inst := member.inst
-	inst.RequestAddr = fmt.Sprintf("%s:%d", inst.Name, 8001+n%1000)
-	m.platform.PutInstance(inst)
-}
-
-// start begins a new life of an instance.
-func (b *meshMember) start() {
-	ctx, cancel := context.WithCancel(context.Background())
-	life := &meshLife{
-		holder: snapshot.NewHolder(), port: b.mesh.network.Attach(b.inst), began: time.Now(), cancel: cancel, done: make(chan struct{}),
+func (m *Mesh) start(ctx context.Context) error {
+	if _, err := m.Platform.PublishCatalogue(m.catalogue); err != nil {
+		return err
 	}
-	life.agent = agent.New(agent.Config{
-		Self: b.inst, Region: meshRegion(b.inst.FailureDomain), StoreRegions: []string{storeRegion}, Seeds: b.mesh.seeds,
-		Source: &placedSource{mesh: b.mesh, failureDomain: b.inst.FailureDomain, next: b.mesh.platform},
-		Transport: life.port, Holder: life.holder, Audit: audit.New(64, zerolog.Nop()), Log: zerolog.Nop(), FleetSize: b.mesh.fleet,
-	})
-	go func() {
-		defer close(life.done)
-		_ = life.agent.Serve(ctx)
-	}()
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.life = life
-}
-
-// stop ends the life of an instance without notice. It does nothing if the instance is stopped.
-func (b *meshMember) stop() {
-	b.mu.Lock()
-	life := b.life
-	b.life = nil
-	b.mu.Unlock()
-	if life == nil {
-		return
+	for i, p := range m.placements() {
+		node, err := m.newNode(i, p)
+		if err != nil {
+			return err
+		}
+		m.Nodes = append(m.Nodes, node)
+	}
+	for _, n := range m.Nodes {
+		if err := n.Start(ctx); err != nil {
+			return err
+		}
+		m.Platform.PutInstance(n.Instance)
 	}
-	life.port.Close()
-	life.cancel()
-	<-life.done
-	b.mu.Lock()
-	b.carried += life.port.Bytes()
-	b.mu.Unlock()
+	return m.await(ctx)
 }
 
-// current returns the life of the instance, or nil while it is stopped.
-func (b *meshMember) current() *meshLife {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	return b.life
+// placements returns one placement for each instance, with count as its number within the failure domain and service.
+func (m *Mesh) placements() []placement {
+	var out []placement
+	wanted := m.options.Instances
+	for round := 0; len(out) < max(wanted, 1); round++ {
+		for _, p := range streusalz {
+			for k := range p.count {
+				out = append(out, placement{p.domain, p.service, round*p.count + k + 1})
+			}
+		}
+	}
+	if wanted > 0 {
+		out = out[:wanted]
+	}
+	return out
 }
 
-// bytes returns the bytes sent and received over all lives.
-func (b *meshMember) bytes() int64 {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.life == nil {
-		return b.carried
+// joinLimit is the longest time that a mesh may take until every instance serves.
+const joinLimit = 15 * time.Second
+
+// await waits until every instance has joined and knows all instances.
+func (m *Mesh) await(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, joinLimit)
+	defer cancel()
+	for {
+		late := slices.IndexFunc(m.Nodes, func(n *Node) bool { return !n.knows(len(m.Nodes)) })
+		if late < 0 {
+			return nil
+		}
+		if err := pause(ctx, 20*time.Millisecond); err != nil {
+			return errors.Wrapf(err, "instance %q has not joined", m.Nodes[late].Instance.Name)
+		}
 	}
-	return b.carried + b.life.port.Bytes()
 }
 
-// each calls f for all members at once and waits.
-func (m *mesh) each(f func(*meshMember)) {
-	var wait sync.WaitGroup
-	for _, b := range m.members {
-		wait.Go(func() { f(b) })
-	}
-	wait.Wait()
+// Publish publishes the catalogue under the next revision after an edit.
+func (m *Mesh) Publish(edit func(*catalogue.Catalogue)) error {
+	edit(m.catalogue)
+	m.catalogue.Revision++
+	_, err := m.Platform.PublishCatalogue(m.catalogue)
+	return err
 }
 
-// cutRegions cuts or heals the link between the regions, for the platform too.
-func (m *mesh) cutRegions(cut bool) {
-	for _, a := range meshDomains {
-		for _, b := range meshDomains {
-			if meshRegion(a) != meshRegion(b) {
-				m.network.SetCut(a, b, cut)
+// SetDomain takes a failure domain out of service or back in by the catalogue.
+func (m *Mesh) SetDomain(name string, state catalogue.State) error {
+	return m.Publish(func(c *catalogue.Catalogue) {
+		for i := range c.Regions {
+			for j := range c.Regions[i].FailureDomains {
+				if d := &c.Regions[i].FailureDomains[j]; d.Name == name {
+					d.State = state
+				}
 			}
 		}
-		m.mu.Lock()
-		m.storeCut[a] = cut && meshRegion(a) != storeRegion
-		m.mu.Unlock()
-	}
+	})
 }
 
-// linkBytes returns the bytes that crossed the link between the regions in both directions.
-func (m *mesh) linkBytes() int64 {
-	return m.network.LinkBytes(meshLinks[0]) + m.network.LinkBytes(meshLinks[1])
+// Isolate cuts a failure domain off from all others and the platform, or joins it again.
+func (m *Mesh) Isolate(domain string, cut bool) {
+	for other := range m.regions {
+		if other != domain {
+			m.Links.SetCut(domain, other, cut)
+		}
+	}
+	m.Links.SetCut(domain, platformDomain, cut)
 }
 
-// placedSource is the platform as seen from a failure domain: across the link it is slower and takes up room, and it can
-// be cut off.
-type placedSource struct {
-	mesh          *mesh
-	failureDomain string
-	next          platform.Source
+// In returns the nodes of a failure domain.
+func (m *Mesh) In(domain string) []*Node {
+	var out []*Node
+	for _, n := range m.Nodes {
+		if n.Instance.FailureDomain == domain {
+			out = append(out, n)
+		}
+	}
+	return out
 }
 
-func (s *placedSource) away() bool { return meshRegion(s.failureDomain) != storeRegion }
-
-func (s *placedSource) reachable() error {
-	s.mesh.mu.Lock()
-	defer s.mesh.mu.Unlock()
-	if s.mesh.storeCut[s.failureDomain] {
-		return platform.ErrUnavailable
+// each runs f for all nodes of a failure domain at once and returns the first error.
+func (m *Mesh) each(domain string, f func(*Node) error) error {
+	var group errgroup.Group
+	for _, n := range m.In(domain) {
+		group.Go(func() error { return f(n) })
 	}
-	return nil
+	return group.Wait()
 }
 
-// cross accounts for an answer of the given size and waits for its way.
-func (s *placedSource) cross(ctx context.Context, bytes int) error {
-	if !s.away() {
-		return s.reachable()
-	}
-	done := s.mesh.network.Use(storeRegion+">"+meshRegion(s.failureDomain), bytes+httpOverhead)
-	select {
-	case <-time.After(time.Until(done) + 2*crossRegionDelay):
-		return s.reachable()
-	case <-ctx.Done():
-		return ctx.Err()
+// domainOfTarget returns the failure domain of a target.
+func (m *Mesh) domainOfTarget(name string) string {
+	for _, n := range m.Nodes {
+		if n.Instance.Name == name {
+			return n.Instance.FailureDomain
+		}
 	}
+	return ""
 }
 
-// Read implements platform.Source.
-func (s *placedSource) Read(ctx context.Context, key string) (platform.Value, error) {
-	return s.Watch(ctx, key, "")
+// meanService is the mean service time of a warm target.
+func meanService() time.Duration {
+	return time.Duration(float64(targetService) * math.Exp(targetSpread*targetSpread/2))
 }
 
-// Watch implements platform.Source.
-func (s *placedSource) Watch(ctx context.Context, key, after string) (platform.Value, error) {
-	if err := s.reachable(); err != nil {
-		return platform.Value{}, err
+// Counts returns the sum of what the targets have counted.
+func (m *Mesh) Counts() standin.TargetCounts {
+	var sum standin.TargetCounts
+	for _, n := range m.Nodes {
+		c := n.Target.Counts()
+		sum.Runs += c.Runs
+		sum.Shed += c.Shed
+		sum.ColdOverloads += c.ColdOverloads
+		sum.UnsignalledOverloads += c.UnsignalledOverloads
+		sum.ConnectionsRefused += c.ConnectionsRefused
+		sum.Crashes += c.Crashes
+		sum.PoisonRuns += c.PoisonRuns
 	}
-	v, err := s.next.Watch(ctx, key, after)
-	if err != nil {
-		return v, err
-	}
-	return v, s.cross(ctx, len(v.Data))
+	return sum
 }
 
-// Instances implements platform.Source.
-func (s *placedSource) Instances(ctx context.Context, failureDomain string, after uint64) (platform.InstanceList, error) {
-	if err := s.reachable(); err != nil {
-		return platform.InstanceList{}, err
+// Close ends all processes and targets abruptly.
+func (m *Mesh) Close() {
+	for _, n := range m.Nodes {
+		n.Kill()
+		n.Target.Close()
+		n.closeRelays()
 	}
-	l, err := s.next.Instances(ctx, failureDomain, after)
-	if err != nil {
-		return l, err
+}
+
+// instanceOf returns the entry of a placement on the platform's list, without its addresses.
+func instanceOf(p placement) platform.Instance {
+	return platform.Instance{
+		Name:          fmt.Sprintf("%s-%s-%d", p.domain, p.service, p.count),
+		FailureDomain: p.domain,
+		Service:       p.service,
+		State:         platform.Live,
 	}
-	return l, s.cross(ctx, listBytes(l))
 }
 
-// listBytes estimates the size of a list as JSON.
-func listBytes(l platform.InstanceList) int {
-	n := 0
-	for _, i := range l.Instances {
-		n += len(i.Name) + len(i.FailureDomain) + len(i.Service) + len(i.PeerAddr) + len(i.RequestAddr) + len(i.State) +
-			len(strings.Repeat(`"name":"",`, 6))
+// pause waits for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
 	}
-	return n
 }
--- a/internal/bench/observe.go
+++ b/internal/bench/observe.go
@@ -13,7 +13,7 @@
 
 // observer watches which revision each instance has in force.
 type observer struct {
-	mesh *mesh
+	fleet *relayFleet
 
 	mu sync.Mutex
 	// published holds when each revision was published, and latency the time from there to each instance.
@@ -28,9 +28,9 @@
 	last     []*snapshot.Config
 }
 
-func newObserver(m *mesh) *observer {
+func newObserver(m *relayFleet) *observer {
 	return &observer{
-		mesh: m, published: map[uint64]time.Time{}, latency: NewLatency(), seen: make([]uint64, len(m.members)),
+		fleet: m, published: map[uint64]time.Time{}, latency: NewLatency(), seen: make([]uint64, len(m.members)),
 		served: make([]uint64, len(m.members)), pending: map[uint64]int{}, last: make([]*snapshot.Config, len(m.members)),
 	}
 }
@@ -39,9 +39,9 @@
 func (o *observer) publish(revision uint64) error {
 	o.mu.Lock()
 	o.published[revision] = time.Now()
-	o.pending[revision] = len(o.mesh.members)
+	o.pending[revision] = len(o.fleet.members)
 	o.mu.Unlock()
-	return o.mesh.publish(revision)
+	return o.fleet.publish(revision)
 }
 
 // run looks until ctx ends.
@@ -61,7 +61,7 @@
 func (o *observer) look(now time.Time) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	for i, b := range o.mesh.members {
+	for i, b := range o.fleet.members {
 		life := b.current()
 		if life == nil {
 			continue
@@ -116,7 +116,7 @@
 }
 
 // allServe reports whether all instances hold the published catalogue and lists and have joined.
-func (m *mesh) allServe() bool {
+func (m *relayFleet) allServe() bool {
 	revision := m.published().Revision()
 	for _, b := range m.members {
 		life := b.current()
@@ -132,7 +132,7 @@
 }
 
 // awaitAll waits until all instances serve.
-func (m *mesh) awaitAll(ctx context.Context) error {
+func (m *relayFleet) awaitAll(ctx context.Context) error {
 	for !m.allServe() {
 		if err := ctx.Err(); err != nil {
 			return err
--- a/internal/bench/steady.go
+++ b/internal/bench/steady.go
@@ -36,7 +36,7 @@
 
 // steady starts a fleet and its baseline, and makes changes at a steady rate.
 func steady(ctx context.Context, cfg Config) (*steadyRun, error) {
-	m, err := newMesh(cfg)
+	m, err := newRelayFleet(cfg)
 	if err != nil {
 		return nil, err
 	}
@@ -44,11 +44,11 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer func() {
 		cancel()
-		m.each((*meshMember).stop)
+		m.each((*relayMember).stop)
 		r.baseline.wait.Wait()
 	}()
 	go r.observer.run(ctx)
-	m.each((*meshMember).start)
+	m.each((*relayMember).start)
 	if err := r.baseline.publish(1); err != nil {
 		return nil, err
 	}
@@ -66,7 +66,7 @@
 }
 
 // settle waits until the roles after a start have settled: every failure domain near the platform has its reader.
-func (m *mesh) settle(ctx context.Context) error {
+func (m *relayFleet) settle(ctx context.Context) error {
 	select {
 	case <-time.After(3 * time.Second):
 		return nil
@@ -76,11 +76,11 @@
 }
 
 // change makes the changes and measures while they run.
-func (r *steadyRun) change(ctx context.Context, m *mesh) error {
+func (r *steadyRun) change(ctx context.Context, m *relayFleet) error {
 	r.observer.forget()
 	r.baseline.latency = NewLatency()
 	start := time.Now()
-	link, baselineLink := m.linkBytes(), r.baseline.mesh.linkBytes()
+	link, baselineLink := m.linkBytes(), r.baseline.fleet.linkBytes()
 	before := make([]int64, len(m.members))
 	for i, b := range m.members {
 		before[i] = b.bytes()
@@ -96,7 +96,7 @@
 		select {
 		case <-churn.C:
 			m.churn(r.churns)
-			r.baseline.mesh.churn(r.churns)
+			r.baseline.fleet.churn(r.churns)
 			r.churns++
 			// Endpoints come and go at random times, so that changes of lists and of the catalogue do not keep step.
 			churn.Reset(time.Duration(m.rng.ExpFloat64() * float64(churnInterval)))
@@ -128,7 +128,7 @@
 	r.deltaBytes = deltas.mean()
 	r.baseline.await(withLimit(ctx, steadyTail), revision)
 	r.baseline.finish()
-	r.baselineLinkBytes = r.baseline.mesh.linkBytes() - baselineLink
+	r.baselineLinkBytes = r.baseline.fleet.linkBytes() - baselineLink
 	return nil
 }
 
@@ -147,7 +147,7 @@
 }
 
 // listDocuments returns the lists of instances that the first instance holds.
-func (m *mesh) listDocuments() map[string]*document.Document {
+func (m *relayFleet) listDocuments() map[string]*document.Document {
 	out := map[string]*document.Document{}
 	for _, doc := range m.members[0].current().agent.Documents() {
 		if doc.Name() != m.published().Name() {
--- a/internal/bench/watchers.go
+++ b/internal/bench/watchers.go
@@ -17,7 +17,7 @@
 // watchers is the baseline of the distribution: each instance watches the platform itself, with the same budget, delays
 // and link.
 type watchers struct {
-	mesh    *mesh
+	fleet   *relayFleet
 	latency *Latency
 	wait    sync.WaitGroup
 
@@ -27,37 +27,37 @@
 }
 
 // newWatchers returns the baseline for a fleet like m, with a platform and a network of its own.
-func newWatchers(m *mesh) *watchers {
-	own := &mesh{
+func newWatchers(m *relayFleet) *watchers {
+	own := &relayFleet{
 		log: m.log, rng: rand.New(rand.NewPCG(uint64(m.fleet), 12)), fleet: m.fleet, members: m.members,
-		services: append([]catalogue.Service(nil), m.services...), storeCut: map[string]bool{}, network: peer.NewNetwork(meshPath),
+		services: append([]catalogue.Service(nil), m.services...), storeCut: map[string]bool{}, network: peer.NewNetwork(relayPath),
 		platform: standin.NewPlatform(standin.PlatformConfig{
-			ReadsPerSecond: readsPerInstance * float64(m.fleet), Delay: platformDelay, InstanceLag: listLag,
+			ReadsPerSecond: readsPerInstance * float64(m.fleet), Delay: sourceDelay, InstanceLag: listLag,
 		}),
 	}
-	for _, link := range meshLinks {
+	for _, link := range relayLinks {
 		own.network.SetLink(link, linkBytesPerSec)
 	}
 	own.list()
-	return &watchers{mesh: own, latency: NewLatency(), published: map[uint64]time.Time{}, reached: map[uint64]int{}}
+	return &watchers{fleet: own, latency: NewLatency(), published: map[uint64]time.Time{}, reached: map[uint64]int{}}
 }
 
 func (w *watchers) publish(revision uint64) error {
 	w.mu.Lock()
 	w.published[revision] = time.Now()
 	w.mu.Unlock()
-	return w.mesh.publish(revision)
+	return w.fleet.publish(revision)
 }
 
 // run starts all watchers; they end with ctx. The budget of the platform counts once their first watches stand, since
 // they could not begin within it.
 func (w *watchers) run(ctx context.Context) {
-	w.mesh.platform.SetBudget(0)
-	for i, b := range w.mesh.members {
-		source := &placedSource{mesh: w.mesh, failureDomain: b.inst.FailureDomain, next: w.mesh.platform}
+	w.fleet.platform.SetBudget(0)
+	for i, b := range w.fleet.members {
+		source := &placedSource{fleet: w.fleet, failureDomain: b.inst.FailureDomain, next: w.fleet.platform}
 		rng := rand.New(rand.NewPCG(uint64(i), 13))
 		w.wait.Go(func() { w.follow(ctx, source, rng) })
-		for _, fd := range meshDomains {
+		for _, fd := range relayDomains {
 			own := rand.New(rand.NewPCG(uint64(i), xxDomain(fd)))
 			w.wait.Go(func() { w.followList(ctx, source, fd, own) })
 		}
@@ -75,13 +75,13 @@
 		v, err := source.Watch(ctx, platform.ManifestKey, tag)
 		var m catalogue.Manifest
 		if err != nil || json.Unmarshal(v.Data, &m) != nil {
-			pause(ctx, rng)
+			backoff(ctx, rng)
 			continue
 		}
 		for _, d := range m.Chunks {
 			for !held[d] && ctx.Err() == nil {
 				if _, err := source.Read(ctx, platform.ChunkPrefix+d.String()); err != nil {
-					pause(ctx, rng)
+					backoff(ctx, rng)
 					continue
 				}
 				held[d] = true
@@ -97,7 +97,7 @@
 }
 
 // limit puts the budget of the platform in force.
-func (w *watchers) limit() { w.mesh.platform.SetBudget(readsPerInstance * float64(w.mesh.fleet)) }
+func (w *watchers) limit() { w.fleet.platform.SetBudget(readsPerInstance * float64(w.fleet.fleet)) }
 
 // note records the revisions after from up to to as in force at one more instance.
 func (w *watchers) note(from, to uint64) {
@@ -117,15 +117,15 @@
 	for ctx.Err() == nil {
 		l, err := source.Instances(ctx, fd, version)
 		if err != nil {
-			pause(ctx, rng)
+			backoff(ctx, rng)
 			continue
 		}
 		version = l.Version
 	}
 }
 
-// pause waits for a backoff with jitter.
-func pause(ctx context.Context, rng *rand.Rand) {
+// backoff waits for a backoff with jitter.
+func backoff(ctx context.Context, rng *rand.Rand) {
 	select {
 	case <-time.After(200*time.Millisecond + time.Duration(rng.Int64N(int64(time.Second)))):
 	case <-ctx.Done():
@@ -136,7 +136,7 @@
 func (w *watchers) await(ctx context.Context, revision uint64) {
 	for ctx.Err() == nil {
 		w.mu.Lock()
-		done := w.reached[revision] == len(w.mesh.members)
+		done := w.reached[revision] == len(w.fleet.members)
 		w.mu.Unlock()
 		if done {
 			return
@@ -151,7 +151,7 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	for r, at := range w.published {
-		for range len(w.mesh.members) - w.reached[r] {
+		for range len(w.fleet.members) - w.reached[r] {
 			w.latency.Record(now.Sub(at))
 		}
 	}
--- a/internal/frontend/forward.go
+++ b/internal/frontend/forward.go
@@ -2,29 +2,32 @@
 
 import (
 	"context"
+	"errors"
+	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/chervilwell/chervilwell/catalogue"
 	"github.com/chervilwell/chervilwell/internal/headers"
 	"github.com/chervilwell/chervilwell/internal/refusal"
+	"github.com/chervilwell/chervilwell/pick"
 	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/retry"
 )
 
-// maxAttempts bounds the attempts of one request, over all nested calls.
-const maxAttempts = 3
-
 // forward tries targets until one answers or no further attempt is allowed.
 func (f *Frontend) forward(ctx context.Context, req *request) (*http.Response, *refusal.Refusal) {
 	var tried []string
 	var last *refusal.Refusal
 	for {
-		target, ok := f.config.Picker.Pick(Choice{State: req.state, Route: req.route, Tried: tried, Key: req.in.Header.Get(headers.IdempotencyKey)})
-		if !ok {
-			return nil, noTarget(req, last)
+		target, err := f.config.Picker.start(req.state, req.route, tried)
+		if err != nil {
+			return nil, noTarget(err, last)
 		}
 		resp, refused := f.attempt(ctx, req, target)
 		if refused == nil {
+			f.budgets.succeeded(req.route.Service)
 			return resp, nil
 		}
 		last = merge(last, refused)
@@ -43,28 +46,93 @@
 	return latest
 }
 
-func noTarget(req *request, last *refusal.Refusal) *refusal.Refusal {
+func noTarget(err error, last *refusal.Refusal) *refusal.Refusal {
 	if last != nil {
 		return last
 	}
-	return refusal.New(refusal.NoTarget, "service %q has no target in service that route %q may use", req.route.Service, req.route.Name)
+	return refusal.New(refusal.NoTarget, "%v", err)
 }
 
 // attempt sends the request to one target.
 func (f *Frontend) attempt(ctx context.Context, req *request, target platform.Instance) (*http.Response, *refusal.Refusal) {
-	req.attempt++
-	f.config.Picker.Begin(target.Name)
-	result := Result{Instance: target.Name}
-	defer func() { f.config.Picker.End(result) }()
-	resp, refused := f.config.Carrier.Do(&Shipment{
-		Target:       target,
-		Route:        req.route.Name,
-		Organisation: req.organisation,
-		Request:      req.outgoing(ctx),
-		Result:       &result,
-	})
-	result.Failed = refused != nil && refused.Run == headers.Unknown
-	return resp, refused
+	shipment := &Shipment{Target: target, Route: req.route.Name, Organisation: req.organisation, Request: req.outgoing(ctx)}
+	resp, refused := f.config.Carrier.Do(shipment)
+	if refused != nil {
+		shipment.Answer.Result = resultOfRefusal(ctx, shipment, refused)
+		f.config.Picker.ended(target.Name, shipment.Answer)
+		return nil, refused
+	}
+	req.retries = req.retries.Absorb(countOf(resp.Header))
+	shipment.Answer.Result = pick.OK
+	if resp.StatusCode >= http.StatusInternalServerError {
+		shipment.Answer.Result = pick.Failed
+	}
+	resp.Body = &countedBody{ReadCloser: resp.Body, end: func(err error) {
+		answer := shipment.Answer
+		if err != nil {
+			answer.Result = resultOfCut(ctx)
+		}
+		f.config.Picker.ended(target.Name, answer)
+	}}
+	return resp, nil
+}
+
+// countOf returns the retries that headers tell of.
+func countOf(h http.Header) retry.Count {
+	return retry.Count(max(0, headers.ParseAttempt(h.Get(headers.Attempt))-1))
+}
+
+// resultOfRefusal says what a refusal teaches about its target.
+func resultOfRefusal(ctx context.Context, s *Shipment, refused *refusal.Refusal) pick.Result {
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled), refused.Kind == refusal.BodyTooLarge, refused.Kind == refusal.Cancelled:
+		return pick.Cancelled
+	case s.Answer.Load == nil:
+		return pick.Broken
+	case refused.Run == headers.Unknown:
+		return pick.Failed
+	}
+	return pick.OK
+}
+
+func resultOfCut(ctx context.Context) pick.Result {
+	if ctx.Err() != nil {
+		return pick.Cancelled
+	}
+	return pick.Failed
+}
+
+// countedBody reports the end of an answer once, with nil if it was whole.
+type countedBody struct {
+	io.ReadCloser
+	ended atomic.Bool
+	end   func(error)
+}
+
+// Read implements io.Reader.
+func (b *countedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	switch err {
+	case nil:
+	case io.EOF:
+		b.finish(nil)
+	default:
+		b.finish(err)
+	}
+	return n, err
+}
+
+// Close implements io.Closer.
+func (b *countedBody) Close() error {
+	err := b.ReadCloser.Close()
+	b.finish(context.Canceled)
+	return err
+}
+
+func (b *countedBody) finish(err error) {
+	if b.ended.CompareAndSwap(false, true) {
+		b.end(err)
+	}
 }
 
 // outgoing returns the request as it leaves for one attempt.
@@ -73,31 +141,52 @@
 	out.Header = req.in.Header.Clone()
 	headers.StripHopByHop(out.Header)
 	headers.StripInternal(out.Header)
-	out.Header[headers.Attempt] = []string{headers.FormatAttempt(req.attempt)}
+	out.Header[headers.Attempt] = []string{headers.FormatAttempt(int(req.retries) + 1)}
 	out.Header[headers.Timeout] = []string{headers.FormatTimeout(time.Until(req.deadline))}
 	out.Body = req.body.open()
 	out.GetBody = nil
 	return out
 }
 
-// mayRetry reports whether a refused request may be sent again: it is proven not run, or may run twice.
+// mayRetry decides on another attempt, counts it and waits its delay.
 func (f *Frontend) mayRetry(ctx context.Context, req *request, refused *refusal.Refusal) bool {
-	if ctx.Err() != nil || req.attempt >= maxAttempts || !req.body.replayable() {
+	decision := f.budgets.decide(req.route.Service, retry.Failure{
+		Repeat:   repeatOf(req),
+		NotRun:   refused.Run == headers.NotRun,
+		BodyGone: !req.body.replayable(),
+		Final:    final(refused.Kind),
+		Retries:  req.retries,
+		Deadline: req.deadline,
+	})
+	if !decision.Retry || ctx.Err() != nil {
 		return false
 	}
-	if refused.Run == headers.NotRun {
-		return retryableKind(refused.Kind)
+	req.retries = decision.Retries
+	timer := time.NewTimer(decision.After)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// repeatOf says whether a request may be repeated: its route and its method must both allow it.
+func repeatOf(req *request) catalogue.Repeat {
+	if req.route.Repeat == catalogue.Safe && idempotent(req.in.Method) {
+		return catalogue.Safe
 	}
-	return req.route.Repeat == catalogue.Safe && idempotent(req.in.Method)
+	return catalogue.Never
 }
 
-// retryableKind reports whether another target may accept what one refused.
-func retryableKind(kind refusal.Kind) bool {
+// final reports whether no other target would answer otherwise.
+func final(kind refusal.Kind) bool {
 	switch kind {
 	case refusal.BodyTooLarge, refusal.NoOrganisation, refusal.Cancelled, refusal.Timeout, refusal.TooLate, refusal.Quarantined:
-		return false
+		return true
 	}
-	return true
+	return false
 }
 
 // idempotent reports whether a method may be repeated (RFC 9110, section 9.2.2).
