--- a/linkshare/linkshare_test.go
+++ b/linkshare/linkshare_test.go
@@ -48,13 +48,15 @@
 	accounts []*Account
 	lenders  []*Lender
 	paused   []bool
+	idle     []bool
 	skew     []time.Duration
 	post     []func(time.Time)
 	loss     float64
+	doubling float64
 }
 
 func newRegion(seed uint64, instances int, parts []Part) *region {
-	r := &region{rng: rand.New(rand.NewPCG(seed, 4)), paused: make([]bool, instances)}
+	r := &region{rng: rand.New(rand.NewPCG(seed, 4)), paused: make([]bool, instances), idle: make([]bool, instances)}
 	for i := range instances {
 		r.skew = append(r.skew, time.Duration(r.rng.Int64N(int64(MaxSkew)))-MaxSkew/2)
 		name := fmt.Sprint("i", i)
@@ -68,7 +70,7 @@
 
 func (r *region) send(deliver func(time.Time)) {
 	r.post = append(r.post, deliver)
-	for r.rng.Float64() < r.loss {
+	for r.rng.Float64() < r.doubling {
 		r.post = append(r.post, deliver)
 	}
 }
@@ -133,19 +135,26 @@
 	rapid.Check(t, func(t *rapid.T) {
 		instances := rapid.IntRange(1, 6).Draw(t, "instances")
 		r := newRegion(rapid.Uint64().Draw(t, "seed"), instances, testParts(instances))
-		r.loss = rapid.Float64Range(0, 0.5).Draw(t, "loss")
+		for i := range instances {
+			r.idle[i] = i != 0
+		}
+		r.loss = rapid.SampledFrom([]float64{0, 0.1, 0.4}).Draw(t, "loss")
+		r.doubling = rapid.SampledFrom([]float64{0, 0.2, 0.7}).Draw(t, "doubling")
 		const step = 50 * time.Millisecond
 		var spent []float64
 		now := epoch
-		for i := range rapid.IntRange(1, 600).Draw(t, "steps") {
+		for i := range rapid.IntRange(300, 600).Draw(t, "steps") {
 			now = now.Add(step)
 			spent = append(spent, r.spend(now))
 			if i%5 == 0 {
 				r.round(now)
 			}
-			if k := r.rng.IntN(instances); r.rng.IntN(20) == 0 {
+			if k := r.rng.IntN(instances); r.rng.IntN(100) == 0 {
 				r.paused[k] = !r.paused[k]
 			}
+			if k := r.rng.IntN(instances); r.rng.IntN(100) == 0 {
+				r.idle[k] = !r.idle[k]
+			}
 		}
 		for from := range spent {
 			sum := 0.0
@@ -164,7 +173,7 @@
 	total := 0.0
 	for i, a := range r.accounts {
 		for range 10 {
-			if r.paused[i] {
+			if r.paused[i] || r.idle[i] {
 				break
 			}
 			bytes := 1 + r.rng.Int64N(60_000)
--- a/once/model_test.go
+++ b/once/model_test.go
@@ -23,6 +23,9 @@
 	skew    time.Duration
 	running []Key
 	paused  bool
+	// version is the index of the list that the node sees; stuck says that it sees no newer one.
+	version int
+	stuck   bool
 }
 
 // world is a service on instances with lagging lists, partitions, crashes, replacements, pauses, lost, late and doubled
@@ -201,7 +204,7 @@
 // fault does one of the things that fail.
 func (w *world) fault() {
 	n := w.some()
-	switch w.rng.IntN(7) {
+	switch w.rng.IntN(9) {
 	case 0: // the process crashes and comes back, maybe later
 		n.running = nil
 		n.table = nil
@@ -219,9 +222,18 @@
 		n.paused = !n.paused
 	case 6: // replaced by a new instance, with its own word or by death
 		w.replace(n)
+	case 7:
+		if len(w.names) < maxSeats {
+			w.add()
+		}
+	case 8: // the list that a node sees stays behind
+		n.stuck = !n.stuck
 	}
 }
 
+// maxSeats is the size up to which the service grows.
+const maxSeats = 8
+
 func (w *world) replace(n *node) {
 	if n.table != nil && !n.paused && w.rng.IntN(2) == 0 {
 		farewell := n.table.Leave(w.at(n))
@@ -255,8 +267,11 @@
 		}
 	case n.table == nil || n.paused:
 	case r == 17:
-		// Lists lag: any of the last versions may be seen.
-		n.table.SetSeats(w.at(n), w.lists[max(0, len(w.lists)-1-w.rng.IntN(w.lag))])
+		// Lists lag and may go back a little: any of the last versions may be seen.
+		if !n.stuck {
+			n.version = max(0, len(w.lists)-1-w.rng.IntN(w.lag))
+		}
+		n.table.SetSeats(w.at(n), w.lists[n.version])
 	default:
 		if !n.table.Mature(w.at(n)) {
 			w.hello(n)
--- a/once/once_test.go
+++ b/once/once_test.go
@@ -112,3 +112,50 @@
 		}
 	}
 }
+
+// An executor that missed how the service grew must not bind a key with the old majority, as the new seats have a majority
+// of their own.
+func TestMissingSeatsAreTold(t *testing.T) {
+	old := []Seat{{"a", "obb"}, {"b", "obb"}, {"c", "obb"}}
+	grown := append(append([]Seat(nil), old...), Seat{"d", "obb"}, Seat{"e", "obb"}, Seat{"f", "obb"}, Seat{"g", "obb"})
+	now := epoch
+	tables := map[string]*Table{}
+	start := func(seats []Seat, list []Seat) {
+		for _, s := range seats {
+			tables[s.Instance] = New(now, s, DefaultLimits)
+			tables[s.Instance].SetSeats(now, list)
+		}
+	}
+	greet := func(absent string) {
+		for _, s := range grown {
+			from := tables[s.Instance]
+			if from == nil {
+				continue
+			}
+			for _, peer := range from.Peers() {
+				if to := tables[peer]; to != nil && peer != absent {
+					from.Welcomed(now, to.Greeted(now, from.Hello()))
+				}
+			}
+		}
+	}
+	start(old, old)
+	now = now.Add(MatureAfter)
+	greet("")
+	start(grown[3:], grown)
+	now = now.Add(MatureAfter)
+	greet("a")
+	now = now.Add(3 * MaxSkew)
+	k := keyAt(now, 1)
+	v := tables["a"].Submit(now, k, 7, nil)
+	if v.Kind != Poll || len(v.Peers) != 2 {
+		t.Fatalf("a asks %v, want b and c", v.Peers)
+	}
+	vote := tables["b"].Vote(now, v.Ask, nil)
+	if vote.Kind != Missing {
+		t.Fatalf("b voted %d for an executor that lacks seats", vote.Kind)
+	}
+	if v = tables["a"].Count(now, k, vote, nil); v.Kind != Poll || len(v.Peers) != 6 {
+		t.Fatalf("a asks %v after it was told, want all others", v.Peers)
+	}
+}
