--- a/catalogue/codec.go
+++ b/catalogue/codec.go
@@ -1,6 +1,7 @@
 package catalogue
 
 import (
+	"slices"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -92,19 +93,61 @@
 
 // Decode returns the catalogue that a document holds. Items are ordered by chunk and key.
 // It does not check references; see Check.
-func Decode(doc *document.Document) (*Catalogue, error) {
+func Decode(doc *document.Document) (*Catalogue, error) { return new(Decoder).Decode(doc) }
+
+// Decoder decodes successive versions of a catalogue and decodes again only the chunks that changed. The catalogues share
+// what did not change, so none of them may be changed. A Decoder is not safe for concurrent use. The zero value is ready.
+type Decoder struct {
+	// parts holds the chunks of the document decoded last.
+	parts map[document.Digest]*Catalogue
+}
+
+// Decode does what the function of the same name does.
+func (d *Decoder) Decode(doc *document.Document) (*Catalogue, error) {
 	c := &Catalogue{Revision: doc.Revision()}
-	var err error
-	doc.All(func(e document.Entry) bool {
-		err = errors.Wrapf(c.decodeEntry(e), "entry %q", e.Key)
-		return err == nil
-	})
-	if err != nil {
-		return nil, err
-	}
+	parts := make(map[document.Digest]*Catalogue, doc.Chunks())
+	for i, digest := range doc.ChunkDigests() {
+		part := d.parts[digest]
+		if part == nil {
+			part = &Catalogue{}
+			if err := part.decodeEntries(doc.ChunkEntries(i)); err != nil {
+				return nil, err
+			}
+		}
+		parts[digest] = part
+	}
+	ordered := make([]*Catalogue, doc.Chunks())
+	for i, digest := range doc.ChunkDigests() {
+		ordered[i] = parts[digest]
+	}
+	c.Organisations = concat(ordered, func(p *Catalogue) []Organisation { return p.Organisations })
+	c.Regions = concat(ordered, func(p *Catalogue) []Region { return p.Regions })
+	c.Links = concat(ordered, func(p *Catalogue) []Link { return p.Links })
+	c.Instances = concat(ordered, func(p *Catalogue) []InstanceState { return p.Instances })
+	c.Services = concat(ordered, func(p *Catalogue) []Service { return p.Services })
+	c.Routes = concat(ordered, func(p *Catalogue) []Route { return p.Routes })
+	d.parts = parts
 	return c, nil
 }
 
+func (c *Catalogue) decodeEntries(entries []document.Entry) error {
+	for _, e := range entries {
+		if err := c.decodeEntry(e); err != nil {
+			return errors.Wrapf(err, "entry %q", e.Key)
+		}
+	}
+	return nil
+}
+
+// concat joins one list of all parts.
+func concat[T any](parts []*Catalogue, list func(*Catalogue) []T) []T {
+	lists := make([][]T, len(parts))
+	for i, p := range parts {
+		lists[i] = list(p)
+	}
+	return slices.Concat(lists...)
+}
+
 // decodeEntry appends the item of an entry. The key must be the one that Encode gives the item, so that no two entries of a
 // document bear one name.
 func (c *Catalogue) decodeEntry(e document.Entry) error {
--- a/catalogue/publish_test.go
+++ b/catalogue/publish_test.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"reflect"
 	"strings"
 	"testing"
 
@@ -144,6 +145,45 @@
 	}
 }
 
+// A decoder that follows any series of versions gives what decoding each by itself gives, also after a damaged one.
+func TestDecoderFollowsVersions(t *testing.T) {
+	damaged, err := document.New(DocumentName, 1, 16, []document.Entry{{Key: "route/x", Value: []byte{0xff}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	base := large(t, 40)
+	rapid.Check(t, func(t *rapid.T) {
+		var decoder Decoder
+		c := *base
+		for range 5 {
+			c.Revision++
+			c.Routes = append([]Route(nil), c.Routes...)
+			c.Routes[rapid.IntRange(0, len(c.Routes)-1).Draw(t, "changed")].Limits.Concurrency++
+			if rapid.Bool().Draw(t, "remove") {
+				i := rapid.IntRange(0, len(c.Routes)-2).Draw(t, "removed")
+				c.Routes = append(c.Routes[:i], c.Routes[i+1:]...)
+			}
+			doc, err := Encode(&c)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if rapid.Bool().Draw(t, "damaged") {
+				if _, err := decoder.Decode(damaged); err == nil {
+					t.Fatal("damaged document decoded")
+				}
+			}
+			got, err := decoder.Decode(doc)
+			if err != nil {
+				t.Fatal(err)
+			}
+			want, err := Decode(doc)
+			if err != nil || !reflect.DeepEqual(got, want) {
+				t.Fatalf("decoder and Decode differ: %v", err)
+			}
+		}
+	})
+}
+
 func TestDiff(t *testing.T) {
 	older, newer := streusalz(t), streusalz(t)
 	newer.Revision = 2
--- a/snapshot/holder.go
+++ b/snapshot/holder.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/chervilwell/chervilwell/catalogue"
 	"github.com/chervilwell/chervilwell/document"
 )
 
@@ -27,6 +28,8 @@
 type Holder struct {
 	mu      sync.Mutex
 	current atomic.Pointer[State]
+	// decoder is guarded by mu.
+	decoder catalogue.Decoder
 }
 
 // NewHolder returns a holder whose state has neither configuration nor instances.
@@ -54,7 +57,7 @@
 			return nil
 		}
 	}
-	config, err := Compile(doc)
+	config, err := compile(&h.decoder, doc)
 	if err != nil {
 		return err
 	}
--- a/snapshot/snapshot.go
+++ b/snapshot/snapshot.go
@@ -49,8 +49,10 @@
 func (r *Route) Allows(region string) bool { return r.Regions == nil || r.Regions[region] }
 
 // Compile checks the catalogue of doc as a whole and builds its look-up tables.
-func Compile(doc *document.Document) (*Config, error) {
-	cat, err := catalogue.Decode(doc)
+func Compile(doc *document.Document) (*Config, error) { return compile(new(catalogue.Decoder), doc) }
+
+func compile(decoder *catalogue.Decoder, doc *document.Document) (*Config, error) {
+	cat, err := decoder.Decode(doc)
 	if err != nil {
 		return nil, err
 	}
