admission: judge only requests old enough to raise a doubt

Cause: each call walked all requests in flight, twice. Change: the walk begins with the oldest and ends at the least age that can raise a doubt; one walk per call.

--- a/admission/baseline.go
+++ b/admission/baseline.go
@@ -45,6 +45,8 @@
 	window [windowSamples]float64
 	count  int
 	late   float64
+	// leastDoubt is the least age at which a request of any kind may speak for a cold target.
+	leastDoubt time.Duration
 }
 
 // reset forgets the baseline, as the target has changed.
@@ -93,6 +95,13 @@
 	copy(sorted[:n], b.window[:n])
 	slices.Sort(sorted[:n])
 	b.late = max(lateFactor, sorted[int(lateQuantile*float64(n))])
+	least := math.Inf(1)
+	for _, k := range b.kinds {
+		if k.samples > 0 {
+			least = min(least, goodFactor*k.mean)
+		}
+	}
+	b.leastDoubt = max(lateFloor, seconds(least))
 }
 
 // lateAfter returns the latency in seconds of a kind from which on an answer is late; infinite while too little is known.
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -164,6 +164,7 @@
 	}
 	e.responded = true
 	g.limiter.observe(now, e, now.Sub(e.started).Seconds()/e.request.Cost)
+	g.checkAges(now)
 	return g.grant(now, Changes{})
 }
 
@@ -181,6 +182,7 @@
 	g.inFlight--
 	g.unlink(e)
 	g.release(e)
+	g.checkAges(now)
 	return g.grant(now, Changes{})
 }
 
@@ -223,6 +225,7 @@
 // Tick drops what has expired, looks for a target that has stopped answering, and grants what has become possible.
 func (g *Gate) Tick(now time.Time) Changes {
 	now = g.advance(now)
+	g.checkAges(now)
 	var changes Changes
 	for _, f := range append([]*flow(nil), g.queue.backlogged...) {
 		for c := range f.waiting {
@@ -248,9 +251,13 @@
 // checkAges holds the limit while too many requests in flight are late.
 func (g *Gate) checkAges(now time.Time) {
 	doubt := 0
-	for e := g.running.next; e != &g.running; e = e.next {
+	for e := g.running.next; e != &g.running && doubt < holdDoubt; e = e.next {
+		age := now.Sub(e.started)
+		if age < g.limiter.baseline.leastDoubt {
+			break
+		}
 		if !e.responded {
-			doubt += g.limiter.weigh(e, now.Sub(e.started).Seconds()/e.request.Cost)
+			doubt += g.limiter.weigh(e, age.Seconds()/e.request.Cost)
 		}
 	}
 	g.limiter.hold(doubt)
@@ -344,7 +351,6 @@
 
 // grant gives free slots to waiting requests in fair order.
 func (g *Gate) grant(now time.Time, changes Changes) Changes {
-	g.checkAges(now)
 	for g.queue.queued > 0 && g.hasSlot(now) {
 		e := g.queue.next(now)
 		if g.expired(now, e) {
