daemon: explain by the choice of targets; take leaving instances out on their own word

Change: the picker is the operators' explainer, takes leaving notices, and forgets its beliefs after a pause. Conclusion: one code path gives picks and explanations.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -54,6 +54,7 @@
 	gate      *gatekeeper.Gatekeeper
 	requests  *gatekeeper.Server
 	front     *frontend.Frontend
+	picker    *frontend.Picker
 	callers   *frontend.Server
 	operator  *operatorServer
 	budget    *operator.Budget
@@ -299,6 +300,7 @@
 		now := time.Now().Round(0)
 		if now.Sub(last) > pauseThreshold {
 			l.d.life.Fire(charts.OnProcessPaused)
+			l.d.picker.Reset()
 		}
 		last = now
 		if l.d.agent.Joined() {
--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -42,7 +42,7 @@
 			Instance: d.settings.Instance, FailureDomain: d.settings.FailureDomain,
 			Region: d.settings.Region, Service: d.settings.Service,
 		},
-		Holder: d.holder, Trail: d.trail, Process: d, Distribution: d.agent, Budget: d.budget,
+		Holder: d.holder, Trail: d.trail, Process: d, Distribution: d.agent, Explainer: d.picker, Budget: d.budget,
 		Gatherer: d.registry, Log: d.log,
 	})
 	d.operator = &operatorServer{listener: d.listeners.operator, handler: handler}
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -4,6 +4,7 @@
 	"crypto/tls"
 	"net/http"
 
+	"github.com/chervilwell/chervilwell/distribution"
 	"github.com/chervilwell/chervilwell/internal/agent"
 	"github.com/chervilwell/chervilwell/internal/frontend"
 	"github.com/chervilwell/chervilwell/internal/gatekeeper"
@@ -47,9 +48,11 @@
 		Holder: d.holder, Trail: d.trail, Log: d.log,
 	})
 	d.requests = gatekeeper.NewServer(d.listeners.requests, d.certs.PeerServer("http/1.1"), d.gate)
+	d.picker = frontend.NewPicker(s.Instance, s.FailureDomain)
+	d.agent.SubscribeNotice(distribution.LeavingKind, d.onLeaving)
 	d.front = frontend.New(frontend.Config{
 		Instance: s.Instance, FailureDomain: s.FailureDomain, Holder: d.holder,
-		Picker: frontend.NewPicker(s.Instance, s.FailureDomain),
+		Picker: d.picker,
 		Carrier: &frontend.LocalCarrier{
 			Instance: s.Instance, Gatekeeper: d.gate, Remote: frontend.NewHTTPCarrier(d.certs),
 		},
@@ -61,6 +64,13 @@
 	return nil
 }
 
+// onLeaving takes an instance's word that it is leaving out of the choice of targets. Nobody else's word counts.
+func (d *Daemon) onLeaving(n distribution.Notice) {
+	if n.Origin == n.Subject {
+		d.picker.SetLeaving(n.Subject, true)
+	}
+}
+
 // callerConfig returns the TLS configuration of the callers' listener, or nil for plain HTTP.
 func (d *Daemon) callerConfig() *tls.Config {
 	if d.callerTLS == nil {
--- a/internal/frontend/pick.go
+++ b/internal/frontend/pick.go
@@ -58,9 +58,9 @@
 	p.chooser.Reset()
 }
 
-// Explain returns the verdict on every instance of the route's service.
-func (p *Picker) Explain(state *snapshot.State, route *snapshot.Route) []pick.Candidate {
+// Explain returns the verdict on every instance of the route's service at the time now.
+func (p *Picker) Explain(now time.Time, state *snapshot.State, route *snapshot.Route) []pick.Candidate {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.chooser.Explain(time.Now(), state, route)
+	return p.chooser.Explain(now, state, route)
 }
