--- a/internal/bench/mesh_node.go
+++ b/internal/bench/mesh_node.go
@@ -136,16 +136,17 @@
 		Source: &cutSource{Source: n.mesh.Platform, links: n.mesh.Links, domain: domain}, Transport: n.linked(p.transport),
 		Holder: p.holder, Log: n.mesh.log, FleetSize: len(n.mesh.placements()),
 	})
+	remote := &linkCarrier{mesh: n.mesh, from: domain, carrier: frontend.NewHTTPCarrier(n.store)}
 	p.gatekeeper = gatekeeper.New(gatekeeper.Config{
-		Instance: n.Instance.Name, FailureDomain: domain, Service: n.Instance.Service, TargetAddr: n.Target.Address(),
-		Holder: p.holder, Log: n.mesh.log,
+		Instance: n.Instance.Name, FailureDomain: domain, Region: n.mesh.regions[domain], Service: n.Instance.Service,
+		TargetAddr: n.Target.Address(), Holder: p.holder, Peers: remote, Log: n.mesh.log,
 	})
 	p.requests = gatekeeper.NewServer(requests, n.store.PeerServer("http/1.1"), p.gatekeeper)
 	front := frontend.New(frontend.Config{
 		Instance: n.Instance.Name, FailureDomain: domain, Holder: p.holder, Picker: frontend.NewPicker(n.Instance.Name, domain),
 		Carrier: &frontend.LocalCarrier{
 			Instance: n.Instance.Name, Gatekeeper: p.gatekeeper,
-			Remote: &linkCarrier{mesh: n.mesh, from: domain, carrier: frontend.NewHTTPCarrier(n.store)},
+			Remote: remote,
 		},
 		TrustOrganisationHeader: true, Log: n.mesh.log,
 	})
@@ -229,7 +230,17 @@
 type linkCarrier struct {
 	mesh    *Mesh
 	from    string
-	carrier frontend.Carrier
+	carrier *frontend.HTTPCarrier
+}
+
+// Post implements gatekeeper.Peers.
+func (c *linkCarrier) Post(ctx context.Context, to platform.Instance, path string, body []byte) ([]byte, error) {
+	address, err := c.mesh.relay(c.from, to)
+	if err != nil {
+		return nil, err
+	}
+	to.RequestAddr = address
+	return c.carrier.Post(ctx, to, path, body)
 }
 
 // Do implements frontend.Carrier.
--- a/internal/bench/path.go
+++ b/internal/bench/path.go
@@ -40,6 +40,7 @@
 type pathPlace struct {
 	name          string
 	failureDomain string
+	region        string
 	service       string
 	target        http.Handler
 	// carrier wraps the carrier to other instances; nil keeps it.
@@ -131,16 +132,18 @@
 			return err
 		}
 	}
+	remote := frontend.NewHTTPCarrier(store)
 	m.gatekeeper = gatekeeper.New(gatekeeper.Config{
-		Instance: place.name, FailureDomain: place.failureDomain, Service: place.service, TargetAddr: m.targetAddr, Holder: p.holder,
+		Instance: place.name, FailureDomain: place.failureDomain, Region: place.region, Service: place.service,
+		TargetAddr: m.targetAddr, Holder: p.holder, Peers: remote,
 	})
 	p.run(m.gatekeeper.Serve)
 	p.run(gatekeeper.NewServer(peers, store.PeerServer("http/1.1"), m.gatekeeper).Serve)
-	return p.addFrontend(m, place, store)
+	return p.addFrontend(m, place, remote)
 }
 
-func (p *path) addFrontend(m *pathMember, place pathPlace, store *certs.Store) error {
-	var carrier frontend.Carrier = frontend.NewHTTPCarrier(store)
+func (p *path) addFrontend(m *pathMember, place pathPlace, remote *frontend.HTTPCarrier) error {
+	var carrier frontend.Carrier = remote
 	if place.carrier != nil {
 		carrier = place.carrier(carrier)
 	}
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -42,16 +42,17 @@
 // buildRequests builds admission and the frontend, which reaches its own instance's admission by a call.
 func (d *Daemon) buildRequests() error {
 	s := d.settings
+	remote := frontend.NewHTTPCarrier(d.certs)
 	d.gate = gatekeeper.New(gatekeeper.Config{
-		Instance: s.Instance, FailureDomain: s.FailureDomain, Service: s.Service, TargetAddr: s.Target.Addr,
-		Holder: d.holder, Trail: d.trail, Log: d.log,
+		Instance: s.Instance, FailureDomain: s.FailureDomain, Region: s.Region, Service: s.Service, TargetAddr: s.Target.Addr,
+		Holder: d.holder, Peers: remote, Trail: d.trail, Log: d.log,
 	})
 	d.requests = gatekeeper.NewServer(d.listeners.requests, d.certs.PeerServer("http/1.1"), d.gate)
 	d.front = frontend.New(frontend.Config{
 		Instance: s.Instance, FailureDomain: s.FailureDomain, Holder: d.holder,
 		Picker: frontend.NewPicker(s.Instance, s.FailureDomain),
 		Carrier: &frontend.LocalCarrier{
-			Instance: s.Instance, Gatekeeper: d.gate, Remote: frontend.NewHTTPCarrier(d.certs),
+			Instance: s.Instance, Gatekeeper: d.gate, Remote: remote,
 		},
 		TrustOrganisationHeader: s.TrustOrganisationHeader,
 		Registerer:              d.registry,
--- a/internal/frontend/carrier.go
+++ b/internal/frontend/carrier.go
@@ -1,8 +1,10 @@
 package frontend
 
 import (
+	"bytes"
 	"context"
 	"crypto/tls"
+	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -48,6 +50,7 @@
 	// maxPools is the number of instances above which those without connections are forgotten.
 	maxPools    = 256
 	maxSessions = 512
+	maxMessage  = 1 << 20
 )
 
 // LocalCarrier brings requests for the own instance to its gatekeeper without a network hop, and all others on.
@@ -198,3 +201,21 @@
 	}
 	return refused
 }
+
+// Post implements gatekeeper.Peers.
+func (c *HTTPCarrier) Post(ctx context.Context, to platform.Instance, path string, body []byte) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "https://"+to.RequestAddr+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, errors.Wrap(err, "message")
+	}
+	resp, err := c.pool(peer{to.Name, to.RequestAddr}).Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("instance %q refused the message with status %d; see its log", to.Name, resp.StatusCode)
+	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxMessage))
+	return data, errors.Wrap(err, "answer to a message")
+}
--- a/internal/frontend/faults_test.go
+++ b/internal/frontend/faults_test.go
@@ -107,7 +107,7 @@
 	onBothPaths(t, cut, func(t *testing.T, f *fleet) {
 		for _, method := range []string{"GET", "POST"} {
 			runs.Store(0)
-			resp, body := call(t, method, f.members[0].url+"/order/x", "", headers.IdempotencyKey, method)
+			resp, body := call(t, method, f.members[0].url+"/order/x", "", "X-Idempotency-Key", method)
 			if resp.Header.Get(headers.Run) != "unknown" {
 				t.Fatalf("%s: %v %s", method, resp.Header, body)
 			}
--- a/internal/frontend/fleet_test.go
+++ b/internal/frontend/fleet_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -35,6 +36,8 @@
 	authority *certs.Authority
 	members   []*member
 	catalogue catalogue.Catalogue
+	// ahead is how far the clock of keyed requests is ahead of the real one, as a time.Duration.
+	ahead atomic.Int64
 }
 
 func baseCatalogue() catalogue.Catalogue {
@@ -91,11 +94,14 @@
 	m.instance = platform.Instance{
 		Name: name, FailureDomain: domain, Service: "lagerstand", RequestAddr: peers.Addr().String(), State: platform.Live,
 	}
+	remote := NewHTTPCarrier(m.store)
 	m.gatekeeper = gatekeeper.New(gatekeeper.Config{
-		Instance: name, FailureDomain: domain, Service: "lagerstand",
-		TargetAddr: strings.TrimPrefix(m.target.URL, "http://"), Holder: m.holder,
+		Instance: name, FailureDomain: domain, Region: domain[:3], Service: "lagerstand",
+		TargetAddr: strings.TrimPrefix(m.target.URL, "http://"), Holder: m.holder, Peers: remote,
+		Now: func() time.Time { return time.Now().Add(time.Duration(f.ahead.Load())) },
 	})
-	carrier := &LocalCarrier{Instance: name, Gatekeeper: m.gatekeeper, Remote: NewHTTPCarrier(m.store)}
+	f.serve(m.gatekeeper)
+	carrier := &LocalCarrier{Instance: name, Gatekeeper: m.gatekeeper, Remote: remote}
 	m.frontend = New(Config{
 		Instance: name, FailureDomain: domain, Holder: m.holder, Picker: NewPicker(name, domain), Carrier: carrier,
 		TrustOrganisationHeader: true,
--- a/internal/frontend/forward.go
+++ b/internal/frontend/forward.go
@@ -11,6 +11,7 @@
 	"github.com/chervilwell/chervilwell/catalogue"
 	"github.com/chervilwell/chervilwell/internal/headers"
 	"github.com/chervilwell/chervilwell/internal/refusal"
+	"github.com/chervilwell/chervilwell/once"
 	"github.com/chervilwell/chervilwell/pick"
 	"github.com/chervilwell/chervilwell/platform"
 	"github.com/chervilwell/chervilwell/retry"
@@ -21,7 +22,7 @@
 	var tried []string
 	var last *refusal.Refusal
 	for {
-		target, err := f.config.Picker.start(req.state, req.route, tried)
+		target, err := f.target(req, tried, last)
 		if err != nil {
 			return nil, noTarget(err, last)
 		}
@@ -38,6 +39,24 @@
 	}
 }
 
+// target picks the next instance to try. A keyed request goes to its executor.
+func (f *Frontend) target(req *request, tried []string, last *refusal.Refusal) (platform.Instance, error) {
+	if !req.keyed() {
+		return f.config.Picker.start(req.state, req.route, tried)
+	}
+	key := once.Key{Organisation: req.organisation, Route: req.route.Name, Value: req.in.Header.Get(headers.IdempotencyKey)}
+	var holder string
+	if last != nil {
+		holder = last.Holder
+	}
+	return f.config.Picker.startKeyed(req.state, req.route, key, holder, tried)
+}
+
+// keyed reports whether a request runs at most once under its key, however often it is sent.
+func (req *request) keyed() bool {
+	return req.route.Repeat == catalogue.Never && req.in.Header.Get(headers.IdempotencyKey) != ""
+}
+
 // merge keeps the truth about the whole request: it may have run if it may have run in any attempt.
 func merge(earlier, latest *refusal.Refusal) *refusal.Refusal {
 	if earlier != nil && earlier.Run == headers.Unknown {
@@ -172,8 +191,11 @@
 	}
 }
 
-// repeatOf says whether a request may be repeated: its route and its method must both allow it.
+// repeatOf says whether a request may be repeated: its key makes sure of it, or its route and its method both allow it.
 func repeatOf(req *request) catalogue.Repeat {
+	if req.keyed() {
+		return catalogue.Safe
+	}
 	if req.route.Repeat == catalogue.Safe && idempotent(req.in.Method) {
 		return catalogue.Safe
 	}
@@ -183,7 +205,8 @@
 // final reports whether no other target would answer otherwise.
 func final(kind refusal.Kind) bool {
 	switch kind {
-	case refusal.BodyTooLarge, refusal.NoOrganisation, refusal.Cancelled, refusal.Timeout, refusal.TooLate, refusal.Quarantined:
+	case refusal.BodyTooLarge, refusal.NoOrganisation, refusal.Cancelled, refusal.Timeout, refusal.TooLate, refusal.Quarantined,
+		refusal.KeyInvalid, refusal.KeyRunning, refusal.KeyUnknown:
 		return true
 	}
 	return false
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -136,7 +136,7 @@
 		return refusal.New(refusal.BadRequest, "path has a dot segment; send the path it resolves to")
 	}
 	if len(r.Header[headers.IdempotencyKey]) > 1 || len(r.Header.Get(headers.IdempotencyKey)) > headers.MaxKeyBytes {
-		return refusal.New(refusal.KeyRequired, "Idempotency-Key is repeated or too long")
+		return refusal.New(refusal.KeyInvalid, "Idempotency-Key is repeated or too long")
 	}
 	return nil
 }
--- /dev/null
+++ b/internal/frontend/keyed_test.go
@@ -0,0 +1,89 @@
+package frontend
+
+import (
+	"encoding/binary"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/chervilwell/chervilwell/internal/headers"
+)
+
+// freshKey returns a key made now by the fleet's clock.
+func (f *fleet) freshKey() string {
+	id := uuid.Must(uuid.NewV7())
+	ms := time.Now().Add(time.Duration(f.ahead.Load())).UnixMilli()
+	var stamp [8]byte
+	binary.BigEndian.PutUint64(stamp[:], uint64(ms))
+	copy(id[:6], stamp[2:])
+	return id.String()
+}
+
+// untilMature moves the clock until a keyed request is taken, and returns its key.
+func (f *fleet) untilMature(body string) string {
+	f.t.Helper()
+	for range 400 {
+		f.ahead.Add(int64(time.Second))
+		key := f.freshKey()
+		if resp, _ := call(f.t, "POST", f.members[0].url+"/order/x", body, headers.IdempotencyKey, key); resp.StatusCode == http.StatusOK {
+			return key
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	f.t.Fatal("no keyed request was taken")
+	return ""
+}
+
+func TestKeyedRequestRunsOnceAndResendGetsItsAnswer(t *testing.T) {
+	var count atomic.Int64
+	f := newFleet(t, echo(&count), "obb-muc", "nbb-la", "obb-muc")
+	key := f.untilMature("salt")
+	if count.Load() != 1 {
+		t.Fatalf("%d runs", count.Load())
+	}
+	for _, m := range f.members {
+		resp, body := call(t, "POST", m.url+"/order/x", "salt", headers.IdempotencyKey, key)
+		if resp.StatusCode != http.StatusOK || body != "salt" {
+			t.Fatalf("resend got %d %v %s", resp.StatusCode, resp.Header, body)
+		}
+	}
+	resp, body := call(t, "POST", f.members[0].url+"/order/other", "salt", headers.IdempotencyKey, key)
+	if resp.StatusCode != http.StatusBadRequest {
+		t.Fatalf("another request with the key got %d %s", resp.StatusCode, body)
+	}
+	if count.Load() != 1 {
+		t.Fatalf("%d runs", count.Load())
+	}
+}
+
+func TestResendJoinsTheRunItsCallerLeft(t *testing.T) {
+	var runs atomic.Int64
+	running, finish := make(chan struct{}, 1), make(chan struct{})
+	handler := func(int) http.Handler {
+		return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if r.URL.Path == "/order/slow" {
+				runs.Add(1)
+				running <- struct{}{}
+				<-finish
+			}
+			_, _ = io.WriteString(w, "booked")
+		})
+	}
+	f := newFleet(t, handler, "obb-muc", "nbb-la")
+	f.untilMature("")
+	key := f.freshKey()
+	resp, _ := call(t, "POST", f.members[0].url+"/order/slow", "", headers.IdempotencyKey, key, headers.Timeout, "100")
+	<-running
+	if resp.StatusCode < http.StatusBadRequest || resp.Header.Get(headers.Run) != "unknown" {
+		t.Fatalf("first got %d %v", resp.StatusCode, resp.Header)
+	}
+	close(finish)
+	resp, body := call(t, "POST", f.members[1].url+"/order/slow", "", headers.IdempotencyKey, key)
+	if resp.StatusCode != http.StatusOK || body != "booked" || runs.Load() != 1 {
+		t.Fatalf("resend got %d %s after %d runs", resp.StatusCode, body, runs.Load())
+	}
+}
--- a/internal/frontend/pick.go
+++ b/internal/frontend/pick.go
@@ -2,9 +2,11 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/chervilwell/chervilwell/once"
 	"github.com/chervilwell/chervilwell/pick"
 	"github.com/chervilwell/chervilwell/platform"
 	"github.com/chervilwell/chervilwell/snapshot"
@@ -38,6 +40,30 @@
 	return choice.Instance, nil
 }
 
+// startKeyed picks the executor of a keyed request: the usable instance of the highest rank, or the holder that one named.
+func (p *Picker) startKeyed(state *snapshot.State, route *snapshot.Route, key once.Key, holder string, tried []string) (platform.Instance, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now := time.Now()
+	usable := map[string]platform.Instance{}
+	var names []string
+	for _, c := range p.chooser.Explain(now, state, route) {
+		if c.Verdict == pick.Usable && !slices.Contains(tried, c.Instance.Name) {
+			usable[c.Instance.Name] = c.Instance
+			names = append(names, c.Instance.Name)
+		}
+	}
+	if len(names) == 0 {
+		return platform.Instance{}, &pick.Refusal{Service: route.Service, Reason: pick.NoneUsable}
+	}
+	name := once.Rank(key, names)[0]
+	if _, ok := usable[holder]; ok {
+		name = holder
+	}
+	p.chooser.Started(now, name)
+	return usable[name], nil
+}
+
 func (p *Picker) ended(instance string, a pick.Answer) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -19,6 +19,7 @@
 	"github.com/chervilwell/chervilwell/internal/httppool"
 	"github.com/chervilwell/chervilwell/internal/refusal"
 	"github.com/chervilwell/chervilwell/internal/stream"
+	"github.com/chervilwell/chervilwell/once"
 	"github.com/chervilwell/chervilwell/snapshot"
 )
 
@@ -26,12 +27,18 @@
 type Config struct {
 	Instance      string
 	FailureDomain string
+	// Region is the region of the failure domain.
+	Region string
 	// Service is the service that the target runs.
 	Service string
 	// TargetAddr is the host:port of the target's HTTP listener.
 	TargetAddr string
 	// Holder has the configuration in force.
 	Holder *snapshot.Holder
+	// Peers reaches the gatekeepers of the service's other instances. Without it no keyed request can run beside others.
+	Peers Peers
+	// Now returns the present time for keyed requests; nil means time.Now.
+	Now func() time.Time
 	// Trail takes the audit records; it may be nil.
 	Trail *audit.Trail
 	Log   zerolog.Logger
@@ -56,6 +63,7 @@
 	setup     sync.Mutex
 	version   atomic.Uint64
 	turnstile turnstile
+	keys      keyTable
 	draining  atomic.Bool
 	running   sync.WaitGroup
 	drainLock sync.RWMutex
@@ -63,7 +71,15 @@
 
 // New returns a gatekeeper.
 func New(config Config) *Gatekeeper {
+	if config.Now == nil {
+		config.Now = time.Now
+	}
 	g := &Gatekeeper{config: config}
+	g.keys = keyTable{
+		table: once.New(config.Now(), once.Seat{Instance: config.Instance, Region: config.Region}, once.DefaultLimits),
+		runs:  map[once.Key]chan struct{}{},
+		now:   config.Now,
+	}
 	g.limits.Store(&catalogue.ServiceLimits{})
 	return g
 }
@@ -77,8 +93,11 @@
 // TurnCold tells that the target or its host reported a cold start.
 func (g *Gatekeeper) TurnCold() { g.turnstile.cold() }
 
-// Serve lets the gate's time pass until the context ends.
+// Serve lets the gate's time pass and keeps in touch with the service's other instances until the context ends.
 func (g *Gatekeeper) Serve(ctx context.Context) error {
+	var seats sync.WaitGroup
+	defer seats.Wait()
+	seats.Go(func() { g.serveSeats(ctx) })
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -99,12 +118,18 @@
 	if !g.begin() {
 		return nil, refusal.New(refusal.Leaving, "instance %q is leaving", g.config.Instance)
 	}
-	resp, refused := g.admit(call)
+	state := g.config.Holder.Load()
+	route, refused := g.check(state, call)
 	if refused != nil {
 		g.running.Done()
 		return nil, refused
 	}
-	return resp, nil
+	g.configure(state.Config)
+	if key, ok := keyOf(call, route); ok {
+		defer g.running.Done()
+		return g.doKeyed(call, route, key)
+	}
+	return g.start(call, route)
 }
 
 // begin counts a request as running unless the gatekeeper drains.
@@ -118,18 +143,19 @@
 	return true
 }
 
-func (g *Gatekeeper) admit(call *Call) (*http.Response, *refusal.Refusal) {
-	state := g.config.Holder.Load()
-	route, refused := g.check(state, call)
+// start admits and runs a call that was counted as running. The count ends with a refusal or with the answer's body.
+func (g *Gatekeeper) start(call *Call, route *snapshot.Route) (*http.Response, *refusal.Refusal) {
+	pass, refused := g.turnstile.enter(call.Request.Context(), call.Organisation, route.Class)
 	if refused != nil {
+		g.running.Done()
 		return nil, refused
 	}
-	g.configure(state.Config)
-	pass, refused := g.turnstile.enter(call.Request.Context(), call.Organisation, route.Class)
+	resp, refused := g.run(call, pass)
 	if refused != nil {
+		g.running.Done()
 		return nil, refused
 	}
-	return g.run(call, pass)
+	return resp, nil
 }
 
 // check holds the call against the configuration in force here, before its body is read.
--- a/internal/gatekeeper/server.go
+++ b/internal/gatekeeper/server.go
@@ -31,6 +31,11 @@
 		refusal.New(refusal.PeerRefused, "%v", err).Write(w)
 		return
 	}
+	switch r.URL.Path {
+	case askPath, helloPath, farewellPath:
+		g.serveMessage(w, r, peer)
+		return
+	}
 	if refused := g.checkOrigin(peer, r); refused != nil {
 		stream.LeaveBody(w, r)
 		g.refuse(w, refused)
@@ -107,6 +112,7 @@
 	g.draining.Store(true)
 	g.drainLock.Unlock()
 	g.turnstile.drain()
+	g.sayFarewell(ctx)
 	done := make(chan struct{})
 	go func() {
 		g.running.Wait()
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -38,7 +38,9 @@
 	Unreachable    Kind = "unreachable"
 	BrokenAnswer   Kind = "broken-answer"
 	Quarantined    Kind = "quarantined"
-	KeyRequired    Kind = "key-invalid"
+	KeyInvalid     Kind = "key-invalid"
+	KeyNotReady    Kind = "key-not-ready"
+	KeyElsewhere   Kind = "key-held-elsewhere"
 	KeyRunning     Kind = "key-running"
 	KeyUnknown     Kind = "key-unknown"
 	PeerRefused    Kind = "peer-refused"
@@ -73,7 +75,9 @@
 	Unreachable:    {http.StatusBadGateway, "retry if the request may be repeated; the connection to the target failed"},
 	BrokenAnswer:   {http.StatusBadGateway, "retry if the request may be repeated; the target's answer was cut or has no verifiable length"},
 	Quarantined:    {http.StatusUnprocessableEntity, "do not send this request again; it crashed its targets"},
-	KeyRequired:    {http.StatusBadRequest, "send one Idempotency-Key of at most 255 bytes"},
+	KeyNotReady:    {http.StatusServiceUnavailable, "resend with the same Idempotency-Key after a backoff"},
+	KeyElsewhere:   {http.StatusConflict, "resend with the same Idempotency-Key; the instance that holds it answers"},
+	KeyInvalid:     {http.StatusBadRequest, "send one Idempotency-Key of at most 255 bytes"},
 	KeyRunning:     {http.StatusConflict, "wait for the first request with this Idempotency-Key to end"},
 	KeyUnknown:     {http.StatusConflict, "ask the service whether the request ran; its executor's memory is gone"},
 	PeerRefused:    {http.StatusForbidden, "connect with the certificate of an instance (CommonName instance, OrganizationalUnit failure domain)"},
@@ -97,6 +101,8 @@
 	Detail string `json:"detail"`
 	// Remedy says what the caller can do.
 	Remedy string `json:"remedy"`
+	// Holder is the instance that a keyed request is bound to, if another one is.
+	Holder string `json:"holder,omitempty"`
 	// RetryAfter is the time to wait before a retry; 0 means unsaid.
 	RetryAfter time.Duration `json:"-"`
 }
