catalogue: compare documents by what differs

Cause: each change cost every process a comparison of two whole catalogues to count changes against budgets. Change: DiffDocuments decodes only differing entries; a property test holds it to Diff; the budget uses it.

--- a/catalogue/diff.go
+++ b/catalogue/diff.go
@@ -6,6 +6,10 @@
 	"reflect"
 	"slices"
 	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/chervilwell/chervilwell/document"
 )
 
 // ChangeKind says what happened to an entry.
@@ -69,10 +73,75 @@
 	diffList(&d, "instance", older.Instances, newer.Instances, func(i *InstanceState) (string, string) { return i.Name, "" })
 	diffList(&d, "service", older.Services, newer.Services, func(s *Service) (string, string) { return s.Name, s.Owner })
 	diffList(&d, "route", older.Routes, newer.Routes, func(r *Route) (string, string) { return r.Name, r.Owner })
-	d.countOwners(newer)
+	d.countOwners(newer.Organisations)
 	return d
 }
 
+// DiffDocuments does what Diff does, for documents that hold catalogues. It decodes only the entries that differ, so the work
+// is in proportion to the change.
+func DiffDocuments(older, newer *document.Document) (Difference, error) {
+	before, after := &Catalogue{Revision: older.Revision()}, &Catalogue{Revision: newer.Revision()}
+	err := eachDifference(older, newer, func(key string) error {
+		for _, side := range []struct {
+			doc *document.Document
+			cat *Catalogue
+		}{{older, before}, {newer, after}} {
+			value, ok := side.doc.Get(key)
+			if !ok {
+				continue
+			}
+			if err := side.cat.decodeEntry(document.Entry{Key: key, Value: value}); err != nil {
+				return errors.Wrapf(err, "entry %q", key)
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		return Difference{}, err
+	}
+	d := Diff(before, after)
+	organisations, err := organisationsOf(newer)
+	d.countOwners(organisations)
+	return d, err
+}
+
+// eachDifference calls f for each key whose value differs, and for each that only one of the documents has.
+func eachDifference(older, newer *document.Document, f func(key string) error) error {
+	delta := document.Diff(older, newer)
+	keys := delta.Removed
+	for _, e := range delta.Set {
+		keys = append(keys, e.Key)
+	}
+	if delta.Full {
+		// A full delta names everything that the newer one has, and nothing that only the older one had.
+		older.All(func(e document.Entry) bool {
+			if _, ok := newer.Get(e.Key); !ok {
+				keys = append(keys, e.Key)
+			}
+			return true
+		})
+	}
+	for _, key := range keys {
+		if err := f(key); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// organisationsOf decodes the organisations of a document and nothing else.
+func organisationsOf(doc *document.Document) ([]Organisation, error) {
+	var c Catalogue
+	var err error
+	doc.All(func(e document.Entry) bool {
+		if strings.HasPrefix(e.Key, organisationPrefix) {
+			err = c.decodeEntry(e)
+		}
+		return err == nil
+	})
+	return c.Organisations, err
+}
+
 // regionName is a region without its failure domains.
 type regionName struct {
 	Name string `json:"name"`
@@ -161,17 +230,19 @@
 	return string(data)
 }
 
-func (d *Difference) countOwners(newer *Catalogue) {
+// countOwners counts the changes of each owner against the budgets of the given organisations.
+func (d *Difference) countOwners(organisations []Organisation) {
 	counts := map[string]int{}
 	for _, c := range d.Changes {
 		if c.Owner != "" {
 			counts[c.Owner]++
 		}
 	}
-	budgets := make(map[string]int, len(newer.Organisations))
-	for _, o := range newer.Organisations {
+	budgets := make(map[string]int, len(organisations))
+	for _, o := range organisations {
 		budgets[o.Name] = o.ChangesPerDay
 	}
+	d.Organisations = nil
 	for name, n := range counts {
 		d.Organisations = append(d.Organisations, OrganisationChanges{Organisation: name, Changes: n, PerDay: budgets[name]})
 	}
--- a/catalogue/publish_test.go
+++ b/catalogue/publish_test.go
@@ -145,6 +145,41 @@
 	}
 }
 
+// The difference of two documents is that of their catalogues, whatever changed and however many chunks they have.
+func TestDiffDocuments(t *testing.T) {
+	base := large(t, 60)
+	rapid.Check(t, func(t *rapid.T) {
+		next := *base
+		next.Revision++
+		next.Routes = append([]Route(nil), base.Routes...)
+		next.Organisations = append([]Organisation(nil), base.Organisations...)
+		next.Organisations[0].ChangesPerDay = rapid.IntRange(0, 3).Draw(t, "budget")
+		for range rapid.IntRange(0, 4).Draw(t, "changes") {
+			next.Routes[rapid.IntRange(0, len(next.Routes)-1).Draw(t, "changed")].Limits.Concurrency++
+		}
+		next.Routes = next.Routes[rapid.IntRange(0, 2).Draw(t, "removed"):]
+		older, err := Encode(base)
+		if err != nil {
+			t.Fatal(err)
+		}
+		newer, err := Encode(&next)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if rapid.Bool().Draw(t, "other chunks") {
+			var entries []document.Entry
+			newer.All(func(e document.Entry) bool { entries = append(entries, e); return true })
+			if newer, err = document.New(DocumentName, newer.Revision(), 4*newer.Chunks(), entries); err != nil {
+				t.Fatal(err)
+			}
+		}
+		got, err := DiffDocuments(older, newer)
+		if want := Diff(base, &next); err != nil || !reflect.DeepEqual(got, want) {
+			t.Fatalf("got %+v, want %+v, error %v", got, want, err)
+		}
+	})
+}
+
 // A decoder that follows any series of versions gives what decoding each by itself gives, also after a damaged one.
 func TestDecoderFollowsVersions(t *testing.T) {
 	damaged, err := document.New(DocumentName, 1, 16, []document.Entry{{Key: "route/x", Value: []byte{0xff}}})
@@ -266,6 +301,24 @@
 	}
 }
 
+func BenchmarkDiffDocuments(b *testing.B) {
+	older, err := Encode(large(b, 2200))
+	if err != nil {
+		b.Fatal(err)
+	}
+	c := large(b, 2200)
+	c.Routes[7].Limits.Concurrency++
+	newer, err := Encode(c)
+	if err != nil {
+		b.Fatal(err)
+	}
+	for b.Loop() {
+		if d, err := DiffDocuments(older, newer); err != nil || len(d.Changes) != 1 {
+			b.Fatal(err)
+		}
+	}
+}
+
 func ExampleParse() {
 	c, err := Parse("streusalz.jsonc", examples.Streusalz)
 	fmt.Println(len(c.Services), err)
--- a/internal/operator/budget.go
+++ b/internal/operator/budget.go
@@ -73,7 +73,11 @@
 	if previous == nil {
 		return
 	}
-	for _, o := range catalogue.Diff(previous.Catalogue(), config.Catalogue()).Organisations {
+	difference, err := catalogue.DiffDocuments(previous.Document(), config.Document())
+	if err != nil {
+		return // not reached: both documents were decoded before they came into force
+	}
+	for _, o := range difference.Organisations {
 		b.changes[o.Organisation] += o.Changes
 		b.warn(now, o, config)
 	}
--- a/snapshot/snapshot.go
+++ b/snapshot/snapshot.go
@@ -19,6 +19,7 @@
 type Config struct {
 	version       document.Version
 	source        *catalogue.Catalogue
+	document      *document.Document
 	organisations map[string]*catalogue.Organisation
 	services      map[string]*catalogue.Service
 	routes        []*Route
@@ -59,7 +60,12 @@
 	if err := catalogue.Check(cat); err != nil {
 		return nil, err
 	}
-	return build(cat, doc.Version())
+	config, err := build(cat, doc.Version())
+	if err != nil {
+		return nil, err
+	}
+	config.document = doc
+	return config, nil
 }
 
 func build(cat *catalogue.Catalogue, version document.Version) (*Config, error) {
@@ -159,6 +165,9 @@
 // Version returns revision and digest of the catalogue.
 func (c *Config) Version() document.Version { return c.version }
 
+// Document returns the document that the configuration was compiled from.
+func (c *Config) Document() *document.Document { return c.document }
+
 // Catalogue returns the catalogue that the configuration was compiled from. The caller must not change it.
 func (c *Config) Catalogue() *catalogue.Catalogue { return c.source }
 
