--- a/admission/gate.go
+++ b/admission/gate.go
@@ -58,11 +58,17 @@
 	l.coldSlots = min(max(1, limits.ColdSlots), l.slots)
 	l.coldPeriod = limits.ColdPeriod.Std()
 	g.queue.preference = preferenceTime.Seconds() * float64(l.slots)
+	g.queue.credit = creditTime.Seconds() * float64(l.slots)
 	return g.grant(now, Changes{})
 }
 
-// preferenceTime is the time of the whole target by which one class goes before the next.
-const preferenceTime = 50 * time.Millisecond
+// Times of the whole target that bound how far the fair queue departs from equal progress.
+const (
+	// preferenceTime is the time by which one class goes before the next.
+	preferenceTime = 50 * time.Millisecond
+	// creditTime is the time by which an organisation's burst may go ahead after it used less than its share.
+	creditTime = 250 * time.Millisecond
+)
 
 // SetShares puts new shares in force.
 func (g *Gate) SetShares(shares Shares) { g.queue.setShares(shares) }
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -106,6 +106,8 @@
 	queued     int
 	// preference is the virtual time by which one class goes before the next.
 	preference float64
+	// credit is the virtual time by which a flow that used less than its share may lag behind the others.
+	credit float64
 }
 
 func newFairQueue(shares Shares) *fairQueue {
@@ -183,8 +185,9 @@
 	return best
 }
 
-// begin brings a flow that neither waited nor is to wait up to the present virtual time.
-func (q *fairQueue) begin(f *flow) { f.start = max(f.start, q.virtual) }
+// begin brings a flow that did not wait up to the present virtual time, less the credit that it has from using less than
+// its share.
+func (q *fairQueue) begin(f *flow) { f.start = max(f.start, q.virtual-q.credit) }
 
 // charge accounts the expected slot-time of a request that is granted now.
 func (q *fairQueue) charge(e *entry, seconds float64) {
