demo: callers send a keyed call again under its key; start when each kind of call is served

Cause: with at-most-once keys in place, a fleet that has just started answers keyed calls 'unknown' until its processes have known each other for some seconds, which the load counted as lost. Change: the load behaves as callers are asked to, and the demo waits until each kind of call is served.

--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -91,19 +91,26 @@
 	if err != nil {
 		return err
 	}
-	readyCtx, cancel := context.WithTimeout(ctx, readyTimeout)
-	err = f.Ready(readyCtx)
-	cancel()
-	if err != nil {
+	load := fleet.NewLoad(f, calls)
+	if err := ready(ctx, f, load); err != nil {
 		return errors.Wrap(errors.Wrap(f.Stop(), err.Error()), "start")
 	}
 	printAddresses(f)
-	load := fleet.NewLoad(f, calls)
 	drive(ctx, f, load, span)
 	stopErr := f.Stop()
 	return summarize(load, stopErr)
 }
 
+// ready waits until every instance takes requests and each kind of call is served.
+func ready(ctx context.Context, f *fleet.Fleet, load *fleet.Load) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	if err := f.Ready(ctx); err != nil {
+		return err
+	}
+	return load.Await(ctx)
+}
+
 // drive sends the load and moves the failure domain out and back until the time is over.
 func drive(ctx context.Context, f *fleet.Fleet, load *fleet.Load, span time.Duration) {
 	ctx, cancel := context.WithCancel(ctx)
@@ -174,14 +181,14 @@
 	start := time.Now()
 	for sleep(ctx, statusInterval) {
 		c := load.Counts()
-		fmt.Printf("%3.0fs revision %d served %d refused %d lost %d\n",
-			time.Since(start).Seconds(), f.Catalogue().Revision, c.Served, c.Refused, c.Lost)
+		fmt.Printf("%3.0fs revision %d served %d refused %d lost %d resent %d\n",
+			time.Since(start).Seconds(), f.Catalogue().Revision, c.Served, c.Refused, c.Lost, c.Resent)
 	}
 }
 
 func summarize(load *fleet.Load, stopErr error) error {
 	c := load.Counts()
-	fmt.Printf("\ncalls served %d, refused %d, lost %d\n", c.Served, c.Refused, c.Lost)
+	fmt.Printf("\ncalls served %d, refused %d, lost %d, keyed calls sent again %d\n", c.Served, c.Refused, c.Lost, c.Resent)
 	if stopErr != nil {
 		return errors.Wrap(stopErr, "stop")
 	}
--- a/internal/fleet/load.go
+++ b/internal/fleet/load.go
@@ -19,6 +19,14 @@
 	"github.com/chervilwell/chervilwell/internal/standin"
 )
 
+// How a caller behaves.
+const (
+	callTimeout = 5 * time.Second
+	// maxSends bounds the sends of one keyed call, and resendDelay is the time between them.
+	maxSends    = 10
+	resendDelay = time.Second
+)
+
 // Call is one kind of request that the load generator sends.
 type Call struct {
 	Organisation string
@@ -36,6 +44,8 @@
 	Refused int64
 	// Lost calls got neither: a broken or wrong answer, or no word whether they ran.
 	Lost int64
+	// Resent counts sends of a key after the first.
+	Resent int64
 }
 
 // Load sends calls to the callers' listeners of a fleet.
@@ -44,9 +54,9 @@
 	calls  []Call
 	client *http.Client
 
-	served, refused, lost atomic.Int64
-	mu                    sync.Mutex
-	lastLoss              string
+	served, refused, lost, resent atomic.Int64
+	mu                            sync.Mutex
+	lastLoss                      string
 }
 
 // NewLoad returns a load generator of the given calls.
@@ -71,9 +81,37 @@
 	wg.Wait()
 }
 
+// Await sends each kind of call, under a new key each time, until it is served. A fleet that has just started knows nothing of
+// keys made before, so it takes keyed calls only after a while.
+func (l *Load) Await(ctx context.Context) error {
+	const interval = 200 * time.Millisecond
+	for _, call := range l.calls {
+		for {
+			_, err := l.attempt(l.fleet.Nodes[0], call, uuid.NewString(), newKey(call))
+			if err == nil {
+				break
+			}
+			select {
+			case <-ctx.Done():
+				return err
+			case <-time.After(interval):
+			}
+		}
+	}
+	return nil
+}
+
+// newKey returns a time-ordered key for a keyed call, or "".
+func newKey(call Call) string {
+	if !call.Key {
+		return ""
+	}
+	return uuid.Must(uuid.NewV7()).String()
+}
+
 // Counts returns the results so far.
 func (l *Load) Counts() Counts {
-	return Counts{Served: l.served.Load(), Refused: l.refused.Load(), Lost: l.lost.Load()}
+	return Counts{Served: l.served.Load(), Refused: l.refused.Load(), Lost: l.lost.Load(), Resent: l.resent.Load()}
 }
 
 // LastLoss describes the last lost call, or is empty.
@@ -100,31 +138,40 @@
 	}
 }
 
-// send sends one call and checks its answer. It reports whether the call was refused as not run.
+// send sends one call, and a keyed one again under the same key while it isn't known whether it ran. It reports whether the
+// call was refused as not run.
 func (l *Load) send(node *Node, call Call) (notRun bool, err error) {
-	const timeout = 5 * time.Second
-	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	id, key := uuid.NewString(), newKey(call)
+	for attempt := 1; ; attempt++ {
+		notRun, err = l.attempt(node, call, id, key)
+		if err == nil || key == "" || attempt == maxSends {
+			return notRun, err
+		}
+		l.resent.Add(1)
+		time.Sleep(resendDelay)
+	}
+}
+
+// attempt sends a call once and checks its answer.
+func (l *Load) attempt(node *Node, call Call, id, key string) (notRun bool, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
 	defer cancel()
-	id := uuid.NewString()
+	what := fmt.Sprintf("%s %s at %s", call.Method, call.Path, node.Instance.Name)
 	req, err := http.NewRequestWithContext(ctx, call.Method, "http://"+node.Callers+call.Path, strings.NewReader(body(call, id)))
 	if err != nil {
 		return false, errors.WithStack(err)
 	}
 	req.Header.Set(headers.Organisation, call.Organisation)
 	req.Header.Set(standin.RequestHeader, id)
-	if call.Key {
-		key, err := uuid.NewV7()
-		if err != nil {
-			return false, errors.WithStack(err)
-		}
-		req.Header.Set(headers.IdempotencyKey, key.String())
+	if key != "" {
+		req.Header.Set(headers.IdempotencyKey, key)
 	}
 	resp, err := l.client.Do(req)
 	if err != nil {
-		return false, errors.Wrapf(err, "%s %s at %s", call.Method, call.Path, node.Instance.Name)
+		return false, errors.Wrap(err, what)
 	}
 	defer func() { _ = resp.Body.Close() }()
-	return checkAnswer(resp, id, fmt.Sprintf("%s %s at %s", call.Method, call.Path, node.Instance.Name))
+	return checkAnswer(resp, id, what)
 }
 
 func body(call Call, id string) string {
