--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -14,6 +14,7 @@
 	"github.com/chervilwell/chervilwell/internal/headers"
 	"github.com/chervilwell/chervilwell/internal/refusal"
 	"github.com/chervilwell/chervilwell/internal/stream"
+	"github.com/chervilwell/chervilwell/retry"
 	"github.com/chervilwell/chervilwell/snapshot"
 )
 
@@ -38,6 +39,7 @@
 type Frontend struct {
 	config  Config
 	routes  routeLimits
+	budgets retryBudgets
 	metrics *metrics
 	closing closing
 }
@@ -47,6 +49,9 @@
 	return &Frontend{config: config, metrics: newMetrics(config.Registerer)}
 }
 
+// refusalTime is the time that a caller has to take a refusal.
+const refusalTime = 5 * time.Second
+
 // request is a caller's request with everything that was decided for it. It pins one state for its whole life.
 type request struct {
 	state        *snapshot.State
@@ -54,9 +59,10 @@
 	organisation string
 	region       string
 	deadline     time.Time
-	attempt      int
-	body         *replayBody
-	in           *http.Request
+	// retries is the number spent so far, by the processes before this one too.
+	retries retry.Count
+	body    *replayBody
+	in      *http.Request
 }
 
 // ServeHTTP answers a caller.
@@ -67,13 +73,15 @@
 	}
 	req, refused := f.accept(r, started)
 	if refused != nil {
+		stream.Bound(w, r, started.Add(refusalTime))
 		f.refuse(w, r, refused)
 		return
 	}
 	defer f.routes.leave(req.route.Name)
-	allowEarlyAnswer(w, r)
+	stream.Bound(w, r, req.deadline.Add(refusalTime))
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
 	defer cancel()
+	defer req.body.leave(w, r)
 	resp, refused := f.forward(ctx, req)
 	req.body.end()
 	if refused != nil {
@@ -114,7 +122,7 @@
 	if left, ok := headers.ParseTimeout(r.Header.Get(headers.Timeout)); ok && now.Add(left).Before(req.deadline) {
 		req.deadline = now.Add(left)
 	}
-	req.attempt = headers.ParseAttempt(r.Header.Get(headers.Attempt))
+	req.retries = countOf(r.Header)
 	req.body = newReplayBody(r, req.route.Limits.BodyBytes)
 	return req, nil
 }
@@ -128,7 +136,7 @@
 		return refusal.New(refusal.BadRequest, "path has a dot segment; send the path it resolves to")
 	}
 	if len(r.Header[headers.IdempotencyKey]) > 1 || len(r.Header.Get(headers.IdempotencyKey)) > headers.MaxKeyBytes {
-		return refusal.New(refusal.KeyRequired, "Idempotency-Key is repeated or too long")
+		return refusal.New(refusal.KeyInvalid, "Idempotency-Key is repeated or too long")
 	}
 	return nil
 }
@@ -175,13 +183,14 @@
 	f.metrics.refusals.WithLabelValues(string(refused.Kind), string(refused.Run)).Inc()
 	f.config.Log.Debug().Str("kind", string(refused.Kind)).Str("run", string(refused.Run)).Str("detail", refused.Detail).
 		Str("method", r.Method).Msg("refused")
-	if r.ContentLength != 0 && r.ProtoMajor == 1 {
-		w.Header().Set("Connection", "close")
+	if r.ContentLength != 0 {
+		stream.LeaveBody(w, r)
 	}
 	refused.Write(w)
 }
 
 func (f *Frontend) answer(w http.ResponseWriter, req *request, resp *http.Response, started time.Time) {
+	w.Header()[headers.Attempt] = []string{headers.FormatAttempt(int(req.retries) + 1)}
 	if chunkedRequest(req.in) {
 		w.Header().Set("Connection", "close")
 	}
@@ -194,13 +203,6 @@
 	f.config.Log.Debug().Str("route", req.route.Name).Str("organisation", req.organisation).Int("status", resp.StatusCode).Msg("answered")
 }
 
-// allowEarlyAnswer keeps an HTTP/1 server from dropping the rest of a body when the target answers before its end.
-func allowEarlyAnswer(w http.ResponseWriter, r *http.Request) {
-	if r.ProtoMajor == 1 && r.ContentLength != 0 {
-		_ = http.NewResponseController(w).EnableFullDuplex()
-	}
-}
-
 // chunkedRequest reports whether a request could have carried both Content-Length and Transfer-Encoding. The server has
 // dropped the former then; RFC 9112, section 6.1, wants the connection closed after the answer.
 func chunkedRequest(r *http.Request) bool {
--- a/snapshot/snapshot.go
+++ b/snapshot/snapshot.go
@@ -19,6 +19,7 @@
 type Config struct {
 	version       document.Version
 	source        *catalogue.Catalogue
+	document      *document.Document
 	organisations map[string]*catalogue.Organisation
 	services      map[string]*catalogue.Service
 	routes        []*Route
@@ -49,15 +50,22 @@
 func (r *Route) Allows(region string) bool { return r.Regions == nil || r.Regions[region] }
 
 // Compile checks the catalogue of doc as a whole and builds its look-up tables.
-func Compile(doc *document.Document) (*Config, error) {
-	cat, err := catalogue.Decode(doc)
+func Compile(doc *document.Document) (*Config, error) { return compile(new(catalogue.Decoder), doc) }
+
+func compile(decoder *catalogue.Decoder, doc *document.Document) (*Config, error) {
+	cat, err := decoder.Decode(doc)
 	if err != nil {
 		return nil, err
 	}
 	if err := catalogue.Check(cat); err != nil {
 		return nil, err
 	}
-	return build(cat, doc.Version())
+	config, err := build(cat, doc.Version())
+	if err != nil {
+		return nil, err
+	}
+	config.document = doc
+	return config, nil
 }
 
 func build(cat *catalogue.Catalogue, version document.Version) (*Config, error) {
@@ -157,6 +165,9 @@
 // Version returns revision and digest of the catalogue.
 func (c *Config) Version() document.Version { return c.version }
 
+// Document returns the document that the configuration was compiled from.
+func (c *Config) Document() *document.Document { return c.document }
+
 // Catalogue returns the catalogue that the configuration was compiled from. The caller must not change it.
 func (c *Config) Catalogue() *catalogue.Catalogue { return c.source }
 
