--- a/internal/bench/exp_fairness.go
+++ b/internal/bench/exp_fairness.go
@@ -21,8 +21,10 @@
 	lightPart = 0.8
 	// saturating is what every organisation offers of its share when shares are measured.
 	saturating = 2
-	fairPhase  = 8 * time.Second
-	fairSettle = 2 * time.Second
+	// fairTargets is the service whose targets are shared.
+	fairTargets = "lagerstand"
+	fairPhase   = 8 * time.Second
+	fairSettle  = 2 * time.Second
 )
 
 func init() {
@@ -115,6 +117,8 @@
 		all[o] = lightPart
 		saturated[o] = saturating
 	}
+	defer m.Close()
+	NewLoad(m).WarmUp(ctx, m.fairStreams("warm", light, inOrder), seed)
 	alone, err := m.phase(ctx, "alone", light, seed, inOrder)
 	if err != nil {
 		return nil, err
@@ -150,39 +154,52 @@
 	used     float64
 }
 
-// phase offers calls of one service for a while: for each organisation a multiple of its share of the targets' capacity.
-// The first seconds, in which queues and limits settle, are not judged.
-func (m *Mesh) phase(ctx context.Context, name string, offer map[string]float64, seed uint64, inOrder bool) (*phaseResult, error) {
-	const service = "lagerstand"
-	slots := 0
-	for _, n := range m.Nodes {
-		if n.Instance.Service == service {
-			slots += m.limits[service].Slots
-		}
-	}
+// fairStreams returns calls of one service: for each organisation a multiple of its share of the targets' capacity.
+func (m *Mesh) fairStreams(name string, offer map[string]float64, inOrder bool) []*Stream {
 	mean := fairService.Seconds() * math.Exp(targetSpread*targetSpread/2)
-	load := NewLoad(m)
-	loadCtx, stop := context.WithTimeout(ctx, fairPhase)
-	defer stop()
-	begin := time.Now().Add(fairSettle)
-	var wait sync.WaitGroup
-	for i, o := range m.catalogue.Organisations {
+	var out []*Stream
+	for _, o := range m.catalogue.Organisations {
 		if offer[o.Name] == 0 {
 			continue
 		}
 		s := &Stream{
 			Name: fmt.Sprintf("%s-%s", name, o.Name), Organisation: o.Name, Method: http.MethodGet, Path: "/lagerstand/depot",
-			Rate: offer[o.Name] * o.Share * float64(slots) / mean,
+			Rate: offer[o.Name] * o.Share * float64(m.slots(fairTargets)) / mean,
 		}
 		if inOrder {
 			s.Account = m.catalogue.Organisations[0].Name
 		}
+		out = append(out, s)
+	}
+	return out
+}
+
+// slots returns the number of requests that all warm targets of a service run at once.
+func (m *Mesh) slots(service string) int {
+	sum := 0
+	for _, n := range m.Nodes {
+		if n.Instance.Service == service {
+			sum += m.limits[service].Slots
+		}
+	}
+	return sum
+}
+
+// phase offers calls for a while. The first seconds, in which queues settle, are not judged.
+func (m *Mesh) phase(ctx context.Context, name string, offer map[string]float64, seed uint64, inOrder bool) (*phaseResult, error) {
+	load := NewLoad(m)
+	loadCtx, stop := context.WithTimeout(ctx, fairPhase)
+	defer stop()
+	begin := time.Now().Add(fairSettle)
+	var wait sync.WaitGroup
+	for i, s := range m.fairStreams(name, offer, inOrder) {
 		wait.Go(func() { load.Run(loadCtx, s, seed+uint64(i)) })
 	}
 	wait.Wait()
 	end := time.Now()
 	calls := load.Calls()
-	return m.judgePhase(calls, begin, end, slots), ctx.Err()
+	m.options.Log.Debug().Str("phase", name).Interface("ended_badly", Summary(calls)).Msg("details")
+	return m.judgePhase(calls, begin, end, m.slots(fairTargets)), ctx.Err()
 }
 
 func (m *Mesh) judgePhase(calls []Call, begin, end time.Time, slots int) *phaseResult {
--- a/internal/bench/verdict.go
+++ b/internal/bench/verdict.go
@@ -68,6 +68,15 @@
 	return out
 }
 
+// Summary counts calls by stream, ending and kind of refusal.
+func Summary(calls []Call) map[string]int {
+	out := map[string]int{}
+	for _, c := range calls {
+		out[fmt.Sprintf("%s %s %s", c.Stream.Name, c.Ending, c.Kind)]++
+	}
+	return out
+}
+
 // SuccessCurve returns the part of calls that ended well for each second of their start.
 func SuccessCurve(name string, calls []Call, start time.Time) Series {
 	var all, good []int
