distribution: push what was gathered with what follows, and let low ranks displace high ones at a full parent

Change: gathered changes go out with the next push; a first heartbeat names the versions held; a full parent ends the subscription of its last-ranked child for one that ranks before it.

--- a/distribution/accept.go
+++ b/distribution/accept.go
@@ -191,6 +191,8 @@
 			ch.known[name] = version
 		case ch.link && now.Before(ch.nextPush):
 			ch.waiting = true
+		case ch.waiting:
+			c.pushTo(now, ch, documentNames(c.store.versions)...)
 		default:
 			c.pushTo(now, ch, name)
 		}
@@ -202,7 +204,6 @@
 	for _, id := range sortedNames(c.relay.children) {
 		ch := c.relay.children[id]
 		if ch.waiting && !now.Before(ch.nextPush) {
-			ch.waiting = false
 			c.pushTo(now, ch, documentNames(c.store.versions)...)
 		}
 	}
@@ -218,6 +219,7 @@
 
 // pushTo sends a child the documents named that it lacks, in one message.
 func (c *Core) pushTo(now time.Time, ch *child, names ...string) {
+	ch.waiting = false
 	var push []Delta
 	for _, name := range names {
 		version := c.store.version(name)
--- a/distribution/distribution_test.go
+++ b/distribution/distribution_test.go
@@ -62,3 +62,29 @@
 		}
 	}
 }
+
+// TestChangesReachAllUnderChurn checks that each change is in force everywhere within a second while lists change too:
+// neither a change gathered for the link nor a new child waits for a heartbeat.
+func TestChangesReachAllUnderChurn(t *testing.T) {
+	for _, seed := range []uint64{0, 5} {
+		f := newFleet(t, seed, 50)
+		requireConverged(t, f, 1, 10*time.Second)
+		f.run(3 * time.Second)
+		lists := uint64(1)
+		for revision := uint64(2); revision <= 16; revision++ {
+			f.publish(revision)
+			for range 10 {
+				f.run(90 * time.Millisecond)
+				if f.rng.IntN(4) == 0 {
+					lists++
+					f.list(domains[f.rng.IntN(len(domains))], lists, f.names[:len(f.names)-f.rng.IntN(10)]...)
+				}
+			}
+			for _, name := range f.names {
+				if f.nodes[name].Version(catalogueName).Revision < revision {
+					t.Errorf("seed %d: %s lacks revision %d after 900 ms", seed, name, revision)
+				}
+			}
+		}
+	}
+}
--- a/distribution/message.go
+++ b/distribution/message.go
@@ -72,6 +72,8 @@
 	Vector uint64 `cbor:"1,keyasint"`
 	// IntervalMs is the longest time to the next heartbeat in milliseconds; 0 ends the subscription.
 	IntervalMs uint32 `cbor:"2,keyasint"`
+	// Versions lists the documents held with the first heartbeat of a subscription.
+	Versions []DocumentVersion `cbor:"3,keyasint,omitempty"`
 }
 
 // Ack answers a heartbeat.
@@ -190,7 +192,8 @@
 	if parts != 1 {
 		return errors.Wrapf(ErrMalformed, "%d parts", parts)
 	}
-	long := (m.Ack != nil && len(m.Ack.Versions) > maxListed) ||
+	long := (m.Heartbeat != nil && len(m.Heartbeat.Versions) > maxListed) ||
+		(m.Ack != nil && len(m.Ack.Versions) > maxListed) ||
 		(m.Push != nil && len(m.Push.Deltas) > maxListed) ||
 		(m.Pull != nil && len(m.Pull.Held) > maxListed) ||
 		(m.Offer != nil && (len(m.Offer.Versions) > maxListed || len(m.Offer.Refer) > maxListed)) ||
--- a/distribution/relay.go
+++ b/distribution/relay.go
@@ -6,6 +6,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/chervilwell/chervilwell/document"
+	"github.com/chervilwell/chervilwell/membership"
 	"github.com/chervilwell/chervilwell/platform"
 )
 
@@ -84,18 +85,7 @@
 	}
 	ch := c.subscribe(now, from, m.Heartbeat)
 	ack.Full = ch == nil
-	if ch != nil && ch.waiting {
-		// What was gathered for the child goes out now; comparing before would repeat it.
-		ch.waiting = false
-		c.pushTo(now, ch, documentNames(c.store.versions)...)
-	} else if m.Heartbeat.Vector != c.store.vector {
-		ack.Versions = c.store.versions
-	} else if ch != nil {
-		ch.synced = true
-		for _, v := range c.store.versions {
-			ch.known[v.Name] = v
-		}
-	}
+	c.compare(now, ch, m.Heartbeat, ack)
 	reply := Message{Ack: ack}
 	if m.Sender != nil {
 		reply.Sender = c.self()
@@ -103,11 +93,54 @@
 	c.send(from, reply)
 }
 
+// compare brings a child up to date that says what it holds, or lets it compare where the vectors differ.
+func (c *Core) compare(now time.Time, ch *child, h *Heartbeat, ack *Ack) {
+	same := h.Vector == c.store.vector
+	if ch == nil {
+		if !same {
+			ack.Versions = c.store.versions
+		}
+		return
+	}
+	switch {
+	case same:
+		ch.learn(c.store.versions)
+	case len(h.Versions) > 0:
+		ch.learn(h.Versions)
+		ack.Versions = c.newerAt(h.Versions)
+		c.pushTo(now, ch, documentNames(c.store.versions)...)
+	case ch.waiting:
+		// What was gathered for the child goes out now; comparing before would repeat it.
+		c.pushTo(now, ch, documentNames(c.store.versions)...)
+	default:
+		ack.Versions = c.store.versions
+	}
+}
+
+// learn notes what the child holds.
+func (ch *child) learn(versions []DocumentVersion) {
+	ch.synced = true
+	clear(ch.known)
+	for _, v := range versions {
+		ch.known[v.Name] = v
+	}
+}
+
+// newerAt returns the versions held if a peer holds a newer one of any document, so that it pushes back; else nil.
+func (c *Core) newerAt(theirs []DocumentVersion) []DocumentVersion {
+	for _, v := range theirs {
+		if mine := c.store.version(v.Name); mine.Revision < v.Revision {
+			return c.store.versions
+		}
+	}
+	return nil
+}
+
 // subscribe renews the subscription of a child. It returns nil if there is no room for a further one.
 func (c *Core) subscribe(now time.Time, from Address, h *Heartbeat) *child {
 	ch := c.relay.children[from.Name]
 	if ch == nil {
-		if len(c.relay.children) >= c.cfg.Limits.Children {
+		if len(c.relay.children) >= c.cfg.Limits.Children && !c.makeRoom(from.Name) {
 			return nil
 		}
 		ch = &child{known: map[string]DocumentVersion{}, link: c.acrossLink(from.Name)}
@@ -119,6 +152,31 @@
 	return ch
 }
 
+// makeRoom ends the subscription of the child that ranks last if the asker ranks before it, since those that rank last have
+// the most other parents to choose from. Roots of other failure domains are few and always get room.
+func (c *Core) makeRoom(asker string) bool {
+	m := c.members.Get(asker)
+	if m == nil {
+		return false
+	}
+	if m.FailureDomain != c.cfg.Self.FailureDomain {
+		return len(c.relay.children) < 2*c.cfg.Limits.Children
+	}
+	last := m
+	for name := range c.relay.children {
+		ch := c.members.Get(name)
+		if ch != nil && ch.FailureDomain == m.FailureDomain && membership.Before(last, ch) {
+			last = ch
+		}
+	}
+	if last == m {
+		return false
+	}
+	c.send(c.relay.children[last.Name].to, Message{Ack: &Ack{Full: true}})
+	delete(c.relay.children, last.Name)
+	return true
+}
+
 // acrossLink reports whether a peer is known to be in another region.
 func (c *Core) acrossLink(name string) bool {
 	m := c.members.Get(name)
--- a/distribution/tree.go
+++ b/distribution/tree.go
@@ -102,6 +102,9 @@
 	if !u.introduced {
 		m.Sender = c.self()
 	}
+	if u.ackAt.IsZero() {
+		m.Heartbeat.Versions = c.store.versions
+	}
 	c.send(u.to, m)
 	u.sentAt = now
 	u.nextAt = now.Add(interval - interval/16 + time.Duration(c.rng.Int64N(int64(interval)/8+1)))
