gatekeeper: quarantine requests that crash targets; bodies that were not read whole end their connection

Cause: a request that crashes its target was sent on to the next; a connection whose request's body was left unread made the server panic on the next request, or could have taken the rest for one. Change: package quarantine on the path: a crash (target down or all its idle connections closed) is told to the service's instances before the callers are answered; small bodies are read and told apart before admission. stream.Body says in the answer's head that the connection ends, and waits for reads under way.

--- a/internal/frontend/body.go
+++ b/internal/frontend/body.go
@@ -24,19 +24,16 @@
 	source io.ReadCloser
 	kept   []byte
 	// lost says that no further attempt can have the whole body. It is read without the lock, which a slow caller may hold up.
-	lost atomic.Bool
-	// whole says that the body was read to its end.
-	whole  atomic.Bool
+	lost   atomic.Bool
 	err    error
 	length int64
-	read   int64
 }
 
 // newReplayBody returns the body of a caller's request, of at most limit bytes.
-func newReplayBody(r *http.Request, limit int64) *replayBody {
-	b := &replayBody{source: r.Body, length: r.ContentLength}
-	if r.ContentLength < 0 {
-		b.source = http.MaxBytesReader(nil, r.Body, limit)
+func newReplayBody(source *stream.Body, length, limit int64) *replayBody {
+	b := &replayBody{source: source, length: length}
+	if length < 0 {
+		b.source = http.MaxBytesReader(nil, source, limit)
 	}
 	return b
 }
@@ -57,18 +54,6 @@
 // end keeps nothing further.
 func (b *replayBody) end() { b.lost.Store(true) }
 
-// leave ends the reading of a body that was not read whole. It waits until no read is under way: the server would take back
-// the deadline of one and then wait for a slow caller to send the rest.
-func (b *replayBody) leave(w http.ResponseWriter, r *http.Request) {
-	if b.length == 0 || b.whole.Load() {
-		return
-	}
-	stream.LeaveBody(w, r)
-	b.mu.Lock()
-	b.err = errStale
-	b.mu.Unlock()
-}
-
 // bodyView is the body as one attempt reads it.
 type bodyView struct {
 	body   *replayBody
@@ -96,10 +81,6 @@
 	b.keep(p[:n])
 	v.offset += n
 	b.err = err
-	b.read += int64(n)
-	if err == io.EOF || b.read == b.length {
-		b.whole.Store(true)
-	}
 	return n, err
 }
 
--- a/internal/frontend/carrier.go
+++ b/internal/frontend/carrier.go
@@ -190,7 +190,7 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		kind = refusal.BodyTooLarge
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case stream.Expired(ctx):
 		kind = refusal.Timeout
 	case ctx.Err() != nil:
 		kind = refusal.Cancelled
--- a/internal/frontend/faults_test.go
+++ b/internal/frontend/faults_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -438,3 +439,57 @@
 		}
 	})
 }
+
+// crashing is a target that goes down and comes back when it gets the body "poison".
+type crashing struct {
+	addr    string
+	server  *httptest.Server
+	crashes *atomic.Int64
+}
+
+// ServeHTTP implements http.Handler.
+func (c *crashing) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, _ := io.ReadAll(r.Body)
+	if string(body) != "poison" {
+		_, _ = w.Write(body)
+		return
+	}
+	c.crashes.Add(1)
+	c.server.Listener.Close()
+	go c.restart()
+	panic(http.ErrAbortHandler)
+}
+
+func (c *crashing) restart() {
+	time.Sleep(100 * time.Millisecond)
+	l, err := net.Listen("tcp", c.addr)
+	if err != nil {
+		return
+	}
+	c.server = &httptest.Server{Listener: l, Config: &http.Server{Handler: c}}
+	c.server.Start()
+}
+
+func TestRequestThatCrashesTargetsIsQuarantined(t *testing.T) {
+	var crashes atomic.Int64
+	var targets [3]crashing
+	f := newFleet(t, func(i int) http.Handler { return &targets[i] }, "obb-muc", "obb-muc", "nbb-la")
+	for i, m := range f.members {
+		targets[i] = crashing{addr: m.target.Listener.Addr().String(), server: m.target, crashes: &crashes}
+	}
+	var last string
+	for i := 0; i < 200 && !strings.Contains(last, `"kind":"quarantined"`); i++ {
+		resp, body := call(t, "PUT", f.members[i%3].url+"/stock/x", "poison")
+		if resp.StatusCode == http.StatusOK {
+			t.Fatalf("poison was answered: %s", body)
+		}
+		last = body
+		time.Sleep(10 * time.Millisecond)
+	}
+	if crashes.Load() > 2 || !strings.Contains(last, `"kind":"quarantined"`) {
+		t.Fatalf("one request crashed %d targets; the last answer was %s", crashes.Load(), last)
+	}
+	if resp, body := call(t, "PUT", f.members[0].url+"/stock/x", "salt"); resp.StatusCode != http.StatusOK || body != "salt" {
+		t.Fatalf("an innocent request got %d %s", resp.StatusCode, body)
+	}
+}
--- a/internal/frontend/forward.go
+++ b/internal/frontend/forward.go
@@ -39,17 +39,18 @@
 	}
 }
 
-// target picks the next instance to try. A keyed request goes to its executor.
+// target picks the next instance to try. A keyed request goes to its executor, and any to the holder that a refusal named.
 func (f *Frontend) target(req *request, tried []string, last *refusal.Refusal) (platform.Instance, error) {
-	if !req.keyed() {
-		return f.config.Picker.start(req.state, req.route, tried)
-	}
-	key := once.Key{Organisation: req.organisation, Route: req.route.Name, Value: req.in.Header.Get(headers.IdempotencyKey)}
 	var holder string
 	if last != nil {
 		holder = last.Holder
 	}
-	return f.config.Picker.startKeyed(req.state, req.route, key, holder, tried)
+	if !req.keyed() && holder == "" {
+		return f.config.Picker.start(req.state, req.route, tried)
+	}
+	key := once.Key{Organisation: req.organisation, Route: req.route.Name, Value: req.in.Header.Get(headers.IdempotencyKey)}
+	rank := func(names []string) string { return once.Rank(key, names)[0] }
+	return f.config.Picker.startRanked(req.state, req.route, rank, holder, tried)
 }
 
 // keyed reports whether a request runs at most once under its key, however often it is sent.
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -71,28 +71,31 @@
 	if f.closing.begun() && r.ProtoMajor == 1 {
 		w.Header().Set("Connection", "close")
 	}
-	req, refused := f.accept(r, started)
+	body := stream.Track(r)
+	defer body.Leave(w)
+	req, refused := f.accept(r, body, started)
 	if refused != nil {
-		stream.Bound(w, r, started.Add(refusalTime))
-		f.refuse(w, r, refused)
+		end := started.Add(refusalTime)
+		stream.Bound(w, r, end, end)
+		f.refuse(w, r, body, refused)
 		return
 	}
 	defer f.routes.leave(req.route.Name)
-	stream.Bound(w, r, req.deadline.Add(refusalTime))
+	stream.Bound(w, r, req.deadline, req.deadline.Add(refusalTime))
 	ctx, cancel := context.WithDeadline(r.Context(), req.deadline)
 	defer cancel()
-	defer req.body.leave(w, r)
 	resp, refused := f.forward(ctx, req)
 	req.body.end()
 	if refused != nil {
-		f.refuse(w, r, refused)
+		f.refuse(w, r, body, refused)
 		return
 	}
+	body.Announce(w)
 	f.answer(w, req, resp, started)
 }
 
 // accept decides everything about a request that needs no look at its body.
-func (f *Frontend) accept(r *http.Request, now time.Time) (*request, *refusal.Refusal) {
+func (f *Frontend) accept(r *http.Request, body *stream.Body, now time.Time) (*request, *refusal.Refusal) {
 	if refused := checkForm(r); refused != nil {
 		return nil, refused
 	}
@@ -123,7 +126,7 @@
 		req.deadline = now.Add(left)
 	}
 	req.retries = countOf(r.Header)
-	req.body = newReplayBody(r, req.route.Limits.BodyBytes)
+	req.body = newReplayBody(body, r.ContentLength, req.route.Limits.BodyBytes)
 	return req, nil
 }
 
@@ -179,13 +182,11 @@
 	return name, nil
 }
 
-func (f *Frontend) refuse(w http.ResponseWriter, r *http.Request, refused *refusal.Refusal) {
+func (f *Frontend) refuse(w http.ResponseWriter, r *http.Request, body *stream.Body, refused *refusal.Refusal) {
 	f.metrics.refusals.WithLabelValues(string(refused.Kind), string(refused.Run)).Inc()
 	f.config.Log.Debug().Str("kind", string(refused.Kind)).Str("run", string(refused.Run)).Str("detail", refused.Detail).
 		Str("method", r.Method).Msg("refused")
-	if r.ContentLength != 0 {
-		stream.LeaveBody(w, r)
-	}
+	body.Announce(w)
 	refused.Write(w)
 }
 
--- a/internal/frontend/pick.go
+++ b/internal/frontend/pick.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/chervilwell/chervilwell/once"
 	"github.com/chervilwell/chervilwell/pick"
 	"github.com/chervilwell/chervilwell/platform"
 	"github.com/chervilwell/chervilwell/snapshot"
@@ -40,8 +39,8 @@
 	return choice.Instance, nil
 }
 
-// startKeyed picks the executor of a keyed request: the usable instance of the highest rank, or the holder that one named.
-func (p *Picker) startKeyed(state *snapshot.State, route *snapshot.Route, key once.Key, holder string, tried []string) (platform.Instance, error) {
+// startRanked picks the holder that a refusal named, if it is usable, or else the usable instance that rank puts first.
+func (p *Picker) startRanked(state *snapshot.State, route *snapshot.Route, rank func([]string) string, holder string, tried []string) (platform.Instance, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
@@ -56,7 +55,7 @@
 	if len(names) == 0 {
 		return platform.Instance{}, &pick.Refusal{Service: route.Service, Reason: pick.NoneUsable}
 	}
-	name := once.Rank(key, names)[0]
+	name := rank(names)
 	if _, ok := usable[holder]; ok {
 		name = holder
 	}
--- a/internal/gatekeeper/gate.go
+++ b/internal/gatekeeper/gate.go
@@ -9,6 +9,7 @@
 	"github.com/chervilwell/chervilwell/catalogue"
 	"github.com/chervilwell/chervilwell/internal/headers"
 	"github.com/chervilwell/chervilwell/internal/refusal"
+	"github.com/chervilwell/chervilwell/internal/stream"
 )
 
 // turnstile serializes the calls of the pure gate and lets the requests that it queues wait. A request waits on a channel of
@@ -103,7 +104,7 @@
 	} else if reason := <-turn; reason == granted {
 		t.apply(t.gate.Finish(now, id, admission.Outcome{Result: admission.Cancelled}))
 	}
-	if context.Cause(ctx) == context.DeadlineExceeded {
+	if stream.Expired(ctx) {
 		return refusal.New(refusal.TooLate, "deadline passed in the target's queue")
 	}
 	return refusal.New(refusal.Cancelled, "caller went away while the request waited")
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -20,6 +20,7 @@
 	"github.com/chervilwell/chervilwell/internal/refusal"
 	"github.com/chervilwell/chervilwell/internal/stream"
 	"github.com/chervilwell/chervilwell/once"
+	"github.com/chervilwell/chervilwell/quarantine"
 	"github.com/chervilwell/chervilwell/snapshot"
 )
 
@@ -64,6 +65,7 @@
 	version   atomic.Uint64
 	turnstile turnstile
 	keys      keyTable
+	crashes   crashes
 	draining  atomic.Bool
 	running   sync.WaitGroup
 	drainLock sync.RWMutex
@@ -80,6 +82,7 @@
 		runs:  map[once.Key]chan struct{}{},
 		now:   config.Now,
 	}
+	g.crashes = crashes{list: quarantine.New(config.Instance), trial: make(chan struct{}, 1)}
 	g.limits.Store(&catalogue.ServiceLimits{})
 	return g
 }
@@ -145,17 +148,30 @@
 
 // start admits and runs a call that was counted as running. The count ends with a refusal or with the answer's body.
 func (g *Gatekeeper) start(call *Call, route *snapshot.Route) (*http.Response, *refusal.Refusal) {
-	pass, refused := g.turnstile.enter(call.Request.Context(), call.Organisation, route.Class)
+	resp, refused := g.admit(call, route)
 	if refused != nil {
 		g.running.Done()
 		return nil, refused
 	}
-	resp, refused := g.run(call, pass)
+	return resp, nil
+}
+
+func (g *Gatekeeper) admit(call *Call, route *snapshot.Route) (*http.Response, *refusal.Refusal) {
+	suspicion, refused := g.vet(call, route)
 	if refused != nil {
-		g.running.Done()
 		return nil, refused
 	}
-	return resp, nil
+	pass, refused := g.turnstile.enter(call.Request.Context(), call.Organisation, route.Class)
+	if refused != nil {
+		g.release(suspicion)
+		return nil, refused
+	}
+	if refused := g.beginRun(suspicion); refused != nil {
+		pass.leave(admission.Cancelled)
+		g.release(suspicion)
+		return nil, refused
+	}
+	return g.run(call, pass, suspicion)
 }
 
 // check holds the call against the configuration in force here, before its body is read.
@@ -209,17 +225,18 @@
 }
 
 // run sends an admitted call to the target.
-func (g *Gatekeeper) run(call *Call, pass *pass) (*http.Response, *refusal.Refusal) {
+func (g *Gatekeeper) run(call *Call, pass *pass, suspicion *suspicion) (*http.Response, *refusal.Refusal) {
 	ctx := call.Request.Context()
 	resp, err := g.pool.Load().Do(g.outgoing(ctx, call))
 	if err != nil {
-		pass.leave(resultOf(ctx, err))
-		return nil, failure(ctx, err, !errors.Is(err, httppool.ErrNotWritten))
+		wrote := !errors.Is(err, httppool.ErrNotWritten)
+		g.end(pass, suspicion, resultOf(ctx, err), wrote)
+		return nil, failure(ctx, err, wrote)
 	}
 	pass.responded()
 	if !verifiable(resp) {
 		resp.Body.Close()
-		pass.leave(admission.Failed)
+		g.end(pass, suspicion, admission.Failed, true)
 		return nil, refusal.Unknown(refusal.BrokenAnswer, "answer has neither Content-Length nor chunked encoding")
 	}
 	attempt := resp.Header[headers.Attempt]
@@ -229,17 +246,26 @@
 		resp.Header[headers.Attempt] = attempt // the count of the target's own calls, for its caller
 	}
 	resp.Body = &answerBody{ReadCloser: resp.Body, end: func(err error) {
-		pass.leave(resultOfAnswer(ctx, resp.StatusCode, err))
+		g.end(pass, suspicion, resultOfAnswer(ctx, resp.StatusCode, err), true)
 		g.running.Done()
 	}}
 	return resp, nil
 }
 
+// end gives up the place of a request at the target. If its connection broke after it was written, the target may have crashed.
+func (g *Gatekeeper) end(pass *pass, suspicion *suspicion, result admission.Result, wrote bool) {
+	if result == admission.Crashed && wrote {
+		g.cut(suspicion)
+	}
+	pass.leave(result)
+	g.endRun(suspicion, result)
+}
+
 // resultOf says how a request ended that got no answer.
 func resultOf(ctx context.Context, err error) admission.Result {
 	var tooLarge *http.MaxBytesError
 	switch {
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case stream.Expired(ctx):
 		return admission.Failed
 	case ctx.Err() != nil || errors.As(err, &tooLarge):
 		return admission.Cancelled
@@ -295,7 +321,7 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		kind = refusal.BodyTooLarge
-	case errors.Is(ctx.Err(), context.DeadlineExceeded):
+	case errors.Is(err, context.DeadlineExceeded), stream.Expired(ctx):
 		kind = refusal.Timeout
 	case ctx.Err() != nil:
 		kind = refusal.Cancelled
--- a/internal/gatekeeper/seats.go
+++ b/internal/gatekeeper/seats.go
@@ -103,6 +103,8 @@
 		return g.takeAsk(body, from)
 	case helloPath:
 		return g.takeHello(body, from)
+	case noticePath:
+		return g.takeNotice(body, from)
 	}
 	return g.takeFarewell(body, from)
 }
--- a/internal/gatekeeper/server.go
+++ b/internal/gatekeeper/server.go
@@ -32,34 +32,40 @@
 		return
 	}
 	switch r.URL.Path {
-	case askPath, helloPath, farewellPath:
+	case askPath, helloPath, farewellPath, noticePath:
 		g.serveMessage(w, r, peer)
 		return
 	}
-	if refused := g.checkOrigin(peer, r); refused != nil {
-		stream.LeaveBody(w, r)
+	body := stream.Track(r)
+	defer body.Leave(w)
+	r.Body = body
+	resp, refused := g.take(w, r, peer)
+	body.Announce(w)
+	if refused != nil {
 		g.refuse(w, refused)
 		return
 	}
-	ctx, cancel := deadlineOf(r)
-	defer cancel()
-	if deadline, ok := ctx.Deadline(); ok {
-		stream.Bound(w, r, deadline.Add(answerTime))
+	g.answer(w, resp)
+}
+
+// take runs the request of another instance's frontend.
+func (g *Gatekeeper) take(w http.ResponseWriter, r *http.Request, peer certs.Identity) (*http.Response, *refusal.Refusal) {
+	if refused := g.checkOrigin(peer, r); refused != nil {
+		return nil, refused
 	}
 	call := &Call{Route: r.Header.Get(headers.Route), Organisation: r.Header.Get(headers.Organisation)}
+	call.Request = r
+	if left, ok := headers.ParseTimeout(r.Header.Get(headers.Timeout)); ok {
+		deadline := time.Now().Add(left)
+		stream.Bound(w, r, deadline, deadline.Add(answerTime))
+		ctx, cancel := context.WithDeadline(r.Context(), deadline)
+		context.AfterFunc(r.Context(), cancel)
+		call.Request = r.WithContext(ctx)
+	}
 	attempt := r.Header.Get(headers.Attempt)
 	headers.StripInternal(r.Header)
 	r.Header[headers.Attempt] = []string{attempt}
-	call.Request = r.WithContext(ctx)
-	resp, refused := g.Do(call)
-	if refused != nil {
-		if refused.Kind == refusal.WrongRegion {
-			stream.LeaveBody(w, r)
-		}
-		g.refuse(w, refused)
-		return
-	}
-	g.answer(w, resp)
+	return g.Do(call)
 }
 
 // checkOrigin refuses a request that was already where it may not be.
@@ -75,14 +81,6 @@
 	return refusal.New(refusal.WrongRegion, "route %q may not come from failure domain %q", route.Name, peer.FailureDomain)
 }
 
-func deadlineOf(r *http.Request) (context.Context, context.CancelFunc) {
-	left, ok := headers.ParseTimeout(r.Header.Get(headers.Timeout))
-	if !ok {
-		return context.WithCancel(r.Context())
-	}
-	return context.WithTimeout(r.Context(), left)
-}
-
 func (g *Gatekeeper) refuse(w http.ResponseWriter, refused *refusal.Refusal) {
 	g.mark(w.Header())
 	refused.Write(w)
--- a/internal/httppool/pool.go
+++ b/internal/httppool/pool.go
@@ -164,6 +164,23 @@
 	}
 }
 
+// Check closes the idle connections that the server has closed and returns their number and that of the others.
+func (p *Pool) Check() (dead, alive int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	kept := p.idle[:0]
+	for _, c := range p.idle {
+		if c.alive() {
+			kept = append(kept, c)
+			continue
+		}
+		c.net.Close()
+		dead++
+	}
+	p.idle = kept
+	return dead, len(kept)
+}
+
 // Idle returns the number of connections that wait for a request.
 func (p *Pool) Idle() int {
 	p.mu.Lock()
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -38,6 +38,7 @@
 	Unreachable    Kind = "unreachable"
 	BrokenAnswer   Kind = "broken-answer"
 	Quarantined    Kind = "quarantined"
+	Suspected      Kind = "suspected"
 	KeyInvalid     Kind = "key-invalid"
 	KeyNotReady    Kind = "key-not-ready"
 	KeyElsewhere   Kind = "key-held-elsewhere"
@@ -75,6 +76,7 @@
 	Unreachable:    {http.StatusBadGateway, "retry if the request may be repeated; the connection to the target failed"},
 	BrokenAnswer:   {http.StatusBadGateway, "retry if the request may be repeated; the target's answer was cut or has no verifiable length"},
 	Quarantined:    {http.StatusUnprocessableEntity, "do not send this request again; it crashed its targets"},
+	Suspected:      {http.StatusServiceUnavailable, "retry; the request was in flight when a target crashed and runs at one instance only"},
 	KeyNotReady:    {http.StatusServiceUnavailable, "resend with the same Idempotency-Key after a backoff"},
 	KeyElsewhere:   {http.StatusConflict, "resend with the same Idempotency-Key; the instance that holds it answers"},
 	KeyInvalid:     {http.StatusBadRequest, "send one Idempotency-Key of at most 255 bytes"},
