--- a/catalogue/codec.go
+++ b/catalogue/codec.go
@@ -50,8 +50,13 @@
 // whole once, since deltas need equal numbers of chunks; a wide step makes that rare.
 const chunkCountStep = 4
 
-// newDocument picks the smallest number of chunks that keeps each below chunkContentBytes. It depends on the content alone.
+// newDocument picks the number of chunks. A small catalogue is one chunk, since a process that starts without peers needs a
+// read of the platform for each; a larger one has the smallest number that keeps each below chunkContentBytes. The choice
+// depends on the content alone.
 func newDocument(revision uint64, entries []document.Entry) (*document.Document, error) {
+	if contentBytes(entries) <= smallContentBytes {
+		return document.New(DocumentName, revision, 1, entries)
+	}
 	for n := document.DefaultChunks; ; n *= chunkCountStep {
 		doc, err := document.New(DocumentName, revision, n, entries)
 		if err != nil || n >= MaxChunks || largestChunk(doc) <= chunkContentBytes {
--- a/catalogue/manifest.go
+++ b/catalogue/manifest.go
@@ -20,6 +20,8 @@
 	MaxContentBytes = 64 << 20
 	// chunkContentBytes is the content beyond which a chunk is split further, before compression.
 	chunkContentBytes = 256 << 10
+	// smallContentBytes is the content up to which a catalogue is one chunk, before compression.
+	smallContentBytes = 64 << 10
 )
 
 // Typed errors of ParseManifest and Assemble.
