--- a/admission/gate.go
+++ b/admission/gate.go
@@ -58,11 +58,17 @@
 	l.coldSlots = min(max(1, limits.ColdSlots), l.slots)
 	l.coldPeriod = limits.ColdPeriod.Std()
 	g.queue.preference = preferenceTime.Seconds() * float64(l.slots)
+	g.queue.credit = creditTime.Seconds() * float64(l.slots)
 	return g.grant(now, Changes{})
 }
 
-// preferenceTime is the time of the whole target by which one class goes before the next.
-const preferenceTime = 50 * time.Millisecond
+// Times of the whole target that bound how far the fair queue departs from equal progress.
+const (
+	// preferenceTime is the time by which one class goes before the next.
+	preferenceTime = 50 * time.Millisecond
+	// creditTime is the time by which an organisation's burst may go ahead after it used less than its share.
+	creditTime = 250 * time.Millisecond
+)
 
 // SetShares puts new shares in force.
 func (g *Gate) SetShares(shares Shares) { g.queue.setShares(shares) }
@@ -98,8 +104,8 @@
 		return Decision{Verdict: Refused, Reason: PastDeadline}
 	}
 	var changes Changes
-	if g.queue.queued >= g.limits.Queue {
-		victim := g.queue.victim(f, g.limits.Queue)
+	if bound := g.queueBound(now); g.queue.queued >= bound {
+		victim := g.queue.victim(f, bound)
 		if victim == nil {
 			return Decision{Verdict: Refused, Reason: g.fullReason(now)}
 		}
@@ -120,6 +126,16 @@
 	return Decision{Verdict: Queued, Changes: changes}
 }
 
+// queueBound returns the number of requests that may wait. It shrinks with the limit, so that the wait at a cold target is no
+// longer than at a warm one and the rest is refused while another target can still run it.
+func (g *Gate) queueBound(now time.Time) int {
+	limit := g.limiter.limit(now)
+	if limit >= g.limiter.slots {
+		return g.limits.Queue
+	}
+	return min(g.limits.Queue, max(1, g.limits.Queue*limit/g.limiter.slots))
+}
+
 func (g *Gate) fullReason(now time.Time) Reason {
 	if g.limiter.limit(now) < g.limiter.slots {
 		return ColdTarget
