--- a/internal/bench/mesh_node.go
+++ b/internal/bench/mesh_node.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/chervilwell/chervilwell/distribution"
 	"github.com/chervilwell/chervilwell/internal/agent"
 	"github.com/chervilwell/chervilwell/internal/certs"
 	"github.com/chervilwell/chervilwell/internal/frontend"
@@ -135,12 +136,15 @@
 		TargetAddr: n.Target.Address(), Holder: p.holder, Peers: remote, Log: n.mesh.log,
 	})
 	p.requests = gatekeeper.NewServer(requests, n.store.PeerServer("http/1.1"), p.gatekeeper)
+	picker := frontend.NewPicker(n.Instance.Name, domain)
+	p.agent.SubscribeNotice(distribution.LeavingKind, func(notice distribution.Notice) {
+		if notice.Origin == notice.Subject {
+			picker.SetLeaving(notice.Subject, true)
+		}
+	})
 	front := frontend.New(frontend.Config{
-		Instance: n.Instance.Name, FailureDomain: domain, Holder: p.holder, Picker: frontend.NewPicker(n.Instance.Name, domain),
-		Carrier: &frontend.LocalCarrier{
-			Instance: n.Instance.Name, Gatekeeper: p.gatekeeper,
-			Remote: remote,
-		},
+		Instance: n.Instance.Name, FailureDomain: domain, Holder: p.holder, Picker: picker,
+		Carrier:                 &frontend.LocalCarrier{Instance: n.Instance.Name, Gatekeeper: p.gatekeeper, Remote: remote},
 		TrustOrganisationHeader: true, Log: n.mesh.log,
 	})
 	p.frontend = frontend.NewServer(callers, nil, front)
