pick: avoid silent targets; retry: leave time for a second attempt

Change: a target that owes two answers for longer than its usual gap is not picked until it answers; AttemptTimeout gives a repeatable attempt half of the time left. Conclusion: the frontend has still to use AttemptTimeout.

--- a/pick/pick.go
+++ b/pick/pick.go
@@ -65,6 +65,8 @@
 	SaidLeaving Reason = "leaving-by-own-word"
 	// Unreachable targets refused or dropped the last connection and wait for a probe.
 	Unreachable Reason = "unreachable"
+	// Silent targets owe answers for longer than they usually take; any answer ends that.
+	Silent Reason = "silent"
 	// Ejected targets gave errors in a row and wait for a probe.
 	Ejected Reason = "ejected"
 	// Probing targets have one request in flight that decides on their return.
@@ -90,6 +92,8 @@
 		return "set the instance's state to \"in\" in the catalogue"
 	case ListedLeaving, SaidLeaving:
 		return "none; the target is leaving, use another"
+	case Silent:
+		return "check whether the instance is stalled or cut off; its next answer ends this by itself"
 	case Unreachable:
 		return "check the instance's daemon and the network; it is probed again by itself"
 	case Ejected, Probing:
@@ -254,14 +258,14 @@
 	return best
 }
 
-// lastResort picks the target whose ejection ends first if nothing but ejections stands in the way.
+// lastResort picks the target whose ejection ends first if nothing but ejections and silence stand in the way.
 func (c *Chooser) lastResort(now time.Time, t *table, tried []string) (Choice, error) {
 	var best *candidate
 	for tier := range t.tiers {
 		for i := range t.tiers[tier] {
 			cand := &t.tiers[tier][i]
 			verdict := c.judge(now, t, cand, tried)
-			if verdict != Unreachable && verdict != Ejected {
+			if verdict != Unreachable && verdict != Ejected && verdict != Silent {
 				continue
 			}
 			if best == nil || cand.target.until.Before(best.target.until) {
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -266,3 +266,26 @@
 		c.Ended(epoch, choice.Instance.Name, Answer{Result: OK, Load: &Load{InFlight: 3, Limit: 20}})
 	}
 }
+
+func TestSilentTargetIsAvoidedUntilItAnswers(t *testing.T) {
+	st := state(t, testCatalogue(), 1, nil)
+	c, r := New(Self{Instance: "obb-muc-0", FailureDomain: "obb-muc"}), rng(1)
+	route := st.Config.Route("stock")
+	c.Started(epoch, "obb-muc-0")
+	c.Ended(epoch, "obb-muc-0", Answer{Result: OK, Load: &Load{Limit: 20}})
+	for range silentInFlight {
+		c.Started(epoch, "obb-muc-0")
+	}
+	now := epoch.Add(silentLeast)
+	if choice, _ := c.Pick(now, r, st, route, nil); choice.Instance.Name != "obb-muc-0" {
+		t.Fatalf("picked %q; the own target is not late yet", choice.Instance.Name)
+	}
+	now = now.Add(time.Millisecond)
+	if choice, _ := c.Pick(now, r, st, route, nil); choice.Instance.Name != "obb-ro-0" {
+		t.Fatalf("picked %q; the own target owes answers", choice.Instance.Name)
+	}
+	c.Ended(now, "obb-muc-0", Answer{Result: OK, Load: &Load{InFlight: 1, Limit: 20}})
+	if choice, _ := c.Pick(now, r, st, route, nil); choice.Instance.Name != "obb-muc-0" {
+		t.Fatalf("picked %q after the own target answered", choice.Instance.Name)
+	}
+}
--- a/pick/target.go
+++ b/pick/target.go
@@ -49,6 +49,14 @@
 	forgiveAfter = time.Minute
 	// returnPeriod is the time over which a returned target's assumed limit rises to the reported one.
 	returnPeriod = 5 * time.Second
+	// A target is silent when it owes silentInFlight answers or more and has given none for silentDeviations above its mean,
+	// between silentLeast and silentMost.
+	silentInFlight   = 2
+	silentDeviations = 6
+	silentLeast      = 100 * time.Millisecond
+	silentMost       = time.Second
+	// answerGain is the part of a new time in the moving averages of answers.
+	answerGain = 1.0 / 32
 	// leavingLife is the time for which an instance's own word that it is leaving is believed.
 	leavingLife = 30 * time.Second
 	// MaxEjected is the part of a service's targets that may be ejected for errors at once; one of two or more always may.
@@ -73,6 +81,11 @@
 	returnedAt time.Time
 	leavingAt  time.Time
 	leaving    bool
+	// asked is the start of the oldest request of which it is not known whether the target still answers: the first one
+	// after the last answer. It is zero while none is in flight.
+	asked time.Time
+	// mean and dev are moving averages of the time until some answer ends while one is owed, in seconds.
+	mean, dev float64
 }
 
 func (c *Chooser) target(name string) *target {
@@ -89,6 +102,8 @@
 	switch {
 	case t.leaving && now.Sub(t.leavingAt) < leavingLife:
 		return SaidLeaving
+	case t.silent(now):
+		return Silent
 	case !t.trial:
 		return Usable
 	case now.Before(t.until) && t.broken:
@@ -101,6 +116,28 @@
 	return Usable
 }
 
+// silent reports whether the target owes an answer for longer than it usually takes, and has given no other meanwhile.
+func (t *target) silent(now time.Time) bool {
+	if t.asked.IsZero() || t.inFlight < silentInFlight {
+		return false
+	}
+	usual := time.Duration((t.mean + silentDeviations*t.dev) * float64(time.Second))
+	return now.Sub(t.asked) > min(silentMost, max(silentLeast, usual))
+}
+
+// answered takes the time at which some answer of the target ended.
+func (t *target) answered(now time.Time) {
+	if t.asked.IsZero() {
+		return
+	}
+	took := now.Sub(t.asked).Seconds()
+	if t.mean == 0 {
+		t.mean, t.dev = took, took/2
+	}
+	t.dev += answerGain * (math.Abs(took-t.mean) - t.dev)
+	t.mean += answerGain * (took - t.mean)
+}
+
 // onTrial reports whether the next request to the target is a probe.
 func (t *target) onTrial(now time.Time) bool { return t.trial && !now.Before(t.until) }
 
@@ -127,6 +164,9 @@
 // Started tells that a request is sent to an instance.
 func (c *Chooser) Started(now time.Time, instance string) {
 	t := c.target(instance)
+	if t.inFlight == 0 {
+		t.asked = now
+	}
 	t.inFlight++
 	t.since++
 	if t.onTrial(now) {
@@ -143,6 +183,13 @@
 	t.inFlight = max(0, t.inFlight-1)
 	t.since--
 	t.probing = false
+	if a.Load != nil || a.Result == OK || a.Result == Failed {
+		t.answered(now)
+		t.asked = now
+	}
+	if t.inFlight == 0 {
+		t.asked = time.Time{}
+	}
 	if a.Load != nil {
 		c.report(now, t, *a.Load)
 	}
@@ -181,7 +228,7 @@
 // Reset forgets all loads and ejections, as after a pause of the process.
 func (c *Chooser) Reset() {
 	for _, t := range c.targets {
-		*t = target{inFlight: t.inFlight, leaving: t.leaving, leavingAt: t.leavingAt}
+		*t = target{inFlight: t.inFlight, mean: t.mean, dev: t.dev, leaving: t.leaving, leavingAt: t.leavingAt}
 	}
 }
 
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -30,6 +30,8 @@
 	Burst = 10
 	// MinUseful is the least time left that makes an attempt worthwhile.
 	MinUseful = 5 * time.Millisecond
+	// minAttempt is the least time that an attempt is given while another one may follow.
+	minAttempt = 100 * time.Millisecond
 	// backoffBase is the mean delay before the second retry; each further one doubles it. The first is sent at once, to
 	// another target.
 	backoffBase = 10 * time.Millisecond
@@ -64,6 +66,17 @@
 	return max(0, deadline.Sub(now)-hop.allowance())
 }
 
+// AttemptTimeout returns the time until the head of an answer after which an attempt is given up, so that another one still
+// fits before the deadline: half of what is left. It is all that is left for a request that may not be sent again, and
+// for the last attempt.
+func AttemptTimeout(now, deadline time.Time, repeat catalogue.Repeat, retries Count) time.Duration {
+	left := max(0, deadline.Sub(now))
+	if repeat != catalogue.Safe || retries >= MaxRetries || left < 2*minAttempt {
+		return left
+	}
+	return left / 2
+}
+
 // Budget is the retry budget of one process for one service. Create it with NewBudget.
 type Budget struct{ tokens float64 }
 
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -108,3 +108,24 @@
 		}
 	})
 }
+
+func TestAttemptTimeout(t *testing.T) {
+	cases := []struct {
+		name    string
+		left    time.Duration
+		repeat  catalogue.Repeat
+		retries Count
+		want    time.Duration
+	}{
+		{"safe", 800 * time.Millisecond, catalogue.Safe, 0, 400 * time.Millisecond},
+		{"never", 800 * time.Millisecond, catalogue.Never, 0, 800 * time.Millisecond},
+		{"last", 800 * time.Millisecond, catalogue.Safe, MaxRetries, 800 * time.Millisecond},
+		{"short", 150 * time.Millisecond, catalogue.Safe, 0, 150 * time.Millisecond},
+		{"past", -time.Second, catalogue.Safe, 0, 0},
+	}
+	for _, c := range cases {
+		if got := AttemptTimeout(epoch, epoch.Add(c.left), c.repeat, c.retries); got != c.want {
+			t.Errorf("%s: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
