--- a/internal/frontend/forward.go
+++ b/internal/frontend/forward.go
@@ -107,7 +107,7 @@
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled), refused.Kind == refusal.BodyTooLarge, refused.Kind == refusal.Cancelled:
 		return pick.Cancelled
-	case s.Answer.Load == nil:
+	case s.Answer.Load == nil, refused.Kind == refusal.TargetDown:
 		return pick.Broken
 	case refused.Run == headers.Unknown:
 		return pick.Failed
@@ -206,7 +206,7 @@
 // final reports whether no other target would answer otherwise.
 func final(kind refusal.Kind) bool {
 	switch kind {
-	case refusal.BodyTooLarge, refusal.NoOrganisation, refusal.Cancelled, refusal.Timeout, refusal.TooLate, refusal.Quarantined,
+	case refusal.BodyTooLarge, refusal.NoOrganisation, refusal.Cancelled, refusal.Timeout, refusal.Quarantined,
 		refusal.KeyInvalid, refusal.KeyRunning, refusal.KeyUnknown:
 		return true
 	}
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -66,6 +66,7 @@
 	turnstile turnstile
 	keys      keyTable
 	crashes   crashes
+	health    health
 	draining  atomic.Bool
 	running   sync.WaitGroup
 	drainLock sync.RWMutex
@@ -88,7 +89,14 @@
 }
 
 // Load returns the load of the target.
-func (g *Gatekeeper) Load() headers.LoadState { return g.turnstile.load() }
+// While the target takes no connections, its limit is 0.
+func (g *Gatekeeper) Load() headers.LoadState {
+	load := g.turnstile.load()
+	if g.health.down.Load() {
+		load.Limit = 0
+	}
+	return load
+}
 
 // Phase returns the gate's belief about the target.
 func (g *Gatekeeper) Phase() admission.Phase { return g.turnstile.state().Phase }
@@ -101,6 +109,7 @@
 	var seats sync.WaitGroup
 	defer seats.Wait()
 	seats.Go(func() { g.serveSeats(ctx) })
+	seats.Go(func() { g.serveHealth(ctx) })
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for {
@@ -177,6 +186,9 @@
 // check holds the call against the configuration in force here, before its body is read.
 func (g *Gatekeeper) check(state *snapshot.State, call *Call) (*snapshot.Route, *refusal.Refusal) {
 	config := state.Config
+	if g.health.down.Load() {
+		return nil, refusal.New(refusal.TargetDown, "the target of instance %q takes no connections", g.config.Instance)
+	}
 	if config == nil {
 		return nil, refusal.New(refusal.NotReady, "instance %q holds no configuration yet", g.config.Instance)
 	}
@@ -231,9 +243,14 @@
 	if err != nil {
 		wrote := !errors.Is(err, httppool.ErrNotWritten)
 		g.end(pass, suspicion, resultOf(ctx, err), wrote)
+		if !wrote && ctx.Err() == nil {
+			g.health.down.Store(true)
+			return nil, refusal.New(refusal.TargetDown, "target: %v", err)
+		}
 		return nil, failure(ctx, err, wrote)
 	}
 	pass.responded()
+	g.health.answered.Store(true)
 	if !verifiable(resp) {
 		resp.Body.Close()
 		g.end(pass, suspicion, admission.Failed, true)
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -36,6 +36,7 @@
 	Timeout        Kind = "timeout"
 	Cancelled      Kind = "cancelled"
 	Unreachable    Kind = "unreachable"
+	TargetDown     Kind = "target-down"
 	BrokenAnswer   Kind = "broken-answer"
 	Quarantined    Kind = "quarantined"
 	Suspected      Kind = "suspected"
@@ -74,6 +75,7 @@
 	Timeout:        {http.StatusGatewayTimeout, "allow the request more time, or check the target's latency"},
 	Cancelled:      {StatusCancelled, "none; the caller cancelled the request"},
 	Unreachable:    {http.StatusBadGateway, "retry if the request may be repeated; the connection to the target failed"},
+	TargetDown:     {http.StatusServiceUnavailable, "retry at another instance; the target of this one takes no connections"},
 	BrokenAnswer:   {http.StatusBadGateway, "retry if the request may be repeated; the target's answer was cut or has no verifiable length"},
 	Quarantined:    {http.StatusUnprocessableEntity, "do not send this request again; it crashed its targets"},
 	Suspected:      {http.StatusServiceUnavailable, "retry; the request was in flight when a target crashed and runs at one instance only"},
