--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -69,6 +69,8 @@
 	Latency time.Duration
 	Ending  Ending
 	Status  int
+	// Attempt is the caller's number of the send, or "".
+	Attempt string
 	// Via is the instance that took the call.
 	Via string
 	// Kind and Reason are those of a refusal.
@@ -161,7 +163,7 @@
 func (l *Load) Do(ctx context.Context, s *Stream, id string, first int) Call {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	c := Call{ID: id, Stream: s, Start: time.Now(), Ending: NoInstance}
+	c := Call{ID: id, Stream: s, Start: time.Now(), Ending: NoInstance, Attempt: s.Header.Get(standin.AttemptHeader)}
 	time.Sleep(clientDelay)
 	for try := range maxTries {
 		if l.send(ctx, &c, l.nodes[(first+try)%len(l.nodes)]) && !c.elsewhere() {
--- a/internal/bench/mesh.go
+++ b/internal/bench/mesh.go
@@ -15,6 +15,7 @@
 	"github.com/chervilwell/chervilwell/catalogue"
 	"github.com/chervilwell/chervilwell/examples"
 	"github.com/chervilwell/chervilwell/internal/certs"
+	"github.com/chervilwell/chervilwell/internal/frontend"
 	"github.com/chervilwell/chervilwell/internal/standin"
 	"github.com/chervilwell/chervilwell/platform"
 )
@@ -76,6 +77,8 @@
 	Change func(*catalogue.Catalogue)
 	// Target edits the configuration of each target.
 	Target func(*standin.TargetConfig)
+	// Carrier replaces the way to other instances and the own one; nil keeps it. It takes the daemon's carrier.
+	Carrier func(inner frontend.Carrier) frontend.Carrier
 	// Instances is the number of instances; beyond the deployment's thirteen, placements repeat.
 	Instances int
 }
--- a/internal/bench/mesh_node.go
+++ b/internal/bench/mesh_node.go
@@ -142,9 +142,12 @@
 			picker.SetLeaving(notice.Subject, true)
 		}
 	})
+	var carrier frontend.Carrier = &frontend.LocalCarrier{Instance: n.Instance.Name, Gatekeeper: p.gatekeeper, Remote: remote}
+	if n.mesh.options.Carrier != nil {
+		carrier = n.mesh.options.Carrier(carrier)
+	}
 	front := frontend.New(frontend.Config{
-		Instance: n.Instance.Name, FailureDomain: domain, Holder: p.holder, Picker: picker,
-		Carrier:                 &frontend.LocalCarrier{Instance: n.Instance.Name, Gatekeeper: p.gatekeeper, Remote: remote},
+		Instance: n.Instance.Name, FailureDomain: domain, Holder: p.holder, Picker: picker, Carrier: carrier,
 		TrustOrganisationHeader: true, Log: n.mesh.log,
 	})
 	p.frontend = frontend.NewServer(callers, nil, front)
--- /dev/null
+++ b/internal/history/fleet_test.go
@@ -0,0 +1,218 @@
+package history
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/chervilwell/chervilwell/catalogue"
+	"github.com/chervilwell/chervilwell/distribution"
+	"github.com/chervilwell/chervilwell/document"
+	"github.com/chervilwell/chervilwell/examples"
+	"github.com/chervilwell/chervilwell/internal/agent"
+	"github.com/chervilwell/chervilwell/internal/peer"
+	"github.com/chervilwell/chervilwell/internal/standin"
+	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/ring"
+	"github.com/chervilwell/chervilwell/snapshot"
+)
+
+// network carries messages between agents with delays, so that they reorder, and with loss, repetition and cuts.
+type network struct {
+	mu     sync.Mutex
+	rng    *rand.Rand
+	inbox  map[string]*ring.Ring[peer.Inbound]
+	domain map[string]string
+	cut    map[string]bool // failure domains that are cut off
+}
+
+// port is one agent's end of the network.
+type port struct {
+	net   *network
+	self  platform.Instance
+	inbox *ring.Ring[peer.Inbound]
+}
+
+func (p *port) Receive() *ring.Ring[peer.Inbound] { return p.inbox }
+
+func (p *port) Send(to distribution.Address, m distribution.Message) {
+	n := p.net
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	from, there := p.self.FailureDomain, n.domain[to.Addr]
+	if from != there && (n.cut[from] || n.cut[there]) {
+		return
+	}
+	copies := 1
+	switch n.rng.IntN(20) {
+	case 0:
+		copies = 0
+	case 1:
+		copies = 2
+	}
+	in := peer.Inbound{From: distribution.Address{Name: p.self.Name, Addr: p.self.PeerAddr}, FailureDomain: from, Message: m}
+	for range copies {
+		time.AfterFunc(time.Duration(1+n.rng.IntN(40))*time.Millisecond, func() { n.deliver(to.Addr, in) })
+	}
+}
+
+func (n *network) deliver(addr string, in peer.Inbound) {
+	n.mu.Lock()
+	inbox := n.inbox[addr]
+	n.mu.Unlock()
+	if inbox != nil {
+		inbox.Put(in)
+	}
+}
+
+func (n *network) setCut(domain string, cut bool) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.cut[domain] = cut
+}
+
+// process is what the fleet runs at an instance: the real agent, or a broken variant.
+type process interface {
+	Serve(ctx context.Context) error
+	// InForce returns the configuration that the process serves by, or nil.
+	InForce() Config
+}
+
+// agentProcess is the real part.
+type agentProcess struct {
+	*agent.Agent
+	holder *snapshot.Holder
+}
+
+func (p *agentProcess) InForce() Config {
+	if !p.Joined() {
+		return nil
+	}
+	return p.holder.Load().Config
+}
+
+// fleet runs a process at each of several instances in virtual time and records what is in force.
+type fleet struct {
+	platform  *standin.Platform
+	network   *network
+	catalogue *catalogue.Catalogue
+	configs   *Configs
+	instances []platform.Instance
+	build     func(f *fleet, inst platform.Instance) process
+
+	mu    sync.Mutex
+	stops map[string]func()
+	procs map[string]process
+	// troubled holds since when an instance can't follow, and calm since when it can again.
+	troubled map[string]bool
+	calm     map[string]time.Time
+}
+
+func newFleet(t *testing.T, seed uint64, build func(*fleet, platform.Instance) process) *fleet {
+	t.Helper()
+	cat, err := catalogue.Parse("streusalz.jsonc", examples.Streusalz)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f := &fleet{
+		platform:  standin.NewPlatform(standin.PlatformConfig{ReadsPerSecond: 2000, Delay: 3 * time.Millisecond, InstanceLag: time.Second}),
+		network:   &network{rng: rand.New(rand.NewPCG(seed, 1)), inbox: map[string]*ring.Ring[peer.Inbound]{}, domain: map[string]string{}, cut: map[string]bool{}},
+		catalogue: cat, configs: &Configs{}, build: build,
+		stops: map[string]func(){}, procs: map[string]process{}, troubled: map[string]bool{}, calm: map[string]time.Time{},
+	}
+	for _, domain := range []string{"obb-muc", "obb-ro", "nbb-la", "nbb-pa"} {
+		for i := range 2 {
+			name := fmt.Sprintf("%s-%d", domain, i+1)
+			f.instances = append(f.instances, platform.Instance{
+				Name: name, FailureDomain: domain, Service: "lagerstand", PeerAddr: name + ":1", RequestAddr: name + ":2", State: platform.Live,
+			})
+			f.network.domain[name+":1"] = domain
+		}
+	}
+	return f
+}
+
+// newAgent builds the real part.
+func newAgent(f *fleet, inst platform.Instance) process {
+	holder := snapshot.NewHolder()
+	seeds := make([]string, 0, len(f.instances))
+	for _, other := range f.instances {
+		seeds = append(seeds, other.PeerAddr)
+	}
+	inbox := ring.New[peer.Inbound](peer.InboundQueue, ring.DropOldest)
+	f.network.mu.Lock()
+	f.network.inbox[inst.PeerAddr] = inbox
+	f.network.mu.Unlock()
+	return &agentProcess{holder: holder, Agent: agent.New(agent.Config{
+		Self: inst, Region: "obb", Seeds: seeds, Source: f.platform, Transport: &port{net: f.network, self: inst, inbox: inbox},
+		Holder: holder, Log: zerolog.Nop(), FleetSize: len(f.instances),
+	})}
+}
+
+// publish edits the catalogue and publishes it under the next revision.
+func (f *fleet) publish(t *testing.T, edit func(*catalogue.Catalogue)) {
+	t.Helper()
+	edit(f.catalogue)
+	f.catalogue.Revision++
+	doc, err := catalogue.Encode(f.catalogue)
+	if err != nil {
+		t.Fatal(err)
+	}
+	f.publishDocument(t, doc)
+}
+
+func (f *fleet) publishDocument(t *testing.T, doc *document.Document) {
+	t.Helper()
+	f.configs.Published(doc, time.Now())
+	if err := f.platform.PublishDocument(doc); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (f *fleet) start(inst platform.Instance) {
+	p := f.build(f, inst)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = p.Serve(ctx)
+	}()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.procs[inst.Name] = p
+	f.stops[inst.Name] = func() { cancel(); <-done }
+}
+
+func (f *fleet) kill(name string) {
+	f.mu.Lock()
+	stop := f.stops[name]
+	delete(f.procs, name)
+	delete(f.stops, name)
+	f.mu.Unlock()
+	if stop != nil {
+		stop()
+	}
+}
+
+// watch records what is in force everywhere until ctx ends.
+func (f *fleet) watch(ctx context.Context) {
+	const interval = 20 * time.Millisecond
+	for ctx.Err() == nil {
+		f.mu.Lock()
+		now := time.Now()
+		for _, inst := range f.instances {
+			if p := f.procs[inst.Name]; p != nil {
+				if config := p.InForce(); config != nil {
+					f.configs.See(inst.Name, now, config)
+				}
+			}
+		}
+		f.mu.Unlock()
+		time.Sleep(interval)
+	}
+}
