--- a/internal/bench/mesh.go
+++ b/internal/bench/mesh.go
@@ -270,6 +270,9 @@
 	m.Links.SetCut(domain, platformDomain, cut)
 }
 
+// Limits returns what the targets of a service bear.
+func (m *Mesh) Limits(service string) catalogue.ServiceLimits { return m.limits[service] }
+
 // In returns the nodes of a failure domain.
 func (m *Mesh) In(domain string) []*Node {
 	var out []*Node
--- a/internal/bench/mesh_net.go
+++ b/internal/bench/mesh_net.go
@@ -80,7 +80,23 @@
 	if links.Cut(from, domain) || links.Stalled(t.node.Instance.Name) || links.Stalled(to.Name) {
 		return
 	}
-	time.AfterFunc(links.Delay(from, domain), func() { t.Quic.Send(to, msg) })
+	delay := links.Delay(from, domain)
+	if delay == 0 {
+		t.Quic.Send(to, msg)
+		return
+	}
+	// The sender may change the message after this call, so the copy on its way is made now.
+	data, err := distribution.Encode(msg)
+	if err != nil {
+		return
+	}
+	time.AfterFunc(delay, func() { t.sendCopy(to, data) })
+}
+
+func (t *linkedTransport) sendCopy(to distribution.Address, data []byte) {
+	if msg, err := distribution.Decode(data); err == nil {
+		t.Quic.Send(to, msg)
+	}
 }
 
 // domainOf returns the failure domain of a peer by its address, or "".
