Hold requests and answers between regions to the organisations' shares of the link

Cause: nothing kept an organisation from using more of the paid link than its share. Change: package linkbudget carries the messages of linkshare; the frontend takes the head of a request from the budget or refuses it as not run, bodies and answers are paced. A link without a capacity and an organisation without a linkShare are not limited. The time to connect to another instance is bounded by 400 ms, so that a cut link leaves time for another one.

--- a/internal/bench/mesh_node.go
+++ b/internal/bench/mesh_node.go
@@ -13,6 +13,7 @@
 	"github.com/chervilwell/chervilwell/internal/certs"
 	"github.com/chervilwell/chervilwell/internal/frontend"
 	"github.com/chervilwell/chervilwell/internal/gatekeeper"
+	"github.com/chervilwell/chervilwell/internal/linkbudget"
 	"github.com/chervilwell/chervilwell/internal/peer"
 	"github.com/chervilwell/chervilwell/internal/refusal"
 	"github.com/chervilwell/chervilwell/internal/standin"
@@ -46,6 +47,7 @@
 	agent      *agent.Agent
 	transport  *peer.Quic
 	gatekeeper *gatekeeper.Gatekeeper
+	link       *linkbudget.Budget
 	requests   *gatekeeper.Server
 	frontend   *frontend.Server
 	stop       context.CancelFunc
@@ -130,9 +132,10 @@
 		Holder: p.holder, Log: n.mesh.log, FleetSize: len(n.mesh.placements()),
 	})
 	remote := &linkCarrier{mesh: n.mesh, from: domain, carrier: frontend.NewHTTPCarrier(n.store)}
+	p.link = linkbudget.New(linkbudget.Config{Instance: n.Instance.Name, Region: n.mesh.regions[domain], Holder: p.holder, Peers: remote})
 	p.gatekeeper = gatekeeper.New(gatekeeper.Config{
 		Instance: n.Instance.Name, FailureDomain: domain, Region: n.mesh.regions[domain], Service: n.Instance.Service,
-		TargetAddr: n.Target.Address(), Holder: p.holder, Peers: remote, Log: n.mesh.log,
+		TargetAddr: n.Target.Address(), Holder: p.holder, Peers: remote, Link: p.link, Log: n.mesh.log,
 	})
 	p.requests = gatekeeper.NewServer(requests, n.store.PeerServer("http/1.1"), p.gatekeeper)
 	front := frontend.New(frontend.Config{
@@ -141,7 +144,7 @@
 			Instance: n.Instance.Name, Gatekeeper: p.gatekeeper,
 			Remote: remote,
 		},
-		TrustOrganisationHeader: true, Log: n.mesh.log,
+		Link: p.link, TrustOrganisationHeader: true, Log: n.mesh.log,
 	})
 	p.frontend = frontend.NewServer(callers, nil, front)
 	return p, nil
@@ -150,7 +153,7 @@
 func (p *process) run() {
 	ctx, stop := context.WithCancel(context.Background())
 	p.stop = stop
-	for _, duty := range []func(context.Context) error{p.agent.Serve, p.gatekeeper.Serve, p.requests.Serve, p.frontend.Serve} {
+	for _, duty := range []func(context.Context) error{p.agent.Serve, p.gatekeeper.Serve, p.link.Serve, p.requests.Serve, p.frontend.Serve} {
 		p.duties.Go(func() { _ = duty(ctx) }) // ends with the life
 	}
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/chervilwell/chervilwell/internal/certs"
 	"github.com/chervilwell/chervilwell/internal/frontend"
 	"github.com/chervilwell/chervilwell/internal/gatekeeper"
+	"github.com/chervilwell/chervilwell/internal/linkbudget"
 	"github.com/chervilwell/chervilwell/internal/operator"
 	"github.com/chervilwell/chervilwell/internal/peer"
 	"github.com/chervilwell/chervilwell/platform"
@@ -52,6 +53,7 @@
 	transport *peer.Quic
 	agent     *agent.Agent
 	gate      *gatekeeper.Gatekeeper
+	link      *linkbudget.Budget
 	requests  *gatekeeper.Server
 	front     *frontend.Frontend
 	picker    *frontend.Picker
@@ -217,6 +219,7 @@
 	}
 	tree.Add(d.agent)
 	tree.Add(d.gate)
+	tree.Add(d.link)
 	tree.Add(d.requests)
 	tree.Add(d.callers)
 	tree.Add(d.operator)
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -8,6 +8,7 @@
 	"github.com/chervilwell/chervilwell/internal/agent"
 	"github.com/chervilwell/chervilwell/internal/frontend"
 	"github.com/chervilwell/chervilwell/internal/gatekeeper"
+	"github.com/chervilwell/chervilwell/internal/linkbudget"
 	"github.com/chervilwell/chervilwell/internal/peer"
 	"github.com/chervilwell/chervilwell/platform"
 )
@@ -44,9 +45,10 @@
 func (d *Daemon) buildRequests() error {
 	s := d.settings
 	remote := frontend.NewHTTPCarrier(d.certs)
+	d.link = linkbudget.New(linkbudget.Config{Instance: s.Instance, Region: s.Region, Holder: d.holder, Peers: remote})
 	d.gate = gatekeeper.New(gatekeeper.Config{
 		Instance: s.Instance, FailureDomain: s.FailureDomain, Region: s.Region, Service: s.Service, TargetAddr: s.Target.Addr,
-		Holder: d.holder, Peers: remote, Trail: d.trail, Log: d.log,
+		Holder: d.holder, Peers: remote, Link: d.link, Trail: d.trail, Log: d.log,
 	})
 	d.requests = gatekeeper.NewServer(d.listeners.requests, d.certs.PeerServer("http/1.1"), d.gate)
 	d.picker = frontend.NewPicker(s.Instance, s.FailureDomain)
@@ -57,6 +59,7 @@
 		Carrier: &frontend.LocalCarrier{
 			Instance: s.Instance, Gatekeeper: d.gate, Remote: remote,
 		},
+		Link:                    d.link,
 		TrustOrganisationHeader: s.TrustOrganisationHeader,
 		Registerer:              d.registry,
 		Log:                     d.log,
--- a/internal/frontend/carrier.go
+++ b/internal/frontend/carrier.go
@@ -17,6 +17,7 @@
 	"github.com/chervilwell/chervilwell/internal/gatekeeper"
 	"github.com/chervilwell/chervilwell/internal/headers"
 	"github.com/chervilwell/chervilwell/internal/httppool"
+	"github.com/chervilwell/chervilwell/internal/linkbudget"
 	"github.com/chervilwell/chervilwell/internal/refusal"
 	"github.com/chervilwell/chervilwell/internal/stream"
 	"github.com/chervilwell/chervilwell/pick"
@@ -41,7 +42,8 @@
 
 // Limits of the connections to other instances.
 const (
-	dialTimeout   = 2 * time.Second
+	// dialTimeout bounds TCP and TLS set-up, three round trips over the slowest link; another instance is tried after it.
+	dialTimeout   = 400 * time.Millisecond
 	idleTimeout   = 90 * time.Second
 	maxAnswerHead = 128 << 10
 	// maxConns bounds the connections to one instance, maxIdle those kept open between requests.
@@ -190,6 +192,8 @@
 	switch {
 	case errors.As(err, &tooLarge):
 		kind = refusal.BodyTooLarge
+	case errors.Is(err, linkbudget.ErrSpent):
+		kind = refusal.LinkBusy
 	case stream.Expired(ctx):
 		kind = refusal.Timeout
 	case ctx.Err() != nil:
--- a/internal/frontend/forward.go
+++ b/internal/frontend/forward.go
@@ -10,6 +10,7 @@
 
 	"github.com/chervilwell/chervilwell/catalogue"
 	"github.com/chervilwell/chervilwell/internal/headers"
+	"github.com/chervilwell/chervilwell/internal/linkbudget"
 	"github.com/chervilwell/chervilwell/internal/refusal"
 	"github.com/chervilwell/chervilwell/once"
 	"github.com/chervilwell/chervilwell/pick"
@@ -76,7 +77,7 @@
 // attempt sends the request to one target.
 func (f *Frontend) attempt(ctx context.Context, req *request, target platform.Instance) (*http.Response, *refusal.Refusal) {
 	shipment := &Shipment{Target: target, Route: req.route.Name, Organisation: req.organisation, Request: req.outgoing(ctx)}
-	resp, refused := f.config.Carrier.Do(shipment)
+	resp, refused := f.send(ctx, req, shipment)
 	if refused != nil {
 		shipment.Answer.Result = resultOfRefusal(ctx, shipment, refused)
 		f.config.Picker.ended(target.Name, shipment.Answer)
@@ -97,6 +98,26 @@
 	return resp, nil
 }
 
+// headBytes is what the head of a request takes of a link.
+const headBytes = 1 << 10
+
+// send gives a shipment to the carrier, within the organisation's share of the link if it goes to another region.
+func (f *Frontend) send(ctx context.Context, req *request, s *Shipment) (*http.Response, *refusal.Refusal) {
+	there := req.state.Config.RegionOf(s.Target.FailureDomain)
+	if f.config.Link == nil || there == req.region {
+		return f.config.Carrier.Do(s)
+	}
+	if !f.config.Link.TrySpend(there, req.organisation, headBytes) {
+		return nil, refusal.New(refusal.LinkBusy, "%v", linkbudget.ErrSpent)
+	}
+	if s.Request.Body != http.NoBody {
+		s.Request.Body = &linkbudget.Body{
+			ReadCloser: s.Request.Body, Budget: f.config.Link, Context: ctx, To: there, Organisation: req.organisation,
+		}
+	}
+	return f.config.Carrier.Do(s)
+}
+
 // countOf returns the retries that headers tell of.
 func countOf(h http.Header) retry.Count {
 	return retry.Count(max(0, headers.ParseAttempt(h.Get(headers.Attempt))-1))
@@ -105,7 +126,8 @@
 // resultOfRefusal says what a refusal teaches about its target.
 func resultOfRefusal(ctx context.Context, s *Shipment, refused *refusal.Refusal) pick.Result {
 	switch {
-	case errors.Is(ctx.Err(), context.Canceled), refused.Kind == refusal.BodyTooLarge, refused.Kind == refusal.Cancelled:
+	case errors.Is(ctx.Err(), context.Canceled), refused.Kind == refusal.BodyTooLarge,
+		refused.Kind == refusal.Cancelled, refused.Kind == refusal.LinkBusy:
 		return pick.Cancelled
 	case s.Answer.Load == nil, refused.Kind == refusal.TargetDown:
 		return pick.Broken
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -12,6 +12,7 @@
 
 	"github.com/chervilwell/chervilwell/internal/certs"
 	"github.com/chervilwell/chervilwell/internal/headers"
+	"github.com/chervilwell/chervilwell/internal/linkbudget"
 	"github.com/chervilwell/chervilwell/internal/refusal"
 	"github.com/chervilwell/chervilwell/internal/stream"
 	"github.com/chervilwell/chervilwell/retry"
@@ -28,6 +29,8 @@
 	Picker *Picker
 	// Carrier reaches the targets' instances.
 	Carrier Carrier
+	// Link holds requests to other regions to the organisations' shares of the links; nil means unlimited.
+	Link *linkbudget.Budget
 	// TrustOrganisationHeader takes the organisation of callers without a certificate from a header.
 	TrustOrganisationHeader bool
 	// Registerer takes the metrics; it may be nil.
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -17,6 +17,7 @@
 	"github.com/chervilwell/chervilwell/catalogue"
 	"github.com/chervilwell/chervilwell/internal/headers"
 	"github.com/chervilwell/chervilwell/internal/httppool"
+	"github.com/chervilwell/chervilwell/internal/linkbudget"
 	"github.com/chervilwell/chervilwell/internal/refusal"
 	"github.com/chervilwell/chervilwell/internal/stream"
 	"github.com/chervilwell/chervilwell/once"
@@ -38,6 +39,8 @@
 	Holder *snapshot.Holder
 	// Peers reaches the gatekeepers of the service's other instances. Without it no keyed request can run beside others.
 	Peers Peers
+	// Link paces answers to other regions; nil means unlimited.
+	Link *linkbudget.Budget
 	// Now returns the present time for keyed requests; nil means time.Now.
 	Now func() time.Time
 	// Trail takes the audit records; it may be nil.
--- a/internal/gatekeeper/seats.go
+++ b/internal/gatekeeper/seats.go
@@ -11,6 +11,7 @@
 
 	"github.com/chervilwell/chervilwell/document"
 	"github.com/chervilwell/chervilwell/internal/certs"
+	"github.com/chervilwell/chervilwell/internal/linkbudget"
 	"github.com/chervilwell/chervilwell/internal/refusal"
 	"github.com/chervilwell/chervilwell/once"
 	"github.com/chervilwell/chervilwell/platform"
@@ -105,10 +106,19 @@
 		return g.takeHello(body, from)
 	case noticePath:
 		return g.takeNotice(body, from)
+	case linkbudget.Path:
+		return true, g.takeLink(body, from)
 	}
 	return g.takeFarewell(body, from)
 }
 
+func (g *Gatekeeper) takeLink(body []byte, from certs.Identity) error {
+	if g.config.Link == nil {
+		return errors.New("no link budget is kept here")
+	}
+	return g.config.Link.Take(body, from.Instance)
+}
+
 func (g *Gatekeeper) takeAsk(body []byte, from certs.Identity) (any, error) {
 	var ask once.Ask
 	if err := document.Unmarshal(body, &ask); err != nil {
--- a/internal/gatekeeper/server.go
+++ b/internal/gatekeeper/server.go
@@ -11,6 +11,7 @@
 
 	"github.com/chervilwell/chervilwell/internal/certs"
 	"github.com/chervilwell/chervilwell/internal/headers"
+	"github.com/chervilwell/chervilwell/internal/linkbudget"
 	"github.com/chervilwell/chervilwell/internal/refusal"
 	"github.com/chervilwell/chervilwell/internal/stream"
 )
@@ -32,7 +33,7 @@
 		return
 	}
 	switch r.URL.Path {
-	case askPath, helloPath, farewellPath, noticePath:
+	case askPath, helloPath, farewellPath, noticePath, linkbudget.Path:
 		g.serveMessage(w, r, peer)
 		return
 	}
@@ -65,7 +66,23 @@
 	attempt := r.Header.Get(headers.Attempt)
 	headers.StripInternal(r.Header)
 	r.Header[headers.Attempt] = []string{attempt}
-	return g.Do(call)
+	resp, refused := g.Do(call)
+	if refused == nil {
+		g.pace(call, resp, peer)
+	}
+	return resp, refused
+}
+
+// pace holds an answer to another region to the organisation's share of the link.
+func (g *Gatekeeper) pace(call *Call, resp *http.Response, peer certs.Identity) {
+	config := g.config.Holder.Load().Config
+	if g.config.Link == nil || config == nil || config.RegionOf(peer.FailureDomain) == g.config.Region {
+		return
+	}
+	resp.Body = &linkbudget.Body{
+		ReadCloser: resp.Body, Budget: g.config.Link, Context: call.Request.Context(),
+		To: config.RegionOf(peer.FailureDomain), Organisation: call.Organisation,
+	}
 }
 
 // checkOrigin refuses a request that was already where it may not be.
--- /dev/null
+++ b/internal/linkbudget/budget_test.go
@@ -0,0 +1,140 @@
+package linkbudget
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/chervilwell/chervilwell/catalogue"
+	"github.com/chervilwell/chervilwell/document"
+	"github.com/chervilwell/chervilwell/linkshare"
+	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/snapshot"
+)
+
+const linkRate = 80_000
+
+// wire joins budgets; it may be cut.
+type wire struct {
+	from    string
+	budgets map[string]*Budget
+	cut     bool
+}
+
+func (w *wire) Post(_ context.Context, to platform.Instance, _ string, body []byte) ([]byte, error) {
+	if w.cut {
+		return nil, errors.New("cut off")
+	}
+	return nil, w.budgets[to.Name].Take(body, w.from)
+}
+
+func holder(t *testing.T, names ...string) *snapshot.Holder {
+	t.Helper()
+	limits := catalogue.ServiceLimits{
+		Slots: 1, Connections: 2, Queue: 1, ColdSlots: 1, ColdPeriod: catalogue.Duration(time.Second), Drain: catalogue.Duration(time.Second),
+	}
+	doc, err := catalogue.Encode(&catalogue.Catalogue{
+		Revision: 1,
+		Organisations: []catalogue.Organisation{
+			{Name: "haulier-a", Share: 0.5, LinkShare: 0.5}, {Name: "haulier-b", Share: 0.5},
+		},
+		Regions: []catalogue.Region{
+			{Name: "obb", FailureDomains: []catalogue.FailureDomain{{Name: "obb-muc", State: catalogue.In}}},
+			{Name: "nbb", FailureDomains: []catalogue.FailureDomain{{Name: "nbb-la", State: catalogue.In}}},
+		},
+		Links:    []catalogue.Link{{Between: [2]string{"obb", "nbb"}, BytesPerSecond: linkRate}},
+		Services: []catalogue.Service{{Name: "depot", Owner: "haulier-a", Class: catalogue.Interactive, Limits: limits}},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	list := platform.InstanceList{FailureDomain: "obb-muc", Version: 1}
+	for _, name := range names {
+		list.Instances = append(list.Instances, platform.Instance{Name: name, FailureDomain: "obb-muc", Service: "depot", State: platform.Live})
+	}
+	instances, err := snapshot.EncodeInstances(list)
+	if err != nil {
+		t.Fatal(err)
+	}
+	endpoints, err := snapshot.CompileEndpoints([]*document.Document{instances})
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := snapshot.NewHolder()
+	h.SetEndpoints(endpoints)
+	if err := h.Accept(doc); err != nil {
+		t.Fatal(err)
+	}
+	return h
+}
+
+// spendGreedily runs four instances for a time, one of which spends all it gets, and returns its bytes.
+func spendGreedily(t *testing.T, cut bool, d time.Duration) int64 {
+	names := []string{"obb-muc-1", "obb-muc-2", "obb-muc-3", "obb-muc-4"}
+	h := holder(t, names...)
+	ctx, cancel := context.WithCancel(context.Background())
+	budgets := map[string]*Budget{}
+	var duties sync.WaitGroup
+	for _, name := range names {
+		budgets[name] = New(Config{Instance: name, Region: "obb", Holder: h, Peers: &wire{from: name, budgets: budgets, cut: cut}})
+	}
+	for _, b := range budgets {
+		duties.Go(func() { _ = b.Serve(ctx) })
+	}
+	time.Sleep(2 * linkshare.Interval)
+	end, stop := context.WithTimeout(ctx, d)
+	defer stop()
+	const piece = 1000
+	var spent int64
+	for budgets["obb-muc-1"].Spend(end, "nbb", "haulier-a", piece) == nil {
+		spent += piece
+	}
+	cancel()
+	duties.Wait()
+	return spent
+}
+
+func TestUnusedPartsAreLentAndTheShareHolds(t *testing.T) {
+	const d = time.Minute
+	const share = linkRate / 2
+	synctest.Test(t, func(t *testing.T) {
+		alone := spendGreedily(t, true, d)
+		if most := int64(share / 4 * (d + linkshare.Burst).Seconds()); alone > most || alone < most/2 {
+			t.Errorf("cut off, the instance spent %d bytes, its part is %d", alone, most)
+		}
+		lent := spendGreedily(t, false, d)
+		if most := int64(share * (d + linkshare.Burst).Seconds()); lent > most {
+			t.Errorf("spent %d bytes, the organisation's share is %d", lent, most)
+		}
+		if lent < 2*alone {
+			t.Errorf("spent %d bytes with the unused parts of three others, %d without", lent, alone)
+		}
+	})
+}
+
+func TestWhatIsNotLimited(t *testing.T) {
+	b := New(Config{Instance: "obb-muc-1", Region: "obb", Holder: holder(t, "obb-muc-1")})
+	b.round(context.Background())
+	const much = 1 << 40
+	if !b.TrySpend("obb", "haulier-a", much) || !b.TrySpend("nbb", "haulier-b", much) || !(*Budget)(nil).TrySpend("nbb", "haulier-a", much) {
+		t.Fatal("the own region, an organisation without a share or no budget was limited")
+	}
+	if b.TrySpend("nbb", "haulier-a", much) {
+		t.Fatal("a share was exceeded")
+	}
+}
+
+func TestMessageSpeaksForItsSenderOnly(t *testing.T) {
+	b := New(Config{Instance: "obb-muc-1", Region: "obb", Holder: holder(t, "obb-muc-1")})
+	body, err := document.Marshal(message{Loans: []linkshare.Loan{{From: "obb-muc-2", To: "obb-muc-1"}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := b.Take(body, "obb-muc-3"); !errors.Is(err, ErrNotSender) {
+		t.Fatalf("got %v", err)
+	}
+}
