linkbudget: spend from the own part at once after a start

Cause: with linkshare's wait of five seconds replaced processes refused what had to go to the other region. Change: the account counts as started before; the price is written down in docs/design/datapath.md.

--- a/internal/linkbudget/budget.go
+++ b/internal/linkbudget/budget.go
@@ -71,12 +71,14 @@
 	organisation string
 }
 
-// New returns a budget that limits nothing before Serve has read a configuration.
+// New returns a budget that limits nothing before Serve has read a configuration. Its account mints from then on: a process
+// that was replaced is counted by the others already, and a new one exceeds the share by its own part at most until their
+// lists show it.
 func New(config Config) *Budget {
 	now := time.Now()
 	return &Budget{
 		config:  config,
-		account: linkshare.NewAccount(now, config.Instance),
+		account: linkshare.NewAccount(now.Add(-linkshare.StartAfter), config.Instance),
 		lender:  linkshare.NewLender(now, config.Instance),
 	}
 }
