frontend: fewer allocations per attempt; a test that waited for an immature executor

Cause: each attempt copied all header values, and parsing an absent header made an error. TestResendJoinsTheRunItsCallerLeft hung in one of four runs side by side: an executor that was not mature yet refused the request, and the test waited for a run that could not come. Change: headers are stripped once and copied shallowly; the test sends its request until it runs, and checks each refusal's kind; what it checks of the resend is unchanged.

--- a/internal/frontend/carrier.go
+++ b/internal/frontend/carrier.go
@@ -160,7 +160,7 @@
 }
 
 func (s *Shipment) prepare() *http.Request {
-	out := s.Request.WithContext(s.Request.Context())
+	out := s.Request
 	out.URL = &url.URL{
 		Scheme:   "https",
 		Host:     s.Target.RequestAddr,
--- a/internal/frontend/forward.go
+++ b/internal/frontend/forward.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -180,9 +181,7 @@
 // outgoing returns the request as it leaves for one attempt.
 func (req *request) outgoing(ctx context.Context) *http.Request {
 	out := req.in.WithContext(ctx)
-	out.Header = req.in.Header.Clone()
-	headers.StripHopByHop(out.Header)
-	headers.StripInternal(out.Header)
+	out.Header = maps.Clone(req.in.Header) // whoever changes a header replaces its values
 	out.Header[headers.Attempt] = []string{headers.FormatAttempt(int(req.retries) + 1)}
 	out.Header[headers.Timeout] = []string{headers.FormatTimeout(time.Until(req.deadline))}
 	out.Body = req.body.open()
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -129,6 +129,8 @@
 		req.deadline = now.Add(left)
 	}
 	req.retries = countOf(r.Header)
+	headers.StripHopByHop(r.Header)
+	headers.StripInternal(r.Header)
 	req.body = newReplayBody(body, r.ContentLength, req.route.Limits.BodyBytes)
 	return req, nil
 }
--- a/internal/frontend/keyed_test.go
+++ b/internal/frontend/keyed_test.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"io"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -75,15 +76,34 @@
 	}
 	f := newFleet(t, handler, "obb-muc", "nbb-la")
 	f.untilMature("")
-	key := f.freshKey()
-	resp, _ := call(t, "POST", f.members[0].url+"/order/slow", "", headers.IdempotencyKey, key, headers.Timeout, "2000")
-	<-running
-	if resp.StatusCode < http.StatusBadRequest || resp.Header.Get(headers.Run) != "unknown" {
-		t.Fatalf("first got %d %v", resp.StatusCode, resp.Header)
-	}
+	key := f.startAndLeave(running)
 	close(finish)
 	resp, body := call(t, "POST", f.members[1].url+"/order/slow", "", headers.IdempotencyKey, key)
 	if resp.StatusCode != http.StatusOK || body != "booked" || runs.Load() != 1 {
 		t.Fatalf("resend got %d %s after %d runs", resp.StatusCode, body, runs.Load())
 	}
 }
+
+// startAndLeave sends a slow keyed request until it runs, and leaves it. An executor that is not mature yet runs none.
+func (f *fleet) startAndLeave(running <-chan struct{}) string {
+	f.t.Helper()
+	for range 400 {
+		key := f.freshKey()
+		resp, body := call(f.t, "POST", f.members[0].url+"/order/slow", "", headers.IdempotencyKey, key, headers.Timeout, "2000")
+		if resp.StatusCode < http.StatusBadRequest || resp.Header.Get(headers.Run) != "unknown" {
+			f.t.Fatalf("first got %d %v %s", resp.StatusCode, resp.Header, body)
+		}
+		select {
+		case <-running:
+			return key
+		default:
+		}
+		if !strings.Contains(body, `"kind":"key-not-ready"`) {
+			f.t.Fatalf("first got %s", body)
+		}
+		f.ahead.Add(int64(time.Second))
+		time.Sleep(20 * time.Millisecond)
+	}
+	f.t.Fatal("no keyed request ran")
+	return ""
+}
--- a/internal/headers/headers.go
+++ b/internal/headers/headers.go
@@ -63,6 +63,9 @@
 
 // ParseAttempt reads an attempt count. An absent or bad one is 0.
 func ParseAttempt(s string) int {
+	if s == "" {
+		return 0 // spares the allocation of an error
+	}
 	n, err := strconv.Atoi(s)
 	if err != nil || n < 0 {
 		return 0
@@ -75,6 +78,9 @@
 
 // ParseTimeout reads the time left. It reports false if the value is absent or bad.
 func ParseTimeout(s string) (time.Duration, bool) {
+	if s == "" {
+		return 0, false // spares the allocation of an error
+	}
 	ms, err := strconv.ParseInt(s, 10, 64)
 	if err != nil || ms < 0 {
 		return 0, false
