--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -90,7 +90,7 @@
 	}
 	a := &Agent{
 		cfg:         cfg,
-		metrics:     newMetrics(cfg.Registerer),
+		metrics:     newMetrics(cfg.Registerer, cfg.Transport),
 		reads:       ring.New[distribution.Action](readsCapacity, ring.DropOldest),
 		notices:     ring.New[distribution.Notice](noticesCapacity, ring.DropOldest),
 		apply:       newApplier(cfg.Holder, cfg.Log),
--- a/internal/agent/metrics.go
+++ b/internal/agent/metrics.go
@@ -1,13 +1,20 @@
 package agent
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/chervilwell/chervilwell/internal/peer"
+)
+
+// trafficCounter is implemented by transports that count bytes.
+type trafficCounter interface{ Traffic() peer.Traffic }
 
 type metrics struct {
 	sent, received, reads prometheus.Counter
 	revision              prometheus.Gauge
 }
 
-func newMetrics(r prometheus.Registerer) *metrics {
+func newMetrics(r prometheus.Registerer, transport peer.Transport) *metrics {
 	counter := func(name, help string) prometheus.Counter {
 		return prometheus.NewCounter(prometheus.CounterOpts{Namespace: "chervilwell", Subsystem: "distribution", Name: name, Help: help})
 	}
@@ -22,5 +29,18 @@
 	if r != nil {
 		r.MustRegister(m.sent, m.received, m.reads, m.revision)
 	}
+	if counter, ok := transport.(trafficCounter); ok && r != nil {
+		r.MustRegister(
+			traffic("sent", func() float64 { return float64(counter.Traffic().Sent) }),
+			traffic("received", func() float64 { return float64(counter.Traffic().Received) }),
+		)
+	}
 	return m
 }
+
+func traffic(direction string, value func() float64) prometheus.Collector {
+	return prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Namespace: "chervilwell", Subsystem: "distribution", Name: "bytes_total",
+		Help: "Bytes of packets between processes.", ConstLabels: prometheus.Labels{"direction": direction},
+	}, value)
+}
--- a/internal/peer/quic.go
+++ b/internal/peer/quic.go
@@ -49,6 +49,9 @@
 
 	mu    sync.Mutex
 	links map[string]*link
+	// conns holds the connections that live; ended counts the bytes of those that ended.
+	conns map[*quic.Conn]struct{}
+	ended Traffic
 	ctx   context.Context
 	stop  context.CancelFunc
 	wait  sync.WaitGroup
@@ -72,7 +75,7 @@
 		return nil, errors.Wrapf(err, "listen on peer address %q", cfg.Addr)
 	}
 	q := &Quic{
-		cfg: cfg, transport: &quic.Transport{Conn: socket}, links: map[string]*link{},
+		cfg: cfg, transport: &quic.Transport{Conn: socket}, links: map[string]*link{}, conns: map[*quic.Conn]struct{}{},
 		inbound: ring.New[Inbound](InboundQueue, ring.DropOldest),
 		settings: &quic.Config{
 			MaxIdleTimeout: idleTimeout, HandshakeIdleTimeout: handshakeTimeout,
@@ -262,6 +265,10 @@
 
 // read takes messages from a connection until it ends.
 func (q *Quic) read(conn *quic.Conn, from distribution.Address, failureDomain string) {
+	q.mu.Lock()
+	q.conns[conn] = struct{}{}
+	q.mu.Unlock()
+	defer q.forget(conn)
 	for {
 		stream, err := conn.AcceptUniStream(q.ctx)
 		if err != nil {
@@ -271,6 +278,32 @@
 	}
 }
 
+// forget adds what a connection that ended has carried to the totals.
+func (q *Quic) forget(conn *quic.Conn) {
+	stats := conn.ConnectionStats()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	delete(q.conns, conn)
+	q.ended.Sent += stats.BytesSent
+	q.ended.Received += stats.BytesReceived
+}
+
+// Traffic counts bytes of QUIC packets, headers and acknowledgements included, without those of UDP and IP.
+type Traffic struct{ Sent, Received uint64 }
+
+// Traffic returns the bytes sent and received over all connections.
+func (q *Quic) Traffic() Traffic {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	total := q.ended
+	for conn := range q.conns {
+		stats := conn.ConnectionStats()
+		total.Sent += stats.BytesSent
+		total.Received += stats.BytesReceived
+	}
+	return total
+}
+
 func (q *Quic) readOne(stream *quic.ReceiveStream, from distribution.Address, failureDomain string) {
 	_ = stream.SetReadDeadline(time.Now().Add(sendTimeout))
 	data, err := io.ReadAll(io.LimitReader(stream, distribution.MaxMessageBytes+1))
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -104,7 +104,7 @@
 	Key  string `json:"key"`
 	CA   string `json:"ca"`
 	// Callers is the certificate shown to callers; without it callers' HTTP is plain.
-	Callers *CallersTLS `json:"callers"`
+	Callers *CallersTLS `json:"callers,omitempty"`
 }
 
 // CallersTLS holds the paths of the PEM files of the callers' listener.
