--- a/cmd/chervilwelld/main.go
+++ b/cmd/chervilwelld/main.go
@@ -25,6 +25,10 @@
 	exitUsage   = subcommands.ExitUsageError
 )
 
+// collectPercent is the growth of the heap, in percent of what lives, after which garbage is collected. Memory on the instance
+// is scarcer than the processor time that this costs.
+const collectPercent = 75
+
 func main() {
 	subcommands.Register(subcommands.HelpCommand(), "")
 	subcommands.Register(subcommands.FlagsCommand(), "")
@@ -57,6 +61,7 @@
 		return refuse(err)
 	}
 	debug.SetMemoryLimit(s.MemoryBytes)
+	debug.SetGCPercent(collectPercent)
 	d, err := daemon.New(s, log)
 	if err != nil {
 		return refuse(err)
--- a/distribution/accept.go
+++ b/distribution/accept.go
@@ -156,12 +156,14 @@
 	diff := document.Diff(previous, doc)
 	set := make([]platform.Instance, len(diff.Set))
 	for i, e := range diff.Set {
-		if err := document.Unmarshal(e.Value, &set[i]); err != nil {
-			return errors.Wrapf(err, "instance %q", e.Key)
+		inst, err := snapshot.DecodeInstance(e)
+		if err != nil {
+			return err
 		}
-		if set[i].Name != e.Key || platform.InstancesDocument(set[i].FailureDomain) != doc.Name() {
-			return errors.Errorf("instance %q is listed as %q of failure domain %q; correct the list", e.Key, set[i].Name, set[i].FailureDomain)
+		if platform.InstancesDocument(inst.FailureDomain) != doc.Name() {
+			return errors.Errorf("instance %q is listed in failure domain %q; correct the list", e.Key, inst.FailureDomain)
 		}
+		set[i] = inst
 	}
 	c.members.List(now, set, diff.Removed)
 	return nil
--- a/distribution/reader.go
+++ b/distribution/reader.go
@@ -304,19 +304,16 @@
 // assemble builds the catalogue once all chunks are there, and verifies it against the manifest.
 func (c *Core) assemble(now time.Time) {
 	f := c.reader.fetch
-	var entries []document.Entry
 	for _, d := range f.manifest.Chunks {
-		part, ok := f.have[d]
-		if !ok {
+		if _, ok := f.have[d]; !ok {
 			return
 		}
-		entries = append(entries, part...)
 	}
 	c.reader.fetch = nil
 	if !c.follows(catalogueName, f.manifest.Version(), "platform") {
 		return
 	}
-	doc, err := document.New(catalogueName, f.manifest.Revision, len(f.manifest.Chunks), entries)
+	doc, err := document.Assemble(catalogueName, f.manifest.Revision, f.manifest.Chunks, c.store.get(catalogueName), f.have)
 	if err == nil && doc.Version() != f.manifest.Version() {
 		err = document.ErrDigestMismatch
 	}
--- a/document/document.go
+++ b/document/document.go
@@ -184,3 +184,42 @@
 
 // EmptyChunk returns the digest of a chunk without entries, which no reader needs to fetch.
 func EmptyChunk() Digest { return digestEntries(nil) }
+
+// Assemble builds a document from the digests of its chunks in order. Chunks that base holds are shared with it; the entries of
+// all others are taken from parts and verified. It fails on a chunk that is lacking, damaged or misplaced. Base may be nil.
+func Assemble(name string, revision uint64, digests []Digest, base *Document, parts map[Digest][]Entry) (*Document, error) {
+	if len(digests) == 0 || len(digests)&(len(digests)-1) != 0 {
+		return nil, errors.Errorf("document %q: %d chunks; use a power of two", name, len(digests))
+	}
+	d := &Document{name: name, chunks: make([]*chunk, len(digests))}
+	for i, digest := range digests {
+		c, err := assembleChunk(i, len(digests), digest, base, parts)
+		if err != nil {
+			return nil, errors.Wrapf(err, "document %q chunk %d", name, i)
+		}
+		d.chunks[i] = c
+		d.count += len(c.entries)
+	}
+	d.seal(revision)
+	return d, nil
+}
+
+func assembleChunk(i, chunks int, digest Digest, base *Document, parts map[Digest][]Entry) (*chunk, error) {
+	if base != nil && len(base.chunks) == chunks && base.chunks[i].digest == digest {
+		return base.chunks[i], nil
+	}
+	entries, ok := parts[digest]
+	if !ok && digest != EmptyChunk() {
+		return nil, errors.Errorf("content of digest %s is lacking; read it first", digest)
+	}
+	for _, e := range entries {
+		if chunkOf(e.Key, chunks) != i {
+			return nil, errors.Errorf("key %q belongs to another chunk; publish the document again", e.Key)
+		}
+	}
+	c, err := newChunk(slices.Clone(entries))
+	if err == nil && c.digest != digest {
+		err = ErrDigestMismatch
+	}
+	return c, err
+}
--- a/document/document_test.go
+++ b/document/document_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 
+	"github.com/pkg/errors"
 	"pgregory.net/rapid"
 )
 
@@ -66,3 +68,40 @@
 	fmt.Println(got.Revision(), string(value))
 	// Output: 2 grey
 }
+
+func TestAssembleSharesAndVerifies(t *testing.T) {
+	entries := []Entry{{Key: "a", Value: []byte("1")}, {Key: "b", Value: []byte("2")}, {Key: "c", Value: []byte("3")}}
+	base, err := New("d", 1, 4, slices.Clone(entries))
+	if err != nil {
+		t.Fatal(err)
+	}
+	entries[1].Value = []byte("4")
+	want, err := New("d", 2, 4, slices.Clone(entries))
+	if err != nil {
+		t.Fatal(err)
+	}
+	parts := map[Digest][]Entry{}
+	for i, digest := range want.ChunkDigests() {
+		if digest != base.ChunkDigests()[i] {
+			parts[digest] = want.ChunkEntries(i)
+		}
+	}
+	if len(parts) != 1 {
+		t.Fatalf("one changed entry changes %d chunks", len(parts))
+	}
+	got, err := Assemble("d", 2, want.ChunkDigests(), base, parts)
+	if err != nil || got.Version() != want.Version() || got.Len() != want.Len() {
+		t.Fatalf("got %v, error %v; want %v", got, err, want.Version())
+	}
+	if _, err := Assemble("d", 2, want.ChunkDigests(), base, nil); err == nil {
+		t.Error("a lacking chunk was not noticed")
+	}
+	for digest, part := range parts {
+		part = slices.Clone(part)
+		part[0].Value = []byte("5")
+		parts[digest] = part
+	}
+	if _, err := Assemble("d", 2, want.ChunkDigests(), base, parts); !errors.Is(err, ErrDigestMismatch) {
+		t.Errorf("a damaged chunk: %v", err)
+	}
+}
--- a/snapshot/endpoints.go
+++ b/snapshot/endpoints.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"maps"
 	"slices"
+	"strings"
+	"unique"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
@@ -20,9 +22,10 @@
 // Invariant: it is never changed after it was built; With shares what did not change.
 type Endpoints struct {
 	byService map[string][]platform.Instance
-	byName    [nameShards]map[string]platform.Instance
-	docs      map[string]*document.Document
-	count     int
+	// byName leads from the name of an instance to that of its service, whose instances are in order of name.
+	byName [nameShards]map[string]string
+	docs   map[string]*document.Document
+	count  int
 }
 
 // CompileEndpoints indexes the instances of the given documents, one for each failure domain.
@@ -43,6 +46,22 @@
 	return document.New(platform.InstancesDocument(list.FailureDomain), list.Version, document.DefaultChunks, entries)
 }
 
+// DecodeInstance returns the instance that an entry of a list holds. Strings that many instances share are kept once.
+func DecodeInstance(entry document.Entry) (platform.Instance, error) {
+	var inst platform.Instance
+	if err := document.Unmarshal(entry.Value, &inst); err != nil {
+		return platform.Instance{}, errors.Wrapf(err, "entry %q", entry.Key)
+	}
+	if inst.Name != entry.Key {
+		return platform.Instance{}, errors.Errorf("entry %q names instance %q; correct the list", entry.Key, inst.Name)
+	}
+	inst.Name = entry.Key
+	inst.FailureDomain = unique.Make(inst.FailureDomain).Value()
+	inst.Service = unique.Make(inst.Service).Value()
+	inst.State = unique.Make(inst.State).Value()
+	return inst, nil
+}
+
 // With returns the instances with the given documents added or replaced. The work is in proportion to what differs from the
 // documents of the same names that e was built from.
 func (e *Endpoints) With(docs ...*document.Document) (*Endpoints, error) {
@@ -81,14 +100,14 @@
 func (b *builder) replace(doc *document.Document) error {
 	delta := document.Diff(b.next.docs[doc.Name()], doc)
 	for _, name := range delta.Removed {
-		if inst, ok := b.next.Instance(name); ok && platform.InstancesDocument(inst.FailureDomain) == doc.Name() {
+		if inst, ok := b.find(name); ok && platform.InstancesDocument(inst.FailureDomain) == doc.Name() {
 			b.remove(inst)
 		}
 	}
 	for _, entry := range delta.Set {
-		var inst platform.Instance
-		if err := document.Unmarshal(entry.Value, &inst); err != nil {
-			return errors.Wrapf(err, "document %q entry %q", doc.Name(), entry.Key)
+		inst, err := DecodeInstance(entry)
+		if err != nil {
+			return errors.Wrapf(err, "document %q", doc.Name())
 		}
 		b.add(inst)
 	}
@@ -96,13 +115,27 @@
 	return nil
 }
 
+// find returns an instance while the services that changed are not in order yet.
+func (b *builder) find(name string) (platform.Instance, bool) {
+	service, ok := b.next.byName[shardOf(name)][name]
+	if !ok {
+		return platform.Instance{}, false
+	}
+	list := b.next.byService[service]
+	i := slices.IndexFunc(list, func(inst platform.Instance) bool { return inst.Name == name })
+	if i < 0 {
+		return platform.Instance{}, false
+	}
+	return list[i], true
+}
+
 func (b *builder) add(inst platform.Instance) {
-	if old, ok := b.next.Instance(inst.Name); ok {
+	if old, ok := b.find(inst.Name); ok {
 		b.remove(old)
 	}
 	b.own(inst)
 	b.next.byService[inst.Service] = append(b.next.byService[inst.Service], inst)
-	b.next.byName[shardOf(inst.Name)][inst.Name] = inst
+	b.next.byName[shardOf(inst.Name)][inst.Name] = inst.Service
 	b.next.count++
 }
 
@@ -129,7 +162,7 @@
 		b.shards[shard] = true
 		b.next.byName[shard] = maps.Clone(b.next.byName[shard])
 		if b.next.byName[shard] == nil {
-			b.next.byName[shard] = map[string]platform.Instance{}
+			b.next.byName[shard] = map[string]string{}
 		}
 	}
 }
@@ -157,8 +190,16 @@
 	if e == nil {
 		return platform.Instance{}, false
 	}
-	inst, ok := e.byName[shardOf(name)][name]
-	return inst, ok
+	service, ok := e.byName[shardOf(name)][name]
+	if !ok {
+		return platform.Instance{}, false
+	}
+	list := e.byService[service]
+	i, ok := slices.BinarySearchFunc(list, name, func(inst platform.Instance, name string) int { return strings.Compare(inst.Name, name) })
+	if !ok {
+		return platform.Instance{}, false
+	}
+	return list[i], true
 }
 
 // All calls yield for each instance, in order of service and name, until yield returns false.
