--- /dev/null
+++ b/distribution/example_test.go
@@ -0,0 +1,29 @@
+package distribution_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/chervilwell/chervilwell/distribution"
+	"github.com/chervilwell/chervilwell/platform"
+)
+
+// A process that starts holds nothing: it asks its seeds before all else.
+func Example() {
+	core := distribution.New(distribution.Config{
+		Self:        platform.Instance{Name: "muc-2", FailureDomain: "muc", PeerAddr: "10.0.0.2:7000"},
+		Incarnation: 1, Seeds: []string{"10.0.0.1:7000"}, HasSource: true, FleetSize: 200,
+		Rand: rand.New(rand.NewPCG(1, 2)),
+	})
+	now := time.Unix(0, 0)
+	for _, action := range core.Step(now, distribution.Tick{}) {
+		if send, ok := action.(distribution.Send); ok {
+			fmt.Println("ask", send.To.Addr, send.Message.Ask != nil)
+		}
+	}
+	fmt.Println(core.Phase())
+	// Output:
+	// ask 10.0.0.1:7000 true
+	// joining
+}
--- a/distribution/fleet_test.go
+++ b/distribution/fleet_test.go
@@ -31,6 +31,9 @@
 	names []string
 	seeds []string
 
+	// protocol holds the version that an instance speaks from its next life on; none means the current one.
+	protocol map[string]uint16
+
 	// Faults of the network, as probabilities, and cuts between failure domains.
 	loss, duplicate, corrupt float64
 	cut                      map[[2]string]bool
@@ -99,7 +102,7 @@
 	f := &fleet{
 		t: t, rng: rand.New(rand.NewPCG(seed, 7)), now: time.Unix(1_000_000, 0),
 		nodes: map[string]*node{}, cut: map[[2]string]bool{}, chunks: map[document.Digest][]document.Entry{},
-		readKinds: map[string]int{}, lists: map[string]*document.Document{}, cutStore: map[string]bool{}, bytes: map[[2]string]int{},
+		protocol: map[string]uint16{}, readKinds: map[string]int{}, lists: map[string]*document.Document{}, cutStore: map[string]bool{}, bytes: map[[2]string]int{},
 	}
 	for i := range perDomain {
 		for _, fd := range domains {
@@ -137,7 +140,7 @@
 	n.Core = New(Config{
 		Self: n.inst, Incarnation: n.life, Region: regionOf(n.inst.FailureDomain), StoreRegions: []string{"obb"},
 		Seeds: f.seeds, HasSource: true, FleetSize: len(f.names), Check: n.check(),
-		Rand: rand.New(rand.NewPCG(f.rng.Uint64(), 3)),
+		Rand: rand.New(rand.NewPCG(f.rng.Uint64(), 3)), Protocol: f.protocol[name],
 	})
 	f.tick(n, n.life)
 }
@@ -433,7 +436,7 @@
 	switch a := w.action.(type) {
 	case WatchManifest:
 		m := catalogue.ManifestOf(f.published)
-		tag := fmt.Sprint(m.Revision)
+		tag := fmt.Sprint(m.Revision, m.Digest)
 		if err == nil && a.After == tag {
 			f.waiting = append(f.waiting, w)
 			return
--- a/distribution/notice.go
+++ b/distribution/notice.go
@@ -74,7 +74,7 @@
 			continue
 		}
 		if n.Kind == LeavingKind {
-			c.takeLeaving(n)
+			c.takeLeaving(now, n)
 		}
 		c.emit(Deliver{Notice: n})
 		c.flood(n, from.Name)
@@ -82,11 +82,11 @@
 }
 
 // takeLeaving takes an instance's word that it is leaving. Only its own word counts.
-func (c *Core) takeLeaving(n Notice) {
+func (c *Core) takeLeaving(now time.Time, n Notice) {
 	if n.Subject != n.Origin || len(n.Body) != 8 {
 		return
 	}
-	c.members.Left(n.Subject, binary.BigEndian.Uint64(n.Body))
+	c.members.Left(now, n.Subject, binary.BigEndian.Uint64(n.Body))
 	delete(c.relay.children, n.Subject)
 }
 
--- /dev/null
+++ b/membership/example_test.go
@@ -0,0 +1,21 @@
+package membership_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/chervilwell/chervilwell/membership"
+	"github.com/chervilwell/chervilwell/platform"
+)
+
+func Example() {
+	now := time.Unix(0, 0)
+	view := membership.New(platform.Instance{Name: "muc-1", FailureDomain: "muc"}, 1)
+	view.List(now, []platform.Instance{{Name: "muc-2", FailureDomain: "muc", State: platform.Live}}, nil)
+	fmt.Println(len(view.Order(now, "muc")))
+	view.Left(now, "muc-2", 7) // its own word wins over the list
+	fmt.Println(len(view.Order(now, "muc")))
+	// Output:
+	// 2
+	// 1
+}
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -17,6 +17,10 @@
 // HeardFor is how long an instance that the list lacks counts as a member after it was heard.
 const HeardFor = 30 * time.Second
 
+// LeftFor is how long a word of leaving holds against the platform's list. The next life of the instance is heard by its
+// neighbours at once; all others count it again after this time.
+const LeftFor = time.Minute
+
 // Member is one instance as this process sees it.
 type Member struct {
 	platform.Instance
@@ -26,6 +30,7 @@
 	score        uint64
 	listed       bool
 	left         uint64
+	leftAt       time.Time
 	heard        time.Time
 	suspectUntil time.Time
 }
@@ -36,7 +41,13 @@
 	byName map[string]*Member
 	order  map[string][]*Member
 	// early holds words of leaving from instances that are not known yet.
-	early map[string]uint64
+	early map[string]early
+}
+
+// early is a word of leaving from an instance that is not known yet.
+type early struct {
+	incarnation uint64
+	at          time.Time
 }
 
 // maxEarly bounds the words of leaving kept for unknown instances.
@@ -44,7 +55,7 @@
 
 // New returns a view that knows self alone.
 func New(self platform.Instance, incarnation uint64) *View {
-	v := &View{self: self.Name, byName: map[string]*Member{}, order: map[string][]*Member{}, early: map[string]uint64{}}
+	v := &View{self: self.Name, byName: map[string]*Member{}, order: map[string][]*Member{}, early: map[string]early{}}
 	m := v.upsert(self)
 	m.Incarnation = incarnation
 	return v
@@ -58,7 +69,8 @@
 		m = nil
 	}
 	if m == nil {
-		m = &Member{score: rank.Score(inst.FailureDomain, inst.Name), left: v.early[inst.Name]}
+		word := v.early[inst.Name]
+		m = &Member{score: rank.Score(inst.FailureDomain, inst.Name), left: word.incarnation, leftAt: word.at}
 		delete(v.early, inst.Name)
 		m.Instance = inst
 		v.link(m)
@@ -101,7 +113,7 @@
 			continue
 		}
 		m.listed = false
-		if !m.heardLately(now) && m.left == 0 {
+		if !m.heardLately(now) && (m.left == 0 || now.Sub(m.leftAt) >= LeftFor) {
 			v.unlink(m)
 		}
 	}
@@ -117,7 +129,7 @@
 	if m != nil && (incarnation < m.Incarnation || incarnation <= m.left) {
 		return false
 	}
-	if m == nil && incarnation <= v.early[inst.Name] {
+	if m == nil && incarnation <= v.early[inst.Name].incarnation {
 		return false
 	}
 	m = v.upsert(inst)
@@ -141,26 +153,26 @@
 
 // Left takes an instance's own word that it is leaving in the given life.
 // It reports whether the word was news.
-func (v *View) Left(name string, incarnation uint64) bool {
+func (v *View) Left(now time.Time, name string, incarnation uint64) bool {
 	m := v.byName[name]
 	if m == nil {
-		return v.leftEarly(name, incarnation)
+		return v.leftEarly(now, name, incarnation)
 	}
 	if name == v.self || incarnation < m.Incarnation || m.left >= incarnation {
 		return false
 	}
-	m.left = incarnation
+	m.left, m.leftAt = incarnation, now
 	return true
 }
 
-func (v *View) leftEarly(name string, incarnation uint64) bool {
-	if v.early[name] >= incarnation {
+func (v *View) leftEarly(now time.Time, name string, incarnation uint64) bool {
+	if v.early[name].incarnation >= incarnation {
 		return false
 	}
 	if len(v.early) >= maxEarly {
 		clear(v.early)
 	}
-	v.early[name] = incarnation
+	v.early[name] = early{incarnation, now}
 	return true
 }
 
@@ -187,7 +199,7 @@
 	if m.Name == v.self {
 		return true
 	}
-	if m.left != 0 {
+	if m.left != 0 && now.Sub(m.leftAt) < LeftFor {
 		return false
 	}
 	return m.heardLately(now) || (m.listed && m.State != platform.Leaving)
@@ -244,7 +256,7 @@
 // Prune forgets instances that are neither listed nor heard lately.
 func (v *View) Prune(now time.Time) {
 	for _, m := range v.byName {
-		if m.Name != v.self && !m.listed && !m.heardLately(now) {
+		if m.Name != v.self && !m.listed && !m.heardLately(now) && now.Sub(m.leftAt) >= LeftFor {
 			v.unlink(m)
 		}
 	}
