Decide nothing by a configuration from before a pause

With a failure domain taken out during the pause, 7 of 20 waiting requests ran in it. Ruled out: the peers' own checks (they refuse, but the woken process reached its own target without a hop), and the pause detection of the distribution (right, but a tick late, and blind where the monotonic clock stands still). Change: frontend and admission ask, for each request, whether the process was looked at within the last 2 s by the wall clock and has compared its documents since; the agent can be told of a pause. Before: the new test with SIGSTOP/SIGCONT fails with 7 runs. After: it passes, 0 runs. Conclusion: a request between the end of a pause and the next look is refused as not run.

--- a/cmd/chervilwelld/process_test.go
+++ b/cmd/chervilwelld/process_test.go
@@ -320,3 +320,40 @@
 		t.Fatalf("exit after SIGTERM: %v\n%s", err, leaving.log)
 	}
 }
+
+// TestPausedProcessDecidesNothingByOldConfiguration pauses the process of a failure domain that is then taken out of service,
+// cuts it from the platform, and calls its own frontend from the moment it wakes.
+func TestPausedProcessDecidesNothingByOldConfiguration(t *testing.T) {
+	s := newSite(t)
+	paused, other := s.start("obb-ro-1", "obb-ro"), s.start("obb-muc-1", "obb-muc")
+	for _, p := range []*proc{paused, other} {
+		p.await("ready", p.ready)
+	}
+	paused.await("serving by its own target", func() bool {
+		_ = paused.call(t.Context(), "before")
+		return len(s.ledger.Runs("before")) > 0
+	})
+	check(t, paused.cmd.Process.Signal(syscall.SIGSTOP))
+	next, err := s.catalogue.WithDomain("obb-ro", catalogue.Out)
+	check(t, err)
+	_, err = s.platform.PublishCatalogue(next)
+	check(t, err)
+	other.await("at revision 2", func() bool { return other.revision() == 2 })
+	time.Sleep(3 * time.Second) // longer than the gap that counts as a pause
+	before := len(s.ledger.All())
+	var wg sync.WaitGroup
+	for i := range 20 {
+		wg.Go(func() { _ = paused.call(t.Context(), fmt.Sprintf("woken-%d", i)) })
+	}
+	time.Sleep(100 * time.Millisecond) // the calls lie in the paused process's sockets
+	check(t, paused.cmd.Process.Signal(syscall.SIGCONT))
+	wg.Wait()
+	paused.await("at revision 2", func() bool { return paused.revision() == 2 })
+	paused.await("ready", paused.ready)
+	check(t, paused.call(t.Context(), "after"))
+	for _, r := range s.ledger.All()[before:] {
+		if r.Target == "obb-ro-1" {
+			t.Errorf("request %s ran in a failure domain that was taken out of service during the pause", r.Request)
+		}
+	}
+}
--- a/cmd/standin/platform.go
+++ b/cmd/standin/platform.go
@@ -32,7 +32,7 @@
 	cfg       standin.PlatformConfig
 }
 
-func (*platformCommand) Name() string { return "platform" }
+func (*platformCommand) Name() string     { return "platform" }
 func (*platformCommand) Synopsis() string { return "serve a stand-in for the configuration service" }
 
 func (*platformCommand) Usage() string {
--- a/distribution/core.go
+++ b/distribution/core.go
@@ -85,6 +85,9 @@
 		c.publish(now, e)
 	case Leave:
 		c.leave(now)
+	case Woken:
+		c.resume(now)
+		c.lastTick = now
 	}
 	return c.out
 }
--- a/distribution/event.go
+++ b/distribution/event.go
@@ -53,6 +53,9 @@
 // Leave says that this process is about to stop.
 type Leave struct{}
 
+// Woken says that the process was paused, where the clock of the ticks doesn't show it, as after a suspended machine.
+type Woken struct{}
+
 func (Tick) event()         {}
 func (Received) event()     {}
 func (ManifestRead) event() {}
@@ -60,6 +63,7 @@
 func (ListRead) event()     {}
 func (Publish) event()      {}
 func (Leave) event()        {}
+func (Woken) event()        {}
 
 // Address names a peer. Name is empty for a seed that has not been heard yet.
 type Address struct {
--- a/internal/agent/api.go
+++ b/internal/agent/api.go
@@ -19,6 +19,10 @@
 	return a.core.Phase() == distribution.Joined
 }
 
+// Woken tells that the process was paused: it drops its beliefs and compares its documents with its peers' before Joined
+// reports true again.
+func (a *Agent) Woken() { a.step(distribution.Woken{}) }
+
 // Status returns the process's place in the distribution.
 func (a *Agent) Status() distribution.Status {
 	a.mu.Lock()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -31,7 +31,7 @@
 	// lifeInterval is the time between two looks at whether the process has joined.
 	lifeInterval = 20 * time.Millisecond
 	// pauseThreshold is the gap between two looks after which the process counts as having been paused.
-	pauseThreshold = 3 * time.Second
+	pauseThreshold = 2 * time.Second
 	// leaveTimeout bounds the announcement that the instance is leaving.
 	leaveTimeout = time.Second
 	// stopTimeout bounds the end of the duties after the drain.
@@ -290,21 +290,27 @@
 func (l *lifeDuty) Serve(ctx context.Context) error {
 	ticker := time.NewTicker(lifeInterval)
 	defer ticker.Stop()
-	last := time.Now().Round(0) // without the monotonic reading, which may stand still while the machine is suspended
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
+			l.look(time.Now())
 		}
-		now := time.Now().Round(0)
-		if now.Sub(last) > pauseThreshold {
-			l.d.life.Fire(charts.OnProcessPaused)
-			l.d.picker.Reset()
-		}
-		last = now
-		if l.d.agent.Joined() {
-			l.d.life.Fire(charts.OnProcessSnapshotInForce)
-		}
 	}
 }
+
+// look moves the process on its chart. After a pause the agent drops its beliefs before the time of the look counts, so that
+// nothing is decided in between.
+func (l *lifeDuty) look(now time.Time) {
+	if l.d.life.Paused(now) {
+		l.d.agent.Woken()
+		l.d.picker.Reset()
+	}
+	if l.d.agent.Joined() {
+		l.d.life.Fire(charts.OnProcessSnapshotInForce)
+	} else {
+		l.d.life.Fire(charts.OnProcessPaused)
+	}
+	l.d.life.Looked(now)
+}
--- a/internal/daemon/life.go
+++ b/internal/daemon/life.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -18,6 +19,8 @@
 	actions map[chart.Action]func()
 	trail   *audit.Trail
 	log     zerolog.Logger
+	// looked is the wall-clock time of the last look at the process, in nanoseconds since 1970.
+	looked atomic.Int64
 }
 
 func newLife(actions map[chart.Action]func(), trail *audit.Trail, log zerolog.Logger) (*life, error) {
@@ -46,6 +49,26 @@
 // Serving reports whether callers' requests are taken.
 func (l *life) Serving() bool { return l.State() == charts.ProcessServing }
 
+// Paused reports whether the process was paused since the last look. Times are of the wall clock, since the monotonic one
+// may stand still while the machine is suspended.
+func (l *life) Paused(now time.Time) bool {
+	before := l.looked.Load()
+	return before != 0 && time.Duration(now.UnixNano()-before) > pauseThreshold
+}
+
+// Looked notes the time of a look.
+func (l *life) Looked(now time.Time) { l.looked.Store(now.UnixNano()) }
+
+// Current reports whether the process may decide by what it holds: it has joined, and was looked at lately. A request that
+// comes between the end of a pause and the next look finds it not current.
+func (l *life) Current(now time.Time) bool {
+	if time.Duration(now.UnixNano()-l.looked.Load()) > pauseThreshold {
+		return false
+	}
+	state := l.State()
+	return state == charts.ProcessServing || state == charts.ProcessDraining
+}
+
 // Fire takes the event's transition and carries out its actions. It reports false where the state does not take the event.
 func (l *life) Fire(event chart.Event) bool {
 	from, to, todo, ok := l.transition(event)
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/tls"
 	"net/http"
+	"time"
 
 	"github.com/chervilwell/chervilwell/distribution"
 	"github.com/chervilwell/chervilwell/internal/agent"
@@ -46,13 +47,13 @@
 	remote := frontend.NewHTTPCarrier(d.certs)
 	d.gate = gatekeeper.New(gatekeeper.Config{
 		Instance: s.Instance, FailureDomain: s.FailureDomain, Region: s.Region, Service: s.Service, TargetAddr: s.Target.Addr,
-		Holder: d.holder, Peers: remote, Trail: d.trail, Log: d.log,
+		Holder: d.holder, Current: d.current, Peers: remote, Trail: d.trail, Log: d.log,
 	})
 	d.requests = gatekeeper.NewServer(d.listeners.requests, d.certs.PeerServer("http/1.1"), d.gate)
 	d.picker = frontend.NewPicker(s.Instance, s.FailureDomain)
 	d.agent.SubscribeNotice(distribution.LeavingKind, d.onLeaving)
 	d.front = frontend.New(frontend.Config{
-		Instance: s.Instance, FailureDomain: s.FailureDomain, Holder: d.holder,
+		Instance: s.Instance, FailureDomain: s.FailureDomain, Holder: d.holder, Current: d.current,
 		Picker: d.picker,
 		Carrier: &frontend.LocalCarrier{
 			Instance: s.Instance, Gatekeeper: d.gate, Remote: remote,
@@ -72,6 +73,9 @@
 	}
 }
 
+// current reports whether the process may decide by the configuration that it holds.
+func (d *Daemon) current() bool { return d.life.Current(time.Now()) }
+
 // callerConfig returns the TLS configuration of the callers' listener, or nil for plain HTTP.
 func (d *Daemon) callerConfig() *tls.Config {
 	if d.callerTLS == nil {
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -24,6 +24,9 @@
 	FailureDomain string
 	// Holder has the configuration in force.
 	Holder *snapshot.Holder
+	// Current reports whether the configuration in force may be used; nil means always. It is false in a process that was
+	// paused and has not yet compared its configuration with its peers.
+	Current func() bool
 	// Picker chooses targets.
 	Picker *Picker
 	// Carrier reaches the targets' instances.
@@ -100,8 +103,8 @@
 		return nil, refused
 	}
 	state := f.config.Holder.Load()
-	if state.Config == nil {
-		return nil, refusal.New(refusal.NotReady, "instance %q holds no configuration yet", f.config.Instance)
+	if state.Config == nil || f.config.Current != nil && !f.config.Current() {
+		return nil, refusal.New(refusal.NotReady, "instance %q holds no configuration that is known to be current", f.config.Instance)
 	}
 	req := &request{state: state, in: r}
 	var refused *refusal.Refusal
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -36,6 +36,9 @@
 	TargetAddr string
 	// Holder has the configuration in force.
 	Holder *snapshot.Holder
+	// Current reports whether the configuration in force may be used; nil means always. It is false in a process that was
+	// paused and has not yet compared its configuration with its peers.
+	Current func() bool
 	// Peers reaches the gatekeepers of the service's other instances. Without it no keyed request can run beside others.
 	Peers Peers
 	// Now returns the present time for keyed requests; nil means time.Now.
@@ -121,6 +124,10 @@
 	if !g.begin() {
 		return nil, refusal.New(refusal.Leaving, "instance %q is leaving", g.config.Instance)
 	}
+	if g.config.Current != nil && !g.config.Current() {
+		g.running.Done()
+		return nil, refusal.New(refusal.NotReady, "instance %q holds no configuration that is known to be current", g.config.Instance)
+	}
 	state := g.config.Holder.Load()
 	route, refused := g.check(state, call)
 	if refused != nil {
