distribution: start without seeds, read from the far region when the near one can't, bound connections

Cause: a fleet whose seeds are gone would have read the platform once for each process; a platform reachable only from the far region was not read; connections were unbounded. Change: such processes read their failure domain's list first and take turns by rank; answers say when the reader above fails; at most 256 connections; suspects are asked again after two seconds.

--- a/distribution/config.go
+++ b/distribution/config.go
@@ -142,7 +142,7 @@
 	t.LinkBatch = or(t.LinkBatch, 500*time.Millisecond)
 	t.Retry = or(t.Retry, 400*time.Millisecond)
 	t.Silence = or(t.Silence, 1500*time.Millisecond)
-	t.Suspicion = or(t.Suspicion, 3*time.Second)
+	t.Suspicion = or(t.Suspicion, 2*time.Second)
 	t.StepIn = or(t.StepIn, 700*time.Millisecond)
 	t.Ask = or(t.Ask, 300*time.Millisecond)
 	t.PlatformStep = or(t.PlatformStep, 1500*time.Millisecond)
--- a/distribution/faults_test.go
+++ b/distribution/faults_test.go
@@ -245,3 +245,29 @@
 	f.setDown(false)
 	requireConverged(t, f, 2, 15*time.Second)
 }
+
+// TestReadersAwayFromThePlatformStepIn cuts the failure domains near the platform off from it: the region away from it reads
+// instead and hands the change back.
+func TestReadersAwayFromThePlatformStepIn(t *testing.T) {
+	f := started(t, 6)
+	f.cutStore["obb-muc"], f.cutStore["obb-ro"] = true, true
+	f.wakeReads()
+	f.publish(2)
+	requireConverged(t, f, 2, 20*time.Second)
+}
+
+// TestStartWithoutSeeds starts a fleet whose seeds never run: processes find each other by the platform's list, and most
+// read no more than that.
+func TestStartWithoutSeeds(t *testing.T) {
+	f := newFleet(t, 4, 12)
+	for _, name := range f.seeds {
+		f.stop(name)
+	}
+	f.names = f.names[len(f.seeds):]
+	requireConverged(t, f, 1, 60*time.Second)
+	manifests := f.readKinds["distribution.WatchManifest"]
+	if manifests > len(f.names)/2 {
+		t.Errorf("%d reads of the manifest by %d instances", manifests, len(f.names))
+	}
+	t.Logf("%v after %v", f.readKinds, f.now.Sub(time.Unix(1_000_000, 0)))
+}
--- a/distribution/join.go
+++ b/distribution/join.go
@@ -50,6 +50,8 @@
 	// platformAt is when the process may read the platform; zero until it found itself alone.
 	platformAt time.Time
 	heldAt     time.Time
+	// listed says that peers were taken from the platform's list.
+	listed bool
 }
 
 // joinTick runs one round after the other until the process has caught up.
@@ -284,6 +286,30 @@
 	return c.phase == Joining && !j.platformAt.IsZero() && !now.Before(j.platformAt)
 }
 
+// joinReadsFirst returns what a process that holds no catalogue may read. One that is no seed, or found no seed, reads the list of
+// its failure domain first, which is a single read and names peers to ask; then those read on whose turn it is by rank.
+func (c *Core) joinReadsFirst(now time.Time) (manifest bool, lists []string) {
+	if !c.joinReads(now) {
+		return false, nil
+	}
+	own := c.cfg.Self.FailureDomain
+	if slices.Contains(c.cfg.Seeds, c.cfg.Self.PeerAddr) || len(c.join.peers) == 0 && c.store.get(platform.InstancesDocument(own)) != nil {
+		return true, nil
+	}
+	if c.store.get(platform.InstancesDocument(own)) == nil && now.Sub(c.join.platformAt) < c.cfg.Timing.PlatformLast {
+		return false, []string{own}
+	}
+	if !c.join.listed {
+		// The list names peers that have not been asked yet: the rounds begin anew.
+		c.join.listed = true
+		c.join.round = 0
+		c.join.nextAsk = now
+		c.addMemberPeers(now)
+	}
+	place := slices.Index(c.members.Order(now, own), c.members.Get(c.cfg.Self.Name))
+	return now.Sub(c.join.platformAt) >= time.Duration(place)*c.cfg.Timing.PlatformStep, nil
+}
+
 // joinDone reports whether the process has caught up: it holds a catalogue that was compared with peers or came from the
 // platform with no peer to ask, and the lists of instances, or has waited for them.
 func (c *Core) joinDone(now time.Time) bool {
--- a/distribution/message.go
+++ b/distribution/message.go
@@ -89,6 +89,8 @@
 	Introduce bool `cbor:"6,keyasint,omitempty"`
 	// Full says that the sender has no room for a further child: it answers heartbeats and pulls but pushes nothing.
 	Full bool `cbor:"7,keyasint,omitempty"`
+	// SourceFailing says that the reader above fails to read the platform.
+	SourceFailing bool `cbor:"8,keyasint,omitempty"`
 }
 
 // Push carries deltas.
--- a/distribution/reader.go
+++ b/distribution/reader.go
@@ -80,7 +80,7 @@
 // wantedReads returns whether to watch the manifest, and the failure domains whose lists to watch.
 func (c *Core) wantedReads(now time.Time) (bool, []string) {
 	if c.phase == Joining && c.store.get(catalogueName) == nil {
-		return c.joinReads(now), nil
+		return c.joinReadsFirst(now)
 	}
 	if c.phase == Joining {
 		if c.joinReads(now) && c.tree.root {
@@ -99,13 +99,19 @@
 	if c.nearStore(c.region()) {
 		return true, c.assignedLists(now)
 	}
-	// Away from the platform it is read only while the other region is silent.
-	if c.linkAge(now) < c.cfg.Timing.Fallback {
+	// Away from the platform it is read only while the other region is silent, or says that it can't read it.
+	if c.linkAge(now) < c.cfg.Timing.Fallback && !c.linkSourceFailing() {
 		return false, nil
 	}
 	return true, append(c.lackingLists(), c.cfg.Self.FailureDomain)
 }
 
+// linkSourceFailing reports whether this process pulls from a region whose readers fail to read the platform.
+func (c *Core) linkSourceFailing() bool {
+	u := c.tree.upstreams[c.tree.linkPeer]
+	return c.tree.pulling && u != nil && u.sourceFailing
+}
+
 // lackingLists returns the failure domains whose lists are not held at all.
 func (c *Core) lackingLists() []string {
 	var lists []string
--- a/distribution/relay.go
+++ b/distribution/relay.go
@@ -79,7 +79,7 @@
 		c.send(from, Message{Ack: &Ack{Joining: true, Introduce: !known}, Sender: c.self()})
 		return
 	}
-	ack := &Ack{Introduce: !known, Pulling: c.tree.pulling}
+	ack := &Ack{Introduce: !known, Pulling: c.tree.pulling, SourceFailing: c.sourceFailing()}
 	if ack.Pulling {
 		ack.LinkAgeMs = uint32(min(c.linkAge(now), time.Hour).Milliseconds())
 	}
@@ -197,6 +197,7 @@
 	u.ackAt = now
 	u.introduced = !a.Introduce
 	u.pulling = a.Pulling
+	u.sourceFailing = a.SourceFailing
 	if a.Pulling {
 		u.linkHeard = now.Add(-time.Duration(a.LinkAgeMs) * time.Millisecond)
 	}
--- a/distribution/tree.go
+++ b/distribution/tree.go
@@ -21,6 +21,8 @@
 	ackAt     time.Time
 	pulling   bool
 	linkHeard time.Time
+	// sourceFailing says that the reader above it fails to read the platform.
+	sourceFailing bool
 }
 
 // treeState holds what this process subscribes to.
@@ -334,6 +336,18 @@
 	return nil
 }
 
+// sourceFailing reports whether the reader that this process depends on fails to read the platform, as far as known.
+func (c *Core) sourceFailing() bool {
+	if c.reader.manifest != nil {
+		return c.reader.failing
+	}
+	if u := c.tree.upstreams[c.tree.parent]; u != nil {
+		return u.sourceFailing
+	}
+	u := c.tree.upstreams[c.tree.linkPeer]
+	return c.tree.pulling && u != nil && u.sourceFailing
+}
+
 // linkAge returns the time since the other region was heard.
 func (c *Core) linkAge(now time.Time) time.Duration {
 	if c.tree.linkHeard.IsZero() {
--- a/internal/peer/quic.go
+++ b/internal/peer/quic.go
@@ -23,8 +23,9 @@
 	sendTimeout      = 5 * time.Second
 	// incomingStreams bounds the messages that one peer sends at once.
 	incomingStreams = 32
-	// maxLinks bounds the peers connected at once.
-	maxLinks = 512
+	// maxLinks bounds the peers that messages are sent to at once, and maxConns the connections.
+	maxLinks = 256
+	maxConns = 256
 	// streamWindow and connectionWindow bound what a peer may send before it is read, in bytes.
 	streamWindow     = 1 << 20
 	connectionWindow = 2 << 20
@@ -127,12 +128,23 @@
 			_ = conn.CloseWithError(1, err.Error())
 			continue
 		}
+		if q.crowded() {
+			_ = conn.CloseWithError(2, "too many connections; retry after a backoff")
+			continue
+		}
 		from := distribution.Address{Name: id.Instance, Addr: conn.RemoteAddr().String()}
 		q.adopt(from, conn)
 		q.wait.Go(func() { q.read(conn, from, id.FailureDomain) })
 	}
 }
 
+// crowded reports whether there is no room for a further connection.
+func (q *Quic) crowded() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.conns) >= maxConns
+}
+
 // adopt uses an incoming connection for messages to its peer too. It replaces an older one, which may lead to an earlier
 // life of the peer and would swallow messages until it is found idle.
 func (q *Quic) adopt(from distribution.Address, conn *quic.Conn) {
