--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -37,6 +37,9 @@
 	TargetAddr string
 	// Holder has the configuration in force.
 	Holder *snapshot.Holder
+	// Current reports whether the configuration in force may be used; nil means always. It is false in a process that was
+	// paused and has not yet compared its configuration with its peers.
+	Current func() bool
 	// Peers reaches the gatekeepers of the service's other instances. Without it no keyed request can run beside others.
 	Peers Peers
 	// Link paces answers to other regions; nil means unlimited.
@@ -133,6 +136,10 @@
 	if !g.begin() {
 		return nil, refusal.New(refusal.Leaving, "instance %q is leaving", g.config.Instance)
 	}
+	if g.config.Current != nil && !g.config.Current() {
+		g.running.Done()
+		return nil, refusal.New(refusal.NotReady, "instance %q holds no configuration that is known to be current", g.config.Instance)
+	}
 	state := g.config.Holder.Load()
 	route, refused := g.check(state, call)
 	if refused != nil {
--- a/internal/peer/quic.go
+++ b/internal/peer/quic.go
@@ -23,8 +23,9 @@
 	sendTimeout      = 5 * time.Second
 	// incomingStreams bounds the messages that one peer sends at once.
 	incomingStreams = 32
-	// maxLinks bounds the peers connected at once.
-	maxLinks = 512
+	// maxLinks bounds the peers that messages are sent to at once, and maxConns the connections.
+	maxLinks = 256
+	maxConns = 256
 	// streamWindow and connectionWindow bound what a peer may send before it is read, in bytes.
 	streamWindow     = 1 << 20
 	connectionWindow = 2 << 20
@@ -49,6 +50,9 @@
 
 	mu    sync.Mutex
 	links map[string]*link
+	// conns holds the connections that live; ended counts the bytes of those that ended.
+	conns map[*quic.Conn]struct{}
+	ended Traffic
 	ctx   context.Context
 	stop  context.CancelFunc
 	wait  sync.WaitGroup
@@ -72,7 +76,7 @@
 		return nil, errors.Wrapf(err, "listen on peer address %q", cfg.Addr)
 	}
 	q := &Quic{
-		cfg: cfg, transport: &quic.Transport{Conn: socket}, links: map[string]*link{},
+		cfg: cfg, transport: &quic.Transport{Conn: socket}, links: map[string]*link{}, conns: map[*quic.Conn]struct{}{},
 		inbound: ring.New[Inbound](InboundQueue, ring.DropOldest),
 		settings: &quic.Config{
 			MaxIdleTimeout: idleTimeout, HandshakeIdleTimeout: handshakeTimeout,
@@ -124,12 +128,23 @@
 			_ = conn.CloseWithError(1, err.Error())
 			continue
 		}
+		if q.crowded() {
+			_ = conn.CloseWithError(2, "too many connections; retry after a backoff")
+			continue
+		}
 		from := distribution.Address{Name: id.Instance, Addr: conn.RemoteAddr().String()}
 		q.adopt(from, conn)
 		q.wait.Go(func() { q.read(conn, from, id.FailureDomain) })
 	}
 }
 
+// crowded reports whether there is no room for a further connection.
+func (q *Quic) crowded() bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return len(q.conns) >= maxConns
+}
+
 // adopt uses an incoming connection for messages to its peer too. It replaces an older one, which may lead to an earlier
 // life of the peer and would swallow messages until it is found idle.
 func (q *Quic) adopt(from distribution.Address, conn *quic.Conn) {
@@ -262,6 +277,10 @@
 
 // read takes messages from a connection until it ends.
 func (q *Quic) read(conn *quic.Conn, from distribution.Address, failureDomain string) {
+	q.mu.Lock()
+	q.conns[conn] = struct{}{}
+	q.mu.Unlock()
+	defer q.forget(conn)
 	for {
 		stream, err := conn.AcceptUniStream(q.ctx)
 		if err != nil {
@@ -271,6 +290,32 @@
 	}
 }
 
+// forget adds what a connection that ended has carried to the totals.
+func (q *Quic) forget(conn *quic.Conn) {
+	stats := conn.ConnectionStats()
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	delete(q.conns, conn)
+	q.ended.Sent += stats.BytesSent
+	q.ended.Received += stats.BytesReceived
+}
+
+// Traffic counts bytes of QUIC packets, headers and acknowledgements included, without those of UDP and IP.
+type Traffic struct{ Sent, Received uint64 }
+
+// Traffic returns the bytes sent and received over all connections.
+func (q *Quic) Traffic() Traffic {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	total := q.ended
+	for conn := range q.conns {
+		stats := conn.ConnectionStats()
+		total.Sent += stats.BytesSent
+		total.Received += stats.BytesReceived
+	}
+	return total
+}
+
 func (q *Quic) readOne(stream *quic.ReceiveStream, from distribution.Address, failureDomain string) {
 	_ = stream.SetReadDeadline(time.Now().Add(sendTimeout))
 	data, err := io.ReadAll(io.LimitReader(stream, distribution.MaxMessageBytes+1))
