--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -20,6 +20,7 @@
 	"github.com/chervilwell/chervilwell/internal/certs"
 	"github.com/chervilwell/chervilwell/internal/frontend"
 	"github.com/chervilwell/chervilwell/internal/gatekeeper"
+	"github.com/chervilwell/chervilwell/internal/linkbudget"
 	"github.com/chervilwell/chervilwell/internal/operator"
 	"github.com/chervilwell/chervilwell/internal/peer"
 	"github.com/chervilwell/chervilwell/platform"
@@ -31,7 +32,7 @@
 	// lifeInterval is the time between two looks at whether the process has joined.
 	lifeInterval = 20 * time.Millisecond
 	// pauseThreshold is the gap between two looks after which the process counts as having been paused.
-	pauseThreshold = 3 * time.Second
+	pauseThreshold = 2 * time.Second
 	// leaveTimeout bounds the announcement that the instance is leaving.
 	leaveTimeout = time.Second
 	// stopTimeout bounds the end of the duties after the drain.
@@ -52,6 +53,7 @@
 	transport *peer.Quic
 	agent     *agent.Agent
 	gate      *gatekeeper.Gatekeeper
+	link      *linkbudget.Budget
 	requests  *gatekeeper.Server
 	front     *frontend.Frontend
 	picker    *frontend.Picker
@@ -217,6 +219,7 @@
 	}
 	tree.Add(d.agent)
 	tree.Add(d.gate)
+	tree.Add(d.link)
 	tree.Add(d.requests)
 	tree.Add(d.callers)
 	tree.Add(d.operator)
@@ -290,21 +293,27 @@
 func (l *lifeDuty) Serve(ctx context.Context) error {
 	ticker := time.NewTicker(lifeInterval)
 	defer ticker.Stop()
-	last := time.Now().Round(0) // without the monotonic reading, which may stand still while the machine is suspended
 	for {
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
 		case <-ticker.C:
+			l.look(time.Now())
 		}
-		now := time.Now().Round(0)
-		if now.Sub(last) > pauseThreshold {
-			l.d.life.Fire(charts.OnProcessPaused)
-			l.d.picker.Reset()
-		}
-		last = now
-		if l.d.agent.Joined() {
-			l.d.life.Fire(charts.OnProcessSnapshotInForce)
-		}
 	}
 }
+
+// look moves the process on its chart. After a pause the agent drops its beliefs before the time of the look counts, so that
+// nothing is decided in between.
+func (l *lifeDuty) look(now time.Time) {
+	if l.d.life.Paused(now) {
+		l.d.agent.Woken()
+		l.d.picker.Reset()
+	}
+	if l.d.agent.Joined() {
+		l.d.life.Fire(charts.OnProcessSnapshotInForce)
+	} else {
+		l.d.life.Fire(charts.OnProcessPaused)
+	}
+	l.d.life.Looked(now)
+}
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -3,11 +3,13 @@
 import (
 	"crypto/tls"
 	"net/http"
+	"time"
 
 	"github.com/chervilwell/chervilwell/distribution"
 	"github.com/chervilwell/chervilwell/internal/agent"
 	"github.com/chervilwell/chervilwell/internal/frontend"
 	"github.com/chervilwell/chervilwell/internal/gatekeeper"
+	"github.com/chervilwell/chervilwell/internal/linkbudget"
 	"github.com/chervilwell/chervilwell/internal/peer"
 	"github.com/chervilwell/chervilwell/platform"
 )
@@ -44,19 +46,21 @@
 func (d *Daemon) buildRequests() error {
 	s := d.settings
 	remote := frontend.NewHTTPCarrier(d.certs)
+	d.link = linkbudget.New(linkbudget.Config{Instance: s.Instance, Region: s.Region, Holder: d.holder, Peers: remote})
 	d.gate = gatekeeper.New(gatekeeper.Config{
 		Instance: s.Instance, FailureDomain: s.FailureDomain, Region: s.Region, Service: s.Service, TargetAddr: s.Target.Addr,
-		Holder: d.holder, Peers: remote, Trail: d.trail, Log: d.log,
+		Holder: d.holder, Current: d.current, Peers: remote, Link: d.link, Trail: d.trail, Log: d.log,
 	})
 	d.requests = gatekeeper.NewServer(d.listeners.requests, d.certs.PeerServer("http/1.1"), d.gate)
 	d.picker = frontend.NewPicker(s.Instance, s.FailureDomain)
 	d.agent.SubscribeNotice(distribution.LeavingKind, d.onLeaving)
 	d.front = frontend.New(frontend.Config{
-		Instance: s.Instance, FailureDomain: s.FailureDomain, Holder: d.holder,
+		Instance: s.Instance, FailureDomain: s.FailureDomain, Holder: d.holder, Current: d.current,
 		Picker: d.picker,
 		Carrier: &frontend.LocalCarrier{
 			Instance: s.Instance, Gatekeeper: d.gate, Remote: remote,
 		},
+		Link:                    d.link,
 		TrustOrganisationHeader: s.TrustOrganisationHeader,
 		Registerer:              d.registry,
 		Log:                     d.log,
@@ -72,6 +76,9 @@
 	}
 }
 
+// current reports whether the process may decide by the configuration that it holds.
+func (d *Daemon) current() bool { return d.life.Current(time.Now()) }
+
 // callerConfig returns the TLS configuration of the callers' listener, or nil for plain HTTP.
 func (d *Daemon) callerConfig() *tls.Config {
 	if d.callerTLS == nil {
--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -12,6 +12,7 @@
 
 	"github.com/chervilwell/chervilwell/internal/certs"
 	"github.com/chervilwell/chervilwell/internal/headers"
+	"github.com/chervilwell/chervilwell/internal/linkbudget"
 	"github.com/chervilwell/chervilwell/internal/refusal"
 	"github.com/chervilwell/chervilwell/internal/stream"
 	"github.com/chervilwell/chervilwell/retry"
@@ -24,10 +25,15 @@
 	FailureDomain string
 	// Holder has the configuration in force.
 	Holder *snapshot.Holder
+	// Current reports whether the configuration in force may be used; nil means always. It is false in a process that was
+	// paused and has not yet compared its configuration with its peers.
+	Current func() bool
 	// Picker chooses targets.
 	Picker *Picker
 	// Carrier reaches the targets' instances.
 	Carrier Carrier
+	// Link holds requests to other regions to the organisations' shares of the links; nil means unlimited.
+	Link *linkbudget.Budget
 	// TrustOrganisationHeader takes the organisation of callers without a certificate from a header.
 	TrustOrganisationHeader bool
 	// Registerer takes the metrics; it may be nil.
@@ -100,8 +106,8 @@
 		return nil, refused
 	}
 	state := f.config.Holder.Load()
-	if state.Config == nil {
-		return nil, refusal.New(refusal.NotReady, "instance %q holds no configuration yet", f.config.Instance)
+	if state.Config == nil || f.config.Current != nil && !f.config.Current() {
+		return nil, refusal.New(refusal.NotReady, "instance %q holds no configuration that is known to be current", f.config.Instance)
 	}
 	req := &request{state: state, in: r}
 	var refused *refusal.Refusal
@@ -126,6 +132,8 @@
 		req.deadline = now.Add(left)
 	}
 	req.retries = countOf(r.Header)
+	headers.StripHopByHop(r.Header)
+	headers.StripInternal(r.Header)
 	req.body = newReplayBody(body, r.ContentLength, req.route.Limits.BodyBytes)
 	return req, nil
 }
