--- a/internal/bench/mesh_node.go
+++ b/internal/bench/mesh_node.go
@@ -94,8 +94,10 @@
 	if err != nil {
 		return err
 	}
-	n.Instance.RequestAddr = requests.Addr().String()
-	n.callers = callers.Addr().String()
+	if n.callers == freePort {
+		n.Instance.RequestAddr = requests.Addr().String()
+		n.callers = callers.Addr().String()
+	}
 	p, err := n.build(requests, callers)
 	if err != nil {
 		return err
@@ -124,7 +126,9 @@
 	if err != nil {
 		return nil, err
 	}
-	n.Instance.PeerAddr = p.transport.Addr()
+	if n.Instance.PeerAddr == freePort {
+		n.Instance.PeerAddr = p.transport.Addr()
+	}
 	domain := n.Instance.FailureDomain
 	n.mesh.addPeer(n.Instance.PeerAddr, domain)
 	p.agent = agent.New(agent.Config{
