--- a/internal/frontend/forward.go
+++ b/internal/frontend/forward.go
@@ -82,6 +82,9 @@
 	if refused != nil {
 		shipment.Answer.Result = resultOfRefusal(ctx, shipment, refused)
 		f.config.Picker.ended(target.Name, shipment.Answer)
+		if refused.Kind == refusal.KeyNotReady {
+			f.config.Picker.notReady(target.Name)
+		}
 		return nil, refused
 	}
 	req.retries = req.retries.Absorb(countOf(resp.Header))
@@ -132,12 +135,22 @@
 		return pick.Cancelled
 	case s.Answer.Load == nil, refused.Kind == refusal.TargetDown:
 		return pick.Broken
-	case refused.Run == headers.Unknown:
+	case refused.Run == headers.Unknown && faulty(refused.Kind):
 		return pick.Failed
 	}
 	return pick.OK
 }
 
+// faulty reports whether a refusal speaks against its target. One for the sake of a key does not, though its request may have
+// run before.
+func faulty(kind refusal.Kind) bool {
+	switch kind {
+	case refusal.Unreachable, refusal.BrokenAnswer, refusal.Timeout:
+		return true
+	}
+	return false
+}
+
 func resultOfCut(ctx context.Context) pick.Result {
 	if ctx.Err() != nil {
 		return pick.Cancelled
--- a/internal/frontend/keyed_test.go
+++ b/internal/frontend/keyed_test.go
@@ -12,6 +12,7 @@
 	"github.com/google/uuid"
 
 	"github.com/chervilwell/chervilwell/internal/headers"
+	"github.com/chervilwell/chervilwell/pick"
 )
 
 // freshKey returns a key made now by the fleet's clock.
@@ -107,3 +108,20 @@
 	f.t.Fatal("no keyed request ran")
 	return ""
 }
+
+func TestRefusalsForAKeyDoNotEjectTargets(t *testing.T) {
+	var count atomic.Int64
+	f := newFleet(t, echo(&count), "obb-muc", "nbb-la")
+	for range 30 { // the lives are too young for keys
+		resp, body := call(t, "POST", f.members[0].url+"/order/x", "salt", headers.IdempotencyKey, f.freshKey())
+		if !strings.Contains(body, `"kind":"key-not-ready"`) {
+			t.Fatalf("got %d %s", resp.StatusCode, body)
+		}
+	}
+	state := f.members[0].holder.Load()
+	for _, c := range f.members[0].frontend.config.Picker.Explain(time.Now(), state, state.Config.Route("order")) {
+		if c.Verdict != pick.Usable {
+			t.Fatalf("%s is %s", c.Instance.Name, c.Verdict)
+		}
+	}
+}
