frontend: a test of joined resends waits for a run, not for luck

Cause: TestResendJoinsTheRunItsCallerLeft hung when its random key needed the vote of a seat that was not mature yet: the first request was refused without a run, and the test waited for one forever. Seen once in 4 repeats (goroutine dump at the timeout: the test at its receive, no request in flight). Ruled out: a lost run or answer in admission; the refusal was key-not-ready, which is right. Change: the test sends fresh keys until one runs; what it asserts of that one is unchanged. Before: 1 hang in 4 repeats. After: 6 of 6 pass with -race. Conclusion: a fault of the test, not of the product.

--- a/internal/frontend/keyed_test.go
+++ b/internal/frontend/keyed_test.go
@@ -38,6 +38,25 @@
 	return ""
 }
 
+// untilRunning sends requests with fresh keys until one runs longer than its caller waits, and returns its key with the
+// refusal that the caller got. A request whose key needs the vote of a seat that is not mature yet does not run.
+func (f *fleet) untilRunning(path string, running <-chan struct{}) (string, *http.Response) {
+	f.t.Helper()
+	for range 400 {
+		key := f.freshKey()
+		resp, _ := call(f.t, "POST", f.members[0].url+path, "", headers.IdempotencyKey, key, headers.Timeout, "2000")
+		select {
+		case <-running:
+			return key, resp
+		default:
+			f.ahead.Add(int64(time.Second))
+			time.Sleep(20 * time.Millisecond)
+		}
+	}
+	f.t.Fatal("no keyed request ran")
+	return "", nil
+}
+
 func TestKeyedRequestRunsOnceAndResendGetsItsAnswer(t *testing.T) {
 	var count atomic.Int64
 	f := newFleet(t, echo(&count), "obb-muc", "nbb-la", "obb-muc")
@@ -75,9 +94,7 @@
 	}
 	f := newFleet(t, handler, "obb-muc", "nbb-la")
 	f.untilMature("")
-	key := f.freshKey()
-	resp, _ := call(t, "POST", f.members[0].url+"/order/slow", "", headers.IdempotencyKey, key, headers.Timeout, "2000")
-	<-running
+	key, resp := f.untilRunning("/order/slow", running)
 	if resp.StatusCode < http.StatusBadRequest || resp.Header.Get(headers.Run) != "unknown" {
 		t.Fatalf("first got %d %v", resp.StatusCode, resp.Header)
 	}
