--- a/distribution/accept.go
+++ b/distribution/accept.go
@@ -5,6 +5,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/chervilwell/chervilwell/chart/charts"
 	"github.com/chervilwell/chervilwell/document"
 	"github.com/chervilwell/chervilwell/platform"
 	"github.com/chervilwell/chervilwell/snapshot"
@@ -109,15 +110,9 @@
 	case err == nil:
 		return true
 	case errors.Is(err, snapshot.ErrConflict):
-		c.reportOnce(compact(name, next), Report{
-			Kind: ReportConflict, Subject: name, Version: next, Detail: origin + " offers the revision held with another digest",
-			Remedy: "publish the wanted content under a higher revision",
-		})
+		c.turnDown(charts.OnApplicationConflict, name, next, origin)
 	default:
-		c.reportOnce(compact(name, next), Report{
-			Kind: ReportOlder, Subject: name, Version: next, Detail: origin + " offers an older revision than the one held",
-			Remedy: "wait until the source has caught up, or publish the content under a higher revision",
-		})
+		c.turnDown(charts.OnApplicationOlder, name, next, origin)
 	}
 	return false
 }
@@ -125,13 +120,10 @@
 // accept holds a verified document that follows the one held, once it passed its check, and forwards it.
 func (c *Core) accept(now time.Time, doc *document.Document, origin string) {
 	previous := c.store.get(doc.Name())
-	if err := c.check(now, doc, previous); err != nil {
-		c.refuse(doc, origin, err)
+	delete(c.relay.pulls, doc.Name())
+	if !c.apply(now, doc, previous, origin) {
 		return
 	}
-	c.store.put(doc)
-	delete(c.relay.pulls, doc.Name())
-	c.emit(Applied{Document: doc, Previous: previous})
 	c.forward(now, doc.Name(), origin)
 	c.joinApplied(now, doc)
 }
--- a/distribution/core.go
+++ b/distribution/core.go
@@ -6,6 +6,7 @@
 
 	"golang.org/x/time/rate"
 
+	"github.com/chervilwell/chervilwell/chart"
 	"github.com/chervilwell/chervilwell/document"
 	"github.com/chervilwell/chervilwell/membership"
 )
@@ -35,13 +36,15 @@
 	prune    time.Time
 	out      []Action
 
-	join     joinState
-	tree     treeState
-	relay    relayState
-	reader   readerState
-	notices  noticeState
-	refused  map[DocumentVersion]bool
-	reported map[DocumentVersion]bool
+	join    joinState
+	tree    treeState
+	relay   relayState
+	reader  readerState
+	notices noticeState
+	// application is the chart of the document that is being put in force; it is idle between events.
+	application *chart.Machine
+	refused     map[DocumentVersion]bool
+	reported    map[DocumentVersion]bool
 }
 
 // New returns the state machine of a process that holds nothing.
@@ -64,6 +67,7 @@
 	c.relay = newRelay(cfg.Limits)
 	c.reader = newReader(cfg.Limits)
 	c.notices = newNotices(cfg.Limits.Notices)
+	c.application = chart.NewMachine(applicationChart)
 	return c
 }
 
--- a/distribution/reader.go
+++ b/distribution/reader.go
@@ -8,6 +8,8 @@
 	"golang.org/x/time/rate"
 
 	"github.com/chervilwell/chervilwell/catalogue"
+	"github.com/chervilwell/chervilwell/chart"
+	"github.com/chervilwell/chervilwell/chart/charts"
 	"github.com/chervilwell/chervilwell/document"
 	"github.com/chervilwell/chervilwell/platform"
 	"github.com/chervilwell/chervilwell/rank"
@@ -51,10 +53,12 @@
 	lists   map[string]*watch
 	fetch   *fetch
 	failing bool
+	// machine is the chart of the role towards the platform.
+	machine *chart.Machine
 }
 
 func newReader(l Limits) readerState {
-	return readerState{limiter: newLimiter(l.ReadsPerSecond, l.ReadBurst), lists: map[string]*watch{}}
+	return readerState{limiter: newLimiter(l.ReadsPerSecond, l.ReadBurst), lists: map[string]*watch{}, machine: chart.NewMachine(readerChart)}
 }
 
 // readerTick starts and stops the watches that the process's role calls for.
@@ -63,7 +67,8 @@
 		return
 	}
 	manifest, lists := c.wantedReads(now)
-	c.watchManifest(now, manifest)
+	c.followRole(now, manifest)
+	c.watchManifest(now)
 	for fd, w := range c.reader.lists {
 		if !slices.Contains(lists, fd) {
 			c.stopList(fd, w)
@@ -156,23 +161,33 @@
 	return c.reader.lastID
 }
 
-func (c *Core) watchManifest(now time.Time, wanted bool) {
-	w := c.reader.manifest
-	if !wanted {
-		if w != nil && w.waiting {
-			c.emit(StopManifest{ID: w.id})
-		}
-		if c.reader.fetch != nil {
-			c.reader.tag = ""
-		}
-		c.reader.manifest, c.reader.fetch = nil, nil
-		return
+// openWatch prepares the watch of the manifest; it continues after the tag that was taken last.
+func (c *Core) openWatch() {
+	if c.reader.manifest == nil {
+		c.reader.manifest = &watch{after: c.reader.tag}
 	}
-	if w == nil {
-		w = &watch{after: c.reader.tag}
-		c.reader.manifest = w
+}
+
+// closeWatch ends a waiting watch of the manifest.
+func (c *Core) closeWatch() {
+	if w := c.reader.manifest; w != nil && w.waiting {
+		w.waiting = false
+		c.emit(StopManifest{ID: w.id})
 	}
-	if w.waiting || now.Before(w.nextAt) || !c.reader.limiter.AllowN(now, 1) {
+}
+
+// forgetWatch drops what was read in a role that the process has left.
+func (c *Core) forgetWatch() {
+	if c.reader.fetch != nil {
+		c.reader.tag = ""
+	}
+	c.reader.manifest, c.reader.fetch = nil, nil
+}
+
+// watchManifest begins to wait for the manifest while the process reads, within its budget.
+func (c *Core) watchManifest(now time.Time) {
+	w := c.reader.manifest
+	if c.reader.machine.State() != charts.ReaderReading || w.waiting || !c.reader.limiter.AllowN(now, 1) {
 		return
 	}
 	w.id, w.waiting = c.nextID(), true
@@ -201,7 +216,10 @@
 
 // stopReading ends all watches.
 func (c *Core) stopReading() {
-	c.watchManifest(time.Time{}, false)
+	if c.reader.machine.State() != charts.ReaderFollower {
+		c.readerEvent(c.lastTick, charts.OnReaderRankedFollower)
+		c.forgetWatch()
+	}
 	for fd, w := range c.reader.lists {
 		c.stopList(fd, w)
 	}
@@ -218,6 +236,13 @@
 	if errors.Is(err, platform.ErrNotFound) {
 		return
 	}
+	if errors.Is(err, platform.ErrThrottled) {
+		// A platform that is out of budget is not away: other readers in its place would only add to the load.
+		c.reportOnce(DocumentVersion{Name: "throttled"}, Report{
+			Kind: ReportSource, Subject: "platform", Detail: err.Error(), Remedy: "raise the read budget, or look for other readers",
+		})
+		return
+	}
 	failing := err != nil
 	if failing == c.reader.failing {
 		return
@@ -243,7 +268,7 @@
 	}
 	if e.Err != nil {
 		if current {
-			w.nextAt = c.retryAfter(now, &w.delay)
+			c.readerEvent(now, charts.OnReaderReadFailed)
 		}
 		return
 	}
--- a/distribution/tree.go
+++ b/distribution/tree.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/chervilwell/chervilwell/chart/charts"
 	"github.com/chervilwell/chervilwell/membership"
 	"github.com/chervilwell/chervilwell/rank"
 )
@@ -147,9 +148,12 @@
 // deferReading puts off this process's reads of the platform, since a peer that ranks before it is about to hold something
 // and will read instead. The delay in all is bounded.
 func (c *Core) deferReading(now time.Time) {
-	c.tree.deferred = now.Add(2 * c.cfg.Timing.Settle)
 	if c.tree.root && now.Sub(c.tree.rootSince) > c.cfg.Timing.PlatformLast {
-		c.tree.deferred = now
+		return
+	}
+	c.armSilence(now.Add(c.cfg.Timing.Settle))
+	if c.reader.machine.State() == charts.ReaderStandby {
+		c.readerEvent(now, charts.OnReaderReadersHeard)
 	}
 }
 
--- a/internal/bench/steady.go
+++ b/internal/bench/steady.go
@@ -41,6 +41,7 @@
 		return nil, err
 	}
 	r := &steadyRun{observer: newObserver(m), baseline: newWatchers(m)}
+	m.platform.SetBudget(m.steadyBudget())
 	ctx, cancel := context.WithCancel(ctx)
 	defer func() {
 		cancel()
@@ -65,6 +66,12 @@
 	return r, r.change(ctx, m)
 }
 
+// steadyBudget returns the platform's reads per second in proportion to the fleet, but no less than for 200 instances: what the
+// readers need grows with the rate of changes and not with the fleet.
+func (m *relayFleet) steadyBudget() float64 {
+	return readsPerInstance * float64(max(m.fleet, 200))
+}
+
 // settle waits until the roles after a start have settled: every failure domain near the platform has its reader.
 func (m *relayFleet) settle(ctx context.Context) error {
 	select {
