--- a/internal/peer/quic_test.go
+++ b/internal/peer/quic_test.go
@@ -21,6 +21,10 @@
 
 // listen opens a transport with a certificate of the authority.
 func listen(t *testing.T, a *certs.Authority, name, failureDomain string) *Quic {
+	return listenAt(t, a, name, failureDomain, "127.0.0.1:0")
+}
+
+func listenAt(t *testing.T, a *certs.Authority, name, failureDomain, addr string) *Quic {
 	pair, err := a.Instance(certs.Identity{Instance: name, FailureDomain: failureDomain})
 	if err != nil {
 		t.Fatal(err)
@@ -29,7 +33,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	q, err := Listen(Config{Addr: "127.0.0.1:0", Certs: certs.NewStatic(cert, a.Pool()), Log: zerolog.Nop()})
+	q, err := Listen(Config{Addr: addr, Certs: certs.NewStatic(cert, a.Pool()), Log: zerolog.Nop()})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -106,3 +110,24 @@
 	}
 	return 0
 }
+
+// TestRestartedPeerIsReachedAtOnce ends a transport without a word and starts another at the same address: the message that it
+// sends is answered on the new connection, not on the one that leads to the former life.
+func TestRestartedPeerIsReachedAtOnce(t *testing.T) {
+	a := newAuthority(t)
+	x, y := listen(t, a, "x", "fd-x"), listen(t, a, "y", "fd-y")
+	addr := y.Addr()
+	x.Send(distribution.Address{Name: "y", Addr: addr}, distribution.Message{Protocol: 1, Ask: &distribution.Ask{}})
+	receive(t, y)
+	// Its socket is taken away, so that nothing tells x of the end.
+	if err := y.transport.Conn.Close(); err != nil {
+		t.Fatal(err)
+	}
+	again := listenAt(t, a, "y", "fd-y", addr)
+	again.Send(distribution.Address{Name: "x", Addr: x.Addr()}, distribution.Message{Protocol: 1, Ask: &distribution.Ask{}})
+	in := receive(t, x)
+	x.Send(in.From, distribution.Message{Protocol: 1, Offer: &distribution.Offer{Holding: true}})
+	if back := receive(t, again); back.Message.Offer == nil {
+		t.Fatalf("received %+v", back.Message)
+	}
+}
