Bound requests by their caller's home regions too

Cause: an organisation's home regions were applied to the routes that it owns and not to the requests that it sends, so a call of an organisation bound to one region to another's route could cross the link. The catalogue's field says 'every request'. Change: the configuration gives the route as a caller may use it; frontend, admission, the votes on keys and explain ask for it. Before: care (bound to etela) calling the menu in pohjoinen was allowed. Conclusion: the bound is one look-up for organisations that have home regions and free for others.

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -117,6 +117,7 @@
 	if req.route = state.Config.Match(r.Method, r.URL.Path); req.route == nil {
 		return nil, refusal.New(refusal.NoRoute, "no route takes %s %s at revision %d", r.Method, r.URL.Path, state.Config.Version().Revision)
 	}
+	req.route = state.Config.ForCaller(req.route, req.organisation)
 	req.region = state.Config.RegionOf(f.config.FailureDomain)
 	if !req.route.Allows(req.region) {
 		return nil, wrongRegion(req.route, req.region, state.Config)
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -202,7 +202,7 @@
 	if config == nil {
 		return nil, refusal.New(refusal.NotReady, "instance %q holds no configuration yet", g.config.Instance)
 	}
-	route := config.Route(call.Route)
+	route := config.ForCaller(config.Route(call.Route), call.Organisation)
 	if route == nil {
 		return nil, refusal.New(refusal.NotReady, "instance %q knows no route %q at revision %d", g.config.Instance, call.Route, config.Version().Revision)
 	}
--- a/internal/gatekeeper/seats.go
+++ b/internal/gatekeeper/seats.go
@@ -127,7 +127,7 @@
 	if ask.Executor.Instance != from.Instance {
 		return nil, errNotSender
 	}
-	route, err := g.ownRoute(ask.Key.Route)
+	route, err := g.ownRoute(ask.Key)
 	if err != nil {
 		return nil, err
 	}
@@ -136,15 +136,15 @@
 	return vote, nil
 }
 
-// ownRoute returns a route of the own service that may be in the own region.
-func (g *Gatekeeper) ownRoute(name string) (*snapshot.Route, error) {
+// ownRoute returns the route of a key if it is of the own service and may be in the own region.
+func (g *Gatekeeper) ownRoute(key once.Key) (*snapshot.Route, error) {
 	config := g.config.Holder.Load().Config
 	if config == nil {
 		return nil, errors.New("no configuration yet; ask again later")
 	}
-	route := config.Route(name)
+	route := config.ForCaller(config.Route(key.Route), key.Organisation)
 	if route == nil || route.Service != g.config.Service || !route.Allows(config.RegionOf(g.config.FailureDomain)) {
-		return nil, errors.Errorf("route %q is not served here; ask another seat", name)
+		return nil, errors.Errorf("route %q is not served here; ask another seat", key.Route)
 	}
 	return route, nil
 }
--- a/internal/gatekeeper/server.go
+++ b/internal/gatekeeper/server.go
@@ -91,7 +91,7 @@
 	if config == nil {
 		return nil
 	}
-	route := config.Route(r.Header.Get(headers.Route))
+	route := config.ForCaller(config.Route(r.Header.Get(headers.Route)), r.Header.Get(headers.Organisation))
 	if route == nil || route.Allows(config.RegionOf(peer.FailureDomain)) {
 		return nil
 	}
--- a/internal/operator/explain.go
+++ b/internal/operator/explain.go
@@ -29,7 +29,7 @@
 	}
 	for _, route := range state.Config.Routes() {
 		if route.Service == e.Service {
-			e.Routes = append(e.Routes, h.explainRoute(state, route, e.Region))
+			e.Routes = append(e.Routes, h.explainRoute(state, state.Config.ForCaller(route, e.Organisation), e.Region))
 		}
 	}
 	return e, nil
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -152,13 +152,13 @@
 type Chooser struct {
 	self    Self
 	state   *snapshot.State
-	tables  map[string]*table
+	tables  map[*snapshot.Route]*table
 	targets map[string]*target
 }
 
 // New returns a chooser that knows nothing of any target.
 func New(self Self) *Chooser {
-	return &Chooser{self: self, tables: map[string]*table{}, targets: map[string]*target{}}
+	return &Chooser{self: self, tables: map[*snapshot.Route]*table{}, targets: map[string]*target{}}
 }
 
 // Pick chooses a target for a request of the route. The instances in tried are left out.
--- a/pick/table.go
+++ b/pick/table.go
@@ -39,11 +39,11 @@
 		clear(c.tables)
 		c.forget(state)
 	}
-	if t := c.tables[route.Name]; t != nil {
+	if t := c.tables[route]; t != nil {
 		return t
 	}
 	t := c.build(state, route)
-	c.tables[route.Name] = t
+	c.tables[route] = t
 	return t
 }
 
--- a/snapshot/snapshot.go
+++ b/snapshot/snapshot.go
@@ -8,6 +8,7 @@
 import (
 	"cmp"
 	"slices"
+	"sync"
 
 	"github.com/pkg/errors"
 
@@ -28,6 +29,8 @@
 	// longest first, so that a match costs one look-up for each length and not one for each route.
 	byPrefix      map[string][]*Route
 	prefixLengths []int
+	// bounds holds the routes that ForCaller has narrowed; a request adds what it needs.
+	bounds sync.Map
 	regionOf      map[string]string
 	domainsOut    map[string]bool
 	instancesOut  map[string]bool
@@ -41,11 +44,39 @@
 	// Target is the service that the route names.
 	Target *catalogue.Service
 	// Regions are the regions in which a request of the route may be served, sent and stored. Nil means any.
-	// They are the intersection of the home regions of the route, its owner and its service.
+	// They are the intersection of the home regions of the route, its owner and its service; see ForCaller for the caller's.
 	Regions map[string]bool
 	methods map[string]bool
 }
 
+// bound is a route as the callers of one organisation may use it.
+type bound struct {
+	route        *Route
+	organisation string
+}
+
+// ForCaller returns the route as a request of the organisation may use it: its Regions are bounded by the organisation's home
+// regions too. Equal arguments give the same pointer for the life of the configuration.
+func (c *Config) ForCaller(r *Route, organisation string) *Route {
+	caller := c.organisations[organisation]
+	if r == nil || caller == nil || len(caller.HomeRegions) == 0 || organisation == r.Owner {
+		return r
+	}
+	key := bound{r, organisation}
+	if known, ok := c.bounds.Load(key); ok {
+		return known.(*Route)
+	}
+	narrowed := *r
+	narrowed.Regions = map[string]bool{}
+	for _, region := range caller.HomeRegions {
+		if r.Allows(region) {
+			narrowed.Regions[region] = true
+		}
+	}
+	known, _ := c.bounds.LoadOrStore(key, &narrowed)
+	return known.(*Route)
+}
+
 // Allows reports whether a request of the route may be in region.
 func (r *Route) Allows(region string) bool { return r.Regions == nil || r.Regions[region] }
 
