--- a/internal/bench/exp_failure.go
+++ b/internal/bench/exp_failure.go
@@ -211,7 +211,8 @@
 	type tally struct{ all, good int }
 	windows := map[time.Duration]*tally{}
 	for _, c := range r.calls {
-		w := c.Start.Sub(r.started).Truncate(recoverWindow)
+		// The end counts: a call that a fault breaks off began before it.
+		w := c.Start.Add(c.Latency).Sub(r.started).Truncate(recoverWindow)
 		if windows[w] == nil {
 			windows[w] = &tally{}
 		}
