A key without a majority is not tried at another executor

Cause: after a poll without a majority the frontend tried the next executor; both were then bound by some seats, and resends met key-held-elsewhere. Change: the refusal key-undecided, final for the frontend and apart from key-not-ready.

--- a/internal/frontend/forward.go
+++ b/internal/frontend/forward.go
@@ -241,7 +241,7 @@
 func final(kind refusal.Kind) bool {
 	switch kind {
 	case refusal.BodyTooLarge, refusal.NoOrganisation, refusal.Cancelled, refusal.Timeout, refusal.Quarantined,
-		refusal.KeyInvalid, refusal.KeyRunning, refusal.KeyUnknown:
+		refusal.KeyInvalid, refusal.KeyRunning, refusal.KeyUnknown, refusal.KeyUndecided: // another executor would split the votes
 		return true
 	}
 	return false
--- a/internal/gatekeeper/keyed.go
+++ b/internal/gatekeeper/keyed.go
@@ -255,6 +255,8 @@
 	switch r.Reason {
 	case once.KeyTooOld, once.KeyAhead, once.KeyReused:
 		kind = refusal.KeyInvalid
+	case once.NoMajority:
+		kind = refusal.KeyUndecided
 	case once.HeldElsewhere:
 		kind = refusal.KeyElsewhere
 	case once.AnswerLost:
--- a/internal/refusal/refusal.go
+++ b/internal/refusal/refusal.go
@@ -42,6 +42,7 @@
 	Suspected      Kind = "suspected"
 	KeyInvalid     Kind = "key-invalid"
 	KeyNotReady    Kind = "key-not-ready"
+	KeyUndecided   Kind = "key-undecided"
 	KeyElsewhere   Kind = "key-held-elsewhere"
 	KeyRunning     Kind = "key-running"
 	KeyUnknown     Kind = "key-unknown"
@@ -80,6 +81,7 @@
 	Quarantined:    {http.StatusUnprocessableEntity, "do not send this request again; it crashed its targets"},
 	Suspected:      {http.StatusServiceUnavailable, "retry; the request was in flight when a target crashed and runs at one instance only"},
 	KeyNotReady:    {http.StatusServiceUnavailable, "resend with the same Idempotency-Key after a backoff"},
+	KeyUndecided:   {http.StatusServiceUnavailable, "resend with the same Idempotency-Key; too few instances of the service could be asked"},
 	KeyElsewhere:   {http.StatusConflict, "resend with the same Idempotency-Key; the instance that holds it answers"},
 	KeyInvalid:     {http.StatusBadRequest, "send one Idempotency-Key of at most 255 bytes"},
 	KeyRunning:     {http.StatusConflict, "wait for the first request with this Idempotency-Key to end"},
