frontend: give up a repeatable attempt while another one still fits

Change: a repeatable attempt has half of the time left until the head of its answer while the retry budget lasts; a connection to another instance must open within 300 ms instead of 2 s. Conclusion: TestStalledTarget shows the retry, and none for requests that must not be repeated.

--- a/internal/frontend/budgets.go
+++ b/internal/frontend/budgets.go
@@ -28,6 +28,13 @@
 	return retry.Decide(time.Now(), b.rng, budget, f)
 }
 
+// left returns the number of retries that the budget of a service allows now.
+func (b *retryBudgets) left(service string) int {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.of(service).Left()
+}
+
 // of returns the budget of a service. The caller holds the lock.
 func (b *retryBudgets) of(service string) *retry.Budget {
 	if b.budgets == nil {
--- a/internal/frontend/carrier.go
+++ b/internal/frontend/carrier.go
@@ -41,7 +41,7 @@
 
 // Limits of the connections to other instances.
 const (
-	dialTimeout   = 2 * time.Second
+	dialTimeout   = 300 * time.Millisecond
 	idleTimeout   = 90 * time.Second
 	maxAnswerHead = 128 << 10
 	// maxConns bounds the connections to one instance, maxIdle those kept open between requests.
--- a/internal/frontend/forward.go
+++ b/internal/frontend/forward.go
@@ -75,10 +75,14 @@
 
 // attempt sends the request to one target.
 func (f *Frontend) attempt(ctx context.Context, req *request, target platform.Instance) (*http.Response, *refusal.Refusal) {
-	shipment := &Shipment{Target: target, Route: req.route.Name, Organisation: req.organisation, Request: req.outgoing(ctx)}
-	resp, refused := f.config.Carrier.Do(shipment)
+	limit := f.limitAttempt(ctx, req)
+	shipment := &Shipment{Target: target, Route: req.route.Name, Organisation: req.organisation, Request: req.outgoing(limit.ctx)}
+	resp, refused := limit.judge(f.config.Carrier.Do(shipment))
 	if refused != nil {
 		shipment.Answer.Result = resultOfRefusal(ctx, shipment, refused)
+		if limit.passed() {
+			shipment.Answer.Result = pick.Failed
+		}
 		f.config.Picker.ended(target.Name, shipment.Answer)
 		return nil, refused
 	}
