--- a/distribution/reader.go
+++ b/distribution/reader.go
@@ -8,6 +8,8 @@
 	"golang.org/x/time/rate"
 
 	"github.com/chervilwell/chervilwell/catalogue"
+	"github.com/chervilwell/chervilwell/chart"
+	"github.com/chervilwell/chervilwell/chart/charts"
 	"github.com/chervilwell/chervilwell/document"
 	"github.com/chervilwell/chervilwell/platform"
 	"github.com/chervilwell/chervilwell/rank"
@@ -51,10 +53,12 @@
 	lists   map[string]*watch
 	fetch   *fetch
 	failing bool
+	// machine is the chart of the role towards the platform.
+	machine *chart.Machine
 }
 
 func newReader(l Limits) readerState {
-	return readerState{limiter: newLimiter(l.ReadsPerSecond, l.ReadBurst), lists: map[string]*watch{}}
+	return readerState{limiter: newLimiter(l.ReadsPerSecond, l.ReadBurst), lists: map[string]*watch{}, machine: chart.NewMachine(readerChart)}
 }
 
 // readerTick starts and stops the watches that the process's role calls for.
@@ -63,7 +67,8 @@
 		return
 	}
 	manifest, lists := c.wantedReads(now)
-	c.watchManifest(now, manifest)
+	c.followRole(now, manifest)
+	c.watchManifest(now)
 	for fd, w := range c.reader.lists {
 		if !slices.Contains(lists, fd) {
 			c.stopList(fd, w)
@@ -80,7 +85,7 @@
 // wantedReads returns whether to watch the manifest, and the failure domains whose lists to watch.
 func (c *Core) wantedReads(now time.Time) (bool, []string) {
 	if c.phase == Joining && c.store.get(catalogueName) == nil {
-		return c.joinReads(now), nil
+		return c.joinReadsFirst(now)
 	}
 	if c.phase == Joining {
 		if c.joinReads(now) && c.tree.root {
@@ -99,13 +104,19 @@
 	if c.nearStore(c.region()) {
 		return true, c.assignedLists(now)
 	}
-	// Away from the platform it is read only while the other region is silent.
-	if c.linkAge(now) < c.cfg.Timing.Fallback {
+	// Away from the platform it is read only while the other region is silent, or says that it can't read it.
+	if c.linkAge(now) < c.cfg.Timing.Fallback && !c.linkSourceFailing() {
 		return false, nil
 	}
 	return true, append(c.lackingLists(), c.cfg.Self.FailureDomain)
 }
 
+// linkSourceFailing reports whether this process pulls from a region whose readers fail to read the platform.
+func (c *Core) linkSourceFailing() bool {
+	u := c.tree.upstreams[c.tree.linkPeer]
+	return c.tree.pulling && u != nil && u.sourceFailing
+}
+
 // lackingLists returns the failure domains whose lists are not held at all.
 func (c *Core) lackingLists() []string {
 	var lists []string
@@ -150,23 +161,33 @@
 	return c.reader.lastID
 }
 
-func (c *Core) watchManifest(now time.Time, wanted bool) {
-	w := c.reader.manifest
-	if !wanted {
-		if w != nil && w.waiting {
-			c.emit(StopManifest{ID: w.id})
-		}
-		if c.reader.fetch != nil {
-			c.reader.tag = ""
-		}
-		c.reader.manifest, c.reader.fetch = nil, nil
-		return
+// openWatch prepares the watch of the manifest; it continues after the tag that was taken last.
+func (c *Core) openWatch() {
+	if c.reader.manifest == nil {
+		c.reader.manifest = &watch{after: c.reader.tag}
 	}
-	if w == nil {
-		w = &watch{after: c.reader.tag}
-		c.reader.manifest = w
+}
+
+// closeWatch ends a waiting watch of the manifest.
+func (c *Core) closeWatch() {
+	if w := c.reader.manifest; w != nil && w.waiting {
+		w.waiting = false
+		c.emit(StopManifest{ID: w.id})
 	}
-	if w.waiting || now.Before(w.nextAt) || !c.reader.limiter.AllowN(now, 1) {
+}
+
+// forgetWatch drops what was read in a role that the process has left.
+func (c *Core) forgetWatch() {
+	if c.reader.fetch != nil {
+		c.reader.tag = ""
+	}
+	c.reader.manifest, c.reader.fetch = nil, nil
+}
+
+// watchManifest begins to wait for the manifest while the process reads, within its budget.
+func (c *Core) watchManifest(now time.Time) {
+	w := c.reader.manifest
+	if c.reader.machine.State() != charts.ReaderReading || w.waiting || !c.reader.limiter.AllowN(now, 1) {
 		return
 	}
 	w.id, w.waiting = c.nextID(), true
@@ -195,7 +216,10 @@
 
 // stopReading ends all watches.
 func (c *Core) stopReading() {
-	c.watchManifest(time.Time{}, false)
+	if c.reader.machine.State() != charts.ReaderFollower {
+		c.readerEvent(c.lastTick, charts.OnReaderRankedFollower)
+		c.forgetWatch()
+	}
 	for fd, w := range c.reader.lists {
 		c.stopList(fd, w)
 	}
@@ -212,6 +236,13 @@
 	if errors.Is(err, platform.ErrNotFound) {
 		return
 	}
+	if errors.Is(err, platform.ErrThrottled) {
+		// A platform that is out of budget is not away: other readers in its place would only add to the load.
+		c.reportOnce(DocumentVersion{Name: "throttled"}, Report{
+			Kind: ReportSource, Subject: "platform", Detail: err.Error(), Remedy: "raise the read budget, or look for other readers",
+		})
+		return
+	}
 	failing := err != nil
 	if failing == c.reader.failing {
 		return
@@ -237,7 +268,7 @@
 	}
 	if e.Err != nil {
 		if current {
-			w.nextAt = c.retryAfter(now, &w.delay)
+			c.readerEvent(now, charts.OnReaderReadFailed)
 		}
 		return
 	}
@@ -304,19 +335,16 @@
 // assemble builds the catalogue once all chunks are there, and verifies it against the manifest.
 func (c *Core) assemble(now time.Time) {
 	f := c.reader.fetch
-	var entries []document.Entry
 	for _, d := range f.manifest.Chunks {
-		part, ok := f.have[d]
-		if !ok {
+		if _, ok := f.have[d]; !ok {
 			return
 		}
-		entries = append(entries, part...)
 	}
 	c.reader.fetch = nil
 	if !c.follows(catalogueName, f.manifest.Version(), "platform") {
 		return
 	}
-	doc, err := document.New(catalogueName, f.manifest.Revision, len(f.manifest.Chunks), entries)
+	doc, err := document.Assemble(catalogueName, f.manifest.Revision, f.manifest.Chunks, c.store.get(catalogueName), f.have)
 	if err == nil && doc.Version() != f.manifest.Version() {
 		err = document.ErrDigestMismatch
 	}
--- a/distribution/tree.go
+++ b/distribution/tree.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/chervilwell/chervilwell/chart/charts"
 	"github.com/chervilwell/chervilwell/membership"
 	"github.com/chervilwell/chervilwell/rank"
 )
@@ -21,6 +22,8 @@
 	ackAt     time.Time
 	pulling   bool
 	linkHeard time.Time
+	// sourceFailing says that the reader above it fails to read the platform.
+	sourceFailing bool
 }
 
 // treeState holds what this process subscribes to.
@@ -145,9 +148,12 @@
 // deferReading puts off this process's reads of the platform, since a peer that ranks before it is about to hold something
 // and will read instead. The delay in all is bounded.
 func (c *Core) deferReading(now time.Time) {
-	c.tree.deferred = now.Add(2 * c.cfg.Timing.Settle)
 	if c.tree.root && now.Sub(c.tree.rootSince) > c.cfg.Timing.PlatformLast {
-		c.tree.deferred = now
+		return
+	}
+	c.armSilence(now.Add(c.cfg.Timing.Settle))
+	if c.reader.machine.State() == charts.ReaderStandby {
+		c.readerEvent(now, charts.OnReaderReadersHeard)
 	}
 }
 
@@ -334,6 +340,18 @@
 	return nil
 }
 
+// sourceFailing reports whether the reader that this process depends on fails to read the platform, as far as known.
+func (c *Core) sourceFailing() bool {
+	if c.reader.manifest != nil {
+		return c.reader.failing
+	}
+	if u := c.tree.upstreams[c.tree.parent]; u != nil {
+		return u.sourceFailing
+	}
+	u := c.tree.upstreams[c.tree.linkPeer]
+	return c.tree.pulling && u != nil && u.sourceFailing
+}
+
 // linkAge returns the time since the other region was heard.
 func (c *Core) linkAge(now time.Time) time.Duration {
 	if c.tree.linkHeard.IsZero() {
--- a/internal/frontend/forward.go
+++ b/internal/frontend/forward.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"io"
+	"maps"
 	"net/http"
 	"sync/atomic"
 	"time"
 
 	"github.com/chervilwell/chervilwell/catalogue"
 	"github.com/chervilwell/chervilwell/internal/headers"
+	"github.com/chervilwell/chervilwell/internal/linkbudget"
 	"github.com/chervilwell/chervilwell/internal/refusal"
 	"github.com/chervilwell/chervilwell/once"
 	"github.com/chervilwell/chervilwell/pick"
@@ -77,7 +79,7 @@
 func (f *Frontend) attempt(ctx context.Context, req *request, target platform.Instance) (*http.Response, *refusal.Refusal) {
 	limit := f.limitAttempt(ctx, req)
 	shipment := &Shipment{Target: target, Route: req.route.Name, Organisation: req.organisation, Request: req.outgoing(limit.ctx)}
-	resp, refused := limit.judge(f.config.Carrier.Do(shipment))
+	resp, refused := limit.judge(f.send(limit.ctx, req, shipment))
 	if refused != nil {
 		shipment.Answer.Result = resultOfRefusal(ctx, shipment, refused)
 		if limit.passed() {
@@ -101,6 +103,26 @@
 	return resp, nil
 }
 
+// headBytes is what the head of a request takes of a link.
+const headBytes = 1 << 10
+
+// send gives a shipment to the carrier, within the organisation's share of the link if it goes to another region.
+func (f *Frontend) send(ctx context.Context, req *request, s *Shipment) (*http.Response, *refusal.Refusal) {
+	there := req.state.Config.RegionOf(s.Target.FailureDomain)
+	if f.config.Link == nil || there == req.region {
+		return f.config.Carrier.Do(s)
+	}
+	if !f.config.Link.TrySpend(there, req.organisation, headBytes) {
+		return nil, refusal.New(refusal.LinkBusy, "%v", linkbudget.ErrSpent)
+	}
+	if s.Request.Body != http.NoBody {
+		s.Request.Body = &linkbudget.Body{
+			ReadCloser: s.Request.Body, Budget: f.config.Link, Context: ctx, To: there, Organisation: req.organisation,
+		}
+	}
+	return f.config.Carrier.Do(s)
+}
+
 // countOf returns the retries that headers tell of.
 func countOf(h http.Header) retry.Count {
 	return retry.Count(max(0, headers.ParseAttempt(h.Get(headers.Attempt))-1))
@@ -109,7 +131,8 @@
 // resultOfRefusal says what a refusal teaches about its target.
 func resultOfRefusal(ctx context.Context, s *Shipment, refused *refusal.Refusal) pick.Result {
 	switch {
-	case errors.Is(ctx.Err(), context.Canceled), refused.Kind == refusal.BodyTooLarge, refused.Kind == refusal.Cancelled:
+	case errors.Is(ctx.Err(), context.Canceled), refused.Kind == refusal.BodyTooLarge,
+		refused.Kind == refusal.Cancelled, refused.Kind == refusal.LinkBusy:
 		return pick.Cancelled
 	case s.Answer.Load == nil, refused.Kind == refusal.TargetDown:
 		return pick.Broken
@@ -162,9 +185,7 @@
 // outgoing returns the request as it leaves for one attempt.
 func (req *request) outgoing(ctx context.Context) *http.Request {
 	out := req.in.WithContext(ctx)
-	out.Header = req.in.Header.Clone()
-	headers.StripHopByHop(out.Header)
-	headers.StripInternal(out.Header)
+	out.Header = maps.Clone(req.in.Header) // whoever changes a header replaces its values
 	out.Header[headers.Attempt] = []string{headers.FormatAttempt(int(req.retries) + 1)}
 	out.Header[headers.Timeout] = []string{headers.FormatTimeout(time.Until(req.deadline))}
 	out.Body = req.body.open()
--- a/internal/gatekeeper/seats.go
+++ b/internal/gatekeeper/seats.go
@@ -11,6 +11,7 @@
 
 	"github.com/chervilwell/chervilwell/document"
 	"github.com/chervilwell/chervilwell/internal/certs"
+	"github.com/chervilwell/chervilwell/internal/linkbudget"
 	"github.com/chervilwell/chervilwell/internal/refusal"
 	"github.com/chervilwell/chervilwell/once"
 	"github.com/chervilwell/chervilwell/platform"
@@ -105,10 +106,19 @@
 		return g.takeHello(body, from)
 	case noticePath:
 		return g.takeNotice(body, from)
+	case linkbudget.Path:
+		return true, g.takeLink(body, from)
 	}
 	return g.takeFarewell(body, from)
 }
 
+func (g *Gatekeeper) takeLink(body []byte, from certs.Identity) error {
+	if g.config.Link == nil {
+		return errors.New("no link budget is kept here")
+	}
+	return g.config.Link.Take(body, from.Instance)
+}
+
 func (g *Gatekeeper) takeAsk(body []byte, from certs.Identity) (any, error) {
 	var ask once.Ask
 	if err := document.Unmarshal(body, &ask); err != nil {
@@ -117,7 +127,7 @@
 	if ask.Executor.Instance != from.Instance {
 		return nil, errNotSender
 	}
-	route, err := g.ownRoute(ask.Key.Route)
+	route, err := g.ownRoute(ask.Key)
 	if err != nil {
 		return nil, err
 	}
@@ -126,15 +136,15 @@
 	return vote, nil
 }
 
-// ownRoute returns a route of the own service that may be in the own region.
-func (g *Gatekeeper) ownRoute(name string) (*snapshot.Route, error) {
+// ownRoute returns the route of a key if it is of the own service and may be in the own region.
+func (g *Gatekeeper) ownRoute(key once.Key) (*snapshot.Route, error) {
 	config := g.config.Holder.Load().Config
 	if config == nil {
 		return nil, errors.New("no configuration yet; ask again later")
 	}
-	route := config.Route(name)
+	route := config.ForCaller(config.Route(key.Route), key.Organisation)
 	if route == nil || route.Service != g.config.Service || !route.Allows(config.RegionOf(g.config.FailureDomain)) {
-		return nil, errors.Errorf("route %q is not served here; ask another seat", name)
+		return nil, errors.Errorf("route %q is not served here; ask another seat", key.Route)
 	}
 	return route, nil
 }
