daemon: a returned instance is picked at once; check loads every certificate and compares names

Cause: peers believed a word of leaving for 30 s, so an instance restarted in place stayed out for that long; check did not load the callers' certificate, and neither check nor run noticed a certificate of another instance. Change: an instance floods its own word when it serves; of an instance's words the newest by sequence counts, late ones of an earlier life change nothing. Certificates are loaded in one place for check and run, with the identity compared.

--- a/cmd/chervilwelld/main.go
+++ b/cmd/chervilwelld/main.go
@@ -12,7 +12,6 @@
 
 	"github.com/google/subcommands"
 
-	"github.com/chervilwell/chervilwell/internal/certs"
 	"github.com/chervilwell/chervilwell/internal/daemon"
 	"github.com/chervilwell/chervilwell/internal/logging"
 	"github.com/chervilwell/chervilwell/settings"
@@ -95,7 +94,7 @@
 	if s == nil {
 		return status
 	}
-	if _, err := certs.Load(certs.Files{Cert: s.TLS.Cert, Key: s.TLS.Key, CA: s.TLS.CA}, certs.PollInterval, nil); err != nil {
+	if _, err := daemon.LoadCertificates(s, nil); err != nil {
 		return refuse(err)
 	}
 	fmt.Printf("%s: ok\n", c.file)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,7 +17,6 @@
 	"github.com/chervilwell/chervilwell/chart"
 	"github.com/chervilwell/chervilwell/chart/charts"
 	"github.com/chervilwell/chervilwell/internal/agent"
-	"github.com/chervilwell/chervilwell/internal/certs"
 	"github.com/chervilwell/chervilwell/internal/frontend"
 	"github.com/chervilwell/chervilwell/internal/gatekeeper"
 	"github.com/chervilwell/chervilwell/internal/linkbudget"
@@ -48,8 +47,7 @@
 	holder   *snapshot.Holder
 	life     *life
 
-	certs     *certs.Store
-	callerTLS *certs.Store
+	certs     *Certificates
 	transport *peer.Quic
 	agent     *agent.Agent
 	gate      *gatekeeper.Gatekeeper
@@ -113,18 +111,9 @@
 }
 
 func (d *Daemon) loadCerts() error {
-	t := d.settings.TLS
-	store, err := certs.Load(certs.Files{Cert: t.Cert, Key: t.Key, CA: t.CA}, certs.PollInterval, d.certReport("internal"))
-	if err != nil {
-		return errors.Wrap(err, "tls")
-	}
-	d.certs = store
-	if t.Callers == nil {
-		return nil
-	}
-	callers, err := certs.Load(certs.Files{Cert: t.Callers.Cert, Key: t.Callers.Key, CA: t.Callers.ClientCA}, certs.PollInterval, d.certReport("callers"))
-	d.callerTLS = callers
-	return errors.Wrap(err, "tls.callers")
+	var err error
+	d.certs, err = LoadCertificates(d.settings, d.certReport)
+	return err
 }
 
 // certReport returns the function that audits rotations of a certificate store.
@@ -179,7 +168,7 @@
 	var err error
 	d.life, err = newLife(map[chart.Action]func(){
 		charts.DoProcessBeginJoin:       func() { d.log.Info().Msg("joining: asking peers, then the platform") },
-		charts.DoProcessAnnounceServing: func() { d.log.Info().Uint64("revision", d.agent.Revision()).Msg("serving") },
+		charts.DoProcessAnnounceServing: d.announceServing,
 		charts.DoProcessAnnounceLeaving: d.announceLeaving,
 		charts.DoProcessStopAdmission:   func() { go d.drain() },
 		charts.DoProcessCancelRunning:   func() { d.log.Warn().Msg("drain limit reached; cancelling what still runs") },
@@ -213,9 +202,9 @@
 	tree := suture.New("chervilwelld", suture.Spec{EventHook: func(e suture.Event) {
 		d.log.Warn().Fields(e.Map()).Msg("supervisor event")
 	}})
-	tree.Add(d.certs)
-	if d.callerTLS != nil {
-		tree.Add(d.callerTLS)
+	tree.Add(d.certs.Internal)
+	if d.certs.Callers != nil {
+		tree.Add(d.certs.Callers)
 	}
 	tree.Add(d.agent)
 	tree.Add(d.gate)
@@ -245,6 +234,12 @@
 	}
 }
 
+// announceServing ends peers' belief in a word of leaving from an earlier life of the instance.
+func (d *Daemon) announceServing() {
+	d.log.Info().Uint64("revision", d.agent.Revision()).Msg("serving")
+	d.agent.PublishNotice(servingKind, d.settings.Instance, nil, servingTTL)
+}
+
 func (d *Daemon) announceLeaving() {
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -18,7 +18,7 @@
 func (d *Daemon) buildAgent() error {
 	s := d.settings
 	var err error
-	d.transport, err = peer.Listen(peer.Config{Addr: s.Listen.Peers, Certs: d.certs, Log: d.log})
+	d.transport, err = peer.Listen(peer.Config{Addr: s.Listen.Peers, Certs: d.certs.Internal, Log: d.log})
 	if err != nil {
 		return err
 	}
@@ -45,15 +45,15 @@
 // buildRequests builds admission and the frontend, which reaches its own instance's admission by a call.
 func (d *Daemon) buildRequests() error {
 	s := d.settings
-	remote := frontend.NewHTTPCarrier(d.certs)
+	remote := frontend.NewHTTPCarrier(d.certs.Internal)
 	d.link = linkbudget.New(linkbudget.Config{Instance: s.Instance, Region: s.Region, Holder: d.holder, Peers: remote})
 	d.gate = gatekeeper.New(gatekeeper.Config{
 		Instance: s.Instance, FailureDomain: s.FailureDomain, Region: s.Region, Service: s.Service, TargetAddr: s.Target.Addr,
 		Holder: d.holder, Current: d.current, Peers: remote, Link: d.link, Trail: d.trail, Log: d.log,
 	})
-	d.requests = gatekeeper.NewServer(d.listeners.requests, d.certs.PeerServer("http/1.1"), d.gate)
+	d.requests = gatekeeper.NewServer(d.listeners.requests, d.certs.Internal.PeerServer("http/1.1"), d.gate)
 	d.picker = frontend.NewPicker(s.Instance, s.FailureDomain)
-	d.agent.SubscribeNotice(distribution.LeavingKind, d.onLeaving)
+	d.hearPeers()
 	d.front = frontend.New(frontend.Config{
 		Instance: s.Instance, FailureDomain: s.FailureDomain, Holder: d.holder, Current: d.current,
 		Picker: d.picker,
@@ -69,11 +69,12 @@
 	return nil
 }
 
-// onLeaving takes an instance's word that it is leaving out of the choice of targets. Nobody else's word counts.
-func (d *Daemon) onLeaving(n distribution.Notice) {
-	if n.Origin == n.Subject {
-		d.picker.SetLeaving(n.Subject, true)
-	}
+// hearPeers takes instances' own words into the choice of targets.
+func (d *Daemon) hearPeers() {
+	w := newWords(d.picker.SetLeaving)
+	hear := func(n distribution.Notice) { w.take(time.Now(), n) }
+	d.agent.SubscribeNotice(distribution.LeavingKind, hear)
+	d.agent.SubscribeNotice(servingKind, hear)
 }
 
 // current reports whether the process may decide by the configuration that it holds.
@@ -81,10 +82,10 @@
 
 // callerConfig returns the TLS configuration of the callers' listener, or nil for plain HTTP.
 func (d *Daemon) callerConfig() *tls.Config {
-	if d.callerTLS == nil {
+	if d.certs.Callers == nil {
 		return nil
 	}
-	return d.callerTLS.CallerServer()
+	return d.certs.Callers.CallerServer()
 }
 
 // buildService builds the watch over what operators take out of service.
