--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -69,6 +69,8 @@
 	Latency time.Duration
 	Ending  Ending
 	Status  int
+	// Attempt is the caller's number of the send, or "".
+	Attempt string
 	// Via is the instance that took the call.
 	Via string
 	// Kind and Reason are those of a refusal.
@@ -161,7 +163,7 @@
 func (l *Load) Do(ctx context.Context, s *Stream, id string, first int) Call {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	c := Call{ID: id, Stream: s, Start: time.Now(), Ending: NoInstance}
+	c := Call{ID: id, Stream: s, Start: time.Now(), Ending: NoInstance, Attempt: s.Header.Get(standin.AttemptHeader)}
 	time.Sleep(clientDelay)
 	for try := range maxTries {
 		if l.send(ctx, &c, l.nodes[(first+try)%len(l.nodes)]) && !c.elsewhere() {
@@ -210,7 +212,11 @@
 	}
 	req.Header.Set(headers.Organisation, cmp.Or(s.Account, s.Organisation))
 	req.Header.Set(standin.RequestHeader, c.ID)
-	req.GetBody = nil // keeps the transport from sending the request again by itself
+	// Without a way to read the body again, an empty one included, the client never sends a request again by itself.
+	req.GetBody = nil
+	if req.Body == nil || req.Body == http.NoBody {
+		req.Body = io.NopCloser(bytes.NewReader(nil))
+	}
 	return req, nil
 }
 
