--- a/internal/linkbudget/budget.go
+++ b/internal/linkbudget/budget.go
@@ -63,6 +63,11 @@
 	limited map[limit]bool
 	// state is the one that the parts and the first rank were worked out from.
 	state *snapshot.State
+	// count and first are the instances of the region and the first of them by rank, as scanned last.
+	count   int
+	scanned time.Time
+	// parts is the configuration that the parts were worked out from.
+	parts *snapshot.Config
 	first platform.Instance
 }
 
@@ -252,26 +257,43 @@
 	return nil
 }
 
-// refresh works out the parts and the first rank again if the state has changed. The caller holds the lock.
+// scanInterval is the least time between two looks at all instances; each costs in proportion to the fleet.
+const scanInterval = 5 * time.Second
+
+// refresh works out the parts again if the state has changed. The instances are looked at again once the last look is some
+// seconds old, or found no first rank. The caller holds the lock.
 func (b *Budget) refresh(now time.Time, state *snapshot.State) {
 	if b.state == state {
 		return
 	}
-	b.state = state
+	fresh := b.first.Name != "" && now.Sub(b.scanned) < scanInterval
+	if fresh && b.parts == state.Config {
+		return
+	}
+	if !fresh {
+		b.state = state
+		b.scan(now, state)
+	}
+	b.parts = state.Config
+	b.setParts(now, state.Config, max(b.count, 1))
+}
+
+// scan counts the instances of the own region and finds the first by rank.
+func (b *Budget) scan(now time.Time, state *snapshot.State) {
+	b.scanned = now
 	b.first = platform.Instance{}
+	b.count = 0
 	scope := "link/" + b.config.Region
-	count := 0
 	state.Endpoints.All(func(inst platform.Instance) bool {
 		if state.Config.RegionOf(inst.FailureDomain) != b.config.Region {
 			return true
 		}
-		count++
+		b.count++
 		if inst.State == platform.Live && (b.first.Name == "" || rank.Less(scope, inst.Name, b.first.Name)) {
 			b.first = inst
 		}
 		return true
 	})
-	b.setParts(now, state.Config, max(count, 1))
 }
 
 func (b *Budget) setParts(now time.Time, config *snapshot.Config, instances int) {
