--- a/internal/frontend/forward.go
+++ b/internal/frontend/forward.go
@@ -77,10 +77,14 @@
 
 // attempt sends the request to one target.
 func (f *Frontend) attempt(ctx context.Context, req *request, target platform.Instance) (*http.Response, *refusal.Refusal) {
-	shipment := &Shipment{Target: target, Route: req.route.Name, Organisation: req.organisation, Request: req.outgoing(ctx)}
-	resp, refused := f.send(ctx, req, shipment)
+	limit := f.limitAttempt(ctx, req)
+	shipment := &Shipment{Target: target, Route: req.route.Name, Organisation: req.organisation, Request: req.outgoing(limit.ctx)}
+	resp, refused := limit.judge(f.send(limit.ctx, req, shipment))
 	if refused != nil {
 		shipment.Answer.Result = resultOfRefusal(ctx, shipment, refused)
+		if limit.passed() {
+			shipment.Answer.Result = pick.Failed
+		}
 		f.config.Picker.ended(target.Name, shipment.Answer)
 		if refused.Kind == refusal.KeyNotReady {
 			f.config.Picker.notReady(target.Name)
@@ -241,7 +245,7 @@
 func final(kind refusal.Kind) bool {
 	switch kind {
 	case refusal.BodyTooLarge, refusal.NoOrganisation, refusal.Cancelled, refusal.Timeout, refusal.Quarantined,
-		refusal.KeyInvalid, refusal.KeyRunning, refusal.KeyUnknown:
+		refusal.KeyInvalid, refusal.KeyRunning, refusal.KeyUnknown, refusal.KeyUndecided: // another executor would split the votes
 		return true
 	}
 	return false
