Log the http servers' own lines as events

Change: the three listeners log through zerolog; a panic is an error, all else is told at debug. Conclusion: one format for every line of a process.

--- a/internal/daemon/operator.go
+++ b/internal/daemon/operator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log"
 	"net"
 	"net/http"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/chervilwell/chervilwell/chart"
+	"github.com/chervilwell/chervilwell/internal/logging"
 	"github.com/chervilwell/chervilwell/internal/operator"
 )
 
@@ -18,6 +20,7 @@
 type operatorServer struct {
 	listener net.Listener
 	handler  http.Handler
+	errorLog *log.Logger
 }
 
 // String names the duty in the supervisor's events.
@@ -25,7 +28,7 @@
 
 // Serve serves until the context ends.
 func (o *operatorServer) Serve(ctx context.Context) error {
-	server := &http.Server{Handler: o.handler, ReadHeaderTimeout: operatorHeaderTimeout}
+	server := &http.Server{Handler: o.handler, ReadHeaderTimeout: operatorHeaderTimeout, ErrorLog: o.errorLog}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	if err := server.Serve(o.listener); !errors.Is(err, http.ErrServerClosed) {
@@ -45,7 +48,7 @@
 		Holder: d.holder, Trail: d.trail, Process: d, Distribution: d.agent, Explainer: d.picker, Budget: d.budget,
 		Registerer: d.registry, Gatherer: d.registry, Log: d.log,
 	})
-	d.operator = &operatorServer{listener: d.listeners.operator, handler: handler}
+	d.operator = &operatorServer{listener: d.listeners.operator, handler: handler, errorLog: logging.Std(d.log, "operator")}
 	return nil
 }
 
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/chervilwell/chervilwell/internal/logging"
 )
 
 // Limits of the callers' listener.
@@ -43,6 +45,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleCaller,
 		MaxHeaderBytes:    maxHeader,
+		ErrorLog:          logging.Std(f.config.Log, "callers"),
 		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreams},
 	}}
 }
--- a/internal/gatekeeper/server.go
+++ b/internal/gatekeeper/server.go
@@ -12,6 +12,7 @@
 	"github.com/chervilwell/chervilwell/internal/certs"
 	"github.com/chervilwell/chervilwell/internal/headers"
 	"github.com/chervilwell/chervilwell/internal/linkbudget"
+	"github.com/chervilwell/chervilwell/internal/logging"
 	"github.com/chervilwell/chervilwell/internal/refusal"
 	"github.com/chervilwell/chervilwell/internal/stream"
 )
@@ -157,6 +158,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idlePeer,
 		MaxHeaderBytes:    maxHeader,
+		ErrorLog:          logging.Std(g.config.Log, "requests"),
 		Protocols:         protocols,
 	}}
 }
