--- a/distribution/fleet_platform_test.go
+++ b/distribution/fleet_platform_test.go
@@ -143,4 +143,3 @@
 	f.down = down
 	f.wakeReads()
 }
-
--- a/snapshot/caller_test.go
+++ b/snapshot/caller_test.go
@@ -35,7 +35,8 @@
 			t.Errorf("request of %s in %s: allowed %v, want %v", test.organisation, test.region, got, test.want)
 		}
 	}
-	if c.ForCaller(menu, "care") != c.ForCaller(menu, "care") {
+	first := c.ForCaller(menu, "care")
+	if c.ForCaller(menu, "care") != first {
 		t.Error("one caller's route is not one pointer; choices of targets would be built anew for each request")
 	}
 	if c.ForCaller(nil, "care") != nil {
--- a/snapshot/snapshot.go
+++ b/snapshot/snapshot.go
@@ -30,12 +30,12 @@
 	byPrefix      map[string][]*Route
 	prefixLengths []int
 	// bounds holds the routes that ForCaller has narrowed; a request adds what it needs.
-	bounds sync.Map
-	regionOf      map[string]string
-	domainsOut    map[string]bool
-	instancesOut  map[string]bool
-	regions       []string
-	links         map[[2]string]int64
+	bounds       sync.Map
+	regionOf     map[string]string
+	domainsOut   map[string]bool
+	instancesOut map[string]bool
+	regions      []string
+	links        map[[2]string]int64
 }
 
 // Route is a compiled route with its references resolved.
