admission: a credit of 1 s, enough for services of 200 ms

At one gate with a service time of 200 ms the ratio was 1.19 to 1.54: a credit of 250 ms is about one such request. Ruled out: processor time (1.8 of 10 cores), the limit of attempts (three quarters in place of a half: ratio 1.90, reverted). Change: the credit is 1 s; the test runs both service times.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 
-# KNOWN-RED.txt lists tests that fail for a real fault that is not mended yet, one a line: the test's name first. They are
-# printed and passed over; every other test must pass.
+# KNOWN-RED.txt lists checks that fail for a real fault that is not mended yet, one a line. It is printed; tests whose name
+# starts a line are passed over, and every other test must pass.
 RED := $(shell sed -n 's/^\(Test[A-Za-z0-9_]*\).*/\1/p' KNOWN-RED.txt 2>/dev/null | paste -sd'|')
 SKIP := $(if $(RED),-skip '^($(RED))$$',)
 
@@ -21,5 +21,5 @@
 	$(GO) tool staticcheck ./...
 
 test:
-	@if [ -n "$(RED)" ]; then echo "known red, passed over:"; cat KNOWN-RED.txt; fi
+	@if [ -s KNOWN-RED.txt ]; then echo "known red; tests named at the start of a line are passed over:"; cat KNOWN-RED.txt; fi
 	$(GO) test -race $(SKIP) ./...
--- a/admission/fairness_test.go
+++ b/admission/fairness_test.go
@@ -46,9 +46,9 @@
 }
 
 // p99 runs the rates, in calls per second, and returns an organisation's latency at the 99th percentile.
-func p99(seed uint64, shares Shares, rates map[string]float64, of string) time.Duration {
+func p99(seed uint64, service time.Duration, shares Shares, rates map[string]float64, of string) time.Duration {
 	m := &openLoop{
-		rng: rand.New(rand.NewPCG(seed, 5)), gate: New(epoch, limits(20, 20, 40, 0), shares), service: 30 * time.Millisecond,
+		rng: rand.New(rand.NewPCG(seed, 5)), gate: New(epoch, limits(20, 20, 40, 0), shares), service: service,
 		arrived: map[ID]time.Time{}, owner: map[ID]string{}, latency: map[string][]time.Duration{},
 	}
 	total := 0.0
@@ -84,14 +84,20 @@
 // A light organisation inside its share must not notice another that offers ten times its own.
 func TestLightOrganisationIsNotDelayed(t *testing.T) {
 	shares := Shares{"a": 0.4, "b": 0.3, "c": 0.3}
-	full := 20 / (30 * time.Millisecond).Seconds()
+	for _, service := range []time.Duration{30 * time.Millisecond, 200 * time.Millisecond} {
+		checkLight(t, shares, service)
+	}
+}
+
+func checkLight(t *testing.T, shares Shares, service time.Duration) {
+	full := 20 / service.Seconds()
 	for seed := range uint64(5) {
 		light := map[string]float64{"b": 0.24 * full, "c": 0.24 * full}
-		alone := p99(seed, shares, light, "b")
+		alone := p99(seed, service, shares, light, "b")
 		light["a"] = 4 * full
-		with := p99(seed, shares, light, "b")
+		with := p99(seed, service, shares, light, "b")
 		if ratio := float64(with) / float64(alone); ratio > 1.3 {
-			t.Errorf("seed %d: p99 %v beside a heavy organisation, %v alone: ratio %.2f", seed, with, alone, ratio)
+			t.Errorf("service %v seed %d: p99 %v beside a heavy organisation, %v alone: ratio %.2f", service, seed, with, alone, ratio)
 		}
 	}
 }
--- a/admission/gate.go
+++ b/admission/gate.go
@@ -67,7 +67,7 @@
 	// preferenceTime is the time by which one class goes before the next.
 	preferenceTime = 50 * time.Millisecond
 	// creditTime is the time by which an organisation's burst may go ahead after it used less than its share.
-	creditTime = 250 * time.Millisecond
+	creditTime = time.Second
 )
 
 // SetShares puts new shares in force.
