--- a/internal/frontend/carrier.go
+++ b/internal/frontend/carrier.go
@@ -47,8 +47,8 @@
 	idleTimeout   = 90 * time.Second
 	maxAnswerHead = 128 << 10
 	// maxConns bounds the connections to one instance, maxIdle those kept open between requests.
-	maxConns = 256
-	maxIdle  = 32
+	maxConns = 64
+	maxIdle  = 64
 	// maxPools is the number of instances above which those without connections are forgotten.
 	maxPools    = 256
 	maxSessions = 512
