--- a/internal/bench/mesh_node.go
+++ b/internal/bench/mesh_node.go
@@ -137,9 +137,9 @@
 		Holder: p.holder, Log: n.mesh.log, FleetSize: len(n.mesh.placements()),
 	})
 	remote := &linkCarrier{mesh: n.mesh, from: domain, carrier: frontend.NewHTTPCarrier(n.store)}
-	p.link = linkbudget.New(linkbudget.Config{Instance: n.Instance.Name, Region: n.mesh.regions[domain], Holder: p.holder, Peers: remote})
+	p.link = linkbudget.New(linkbudget.Config{Instance: n.Instance.Name, FailureDomain: domain, Holder: p.holder, Peers: remote})
 	p.gatekeeper = gatekeeper.New(gatekeeper.Config{
-		Instance: n.Instance.Name, FailureDomain: domain, Region: n.mesh.regions[domain], Service: n.Instance.Service,
+		Instance: n.Instance.Name, FailureDomain: domain, Service: n.Instance.Service,
 		TargetAddr: n.Target.Address(), Holder: p.holder, Peers: remote, Link: p.link, Log: n.mesh.log,
 	})
 	p.requests = gatekeeper.NewServer(requests, n.store.PeerServer("http/1.1"), p.gatekeeper)
--- a/internal/bench/path.go
+++ b/internal/bench/path.go
@@ -134,7 +134,7 @@
 	}
 	remote := frontend.NewHTTPCarrier(store)
 	m.gatekeeper = gatekeeper.New(gatekeeper.Config{
-		Instance: place.name, FailureDomain: place.failureDomain, Region: place.region, Service: place.service,
+		Instance: place.name, FailureDomain: place.failureDomain, Service: place.service,
 		TargetAddr: m.targetAddr, Holder: p.holder, Peers: remote,
 	})
 	p.run(m.gatekeeper.Serve)
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -46,9 +46,9 @@
 func (d *Daemon) buildRequests() error {
 	s := d.settings
 	remote := frontend.NewHTTPCarrier(d.certs.Internal)
-	d.link = linkbudget.New(linkbudget.Config{Instance: s.Instance, Region: s.Region, Holder: d.holder, Peers: remote})
+	d.link = linkbudget.New(linkbudget.Config{Instance: s.Instance, FailureDomain: s.FailureDomain, Holder: d.holder, Peers: remote})
 	d.gate = gatekeeper.New(gatekeeper.Config{
-		Instance: s.Instance, FailureDomain: s.FailureDomain, Region: s.Region, Service: s.Service, TargetAddr: s.Target.Addr,
+		Instance: s.Instance, FailureDomain: s.FailureDomain, Service: s.Service, TargetAddr: s.Target.Addr,
 		Holder: d.holder, Current: d.current, Peers: remote, Link: d.link, Trail: d.trail, Log: d.log,
 	})
 	d.requests = gatekeeper.NewServer(d.listeners.requests, d.certs.Internal.PeerServer("http/1.1"), d.gate)
--- a/internal/frontend/fleet_test.go
+++ b/internal/frontend/fleet_test.go
@@ -96,7 +96,7 @@
 	}
 	remote := NewHTTPCarrier(m.store)
 	m.gatekeeper = gatekeeper.New(gatekeeper.Config{
-		Instance: name, FailureDomain: domain, Region: domain[:3], Service: "lagerstand",
+		Instance: name, FailureDomain: domain, Service: "lagerstand",
 		TargetAddr: strings.TrimPrefix(m.target.URL, "http://"), Holder: m.holder, Peers: remote,
 		Now: func() time.Time { return time.Now().Add(time.Duration(f.ahead.Load())) },
 	})
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -29,8 +29,6 @@
 type Config struct {
 	Instance      string
 	FailureDomain string
-	// Region is the region of the failure domain.
-	Region string
 	// Service is the service that the target runs.
 	Service string
 	// TargetAddr is the host:port of the target's HTTP listener.
@@ -85,7 +83,7 @@
 	}
 	g := &Gatekeeper{config: config}
 	g.keys = keyTable{
-		table: once.New(config.Now(), once.Seat{Instance: config.Instance, Region: config.Region}, once.DefaultLimits),
+		table: once.New(config.Now(), once.Seat{Instance: config.Instance}, once.DefaultLimits),
 		runs:  map[once.Key]chan struct{}{},
 		now:   config.Now,
 	}
--- a/internal/gatekeeper/server.go
+++ b/internal/gatekeeper/server.go
@@ -77,7 +77,7 @@
 // pace holds an answer to another region to the organisation's share of the link.
 func (g *Gatekeeper) pace(call *Call, resp *http.Response, peer certs.Identity) {
 	config := g.config.Holder.Load().Config
-	if g.config.Link == nil || config == nil || config.RegionOf(peer.FailureDomain) == g.config.Region {
+	if g.config.Link == nil || config == nil || config.RegionOf(peer.FailureDomain) == config.RegionOf(g.config.FailureDomain) {
 		return
 	}
 	resp.Body = &linkbudget.Body{
--- a/internal/linkbudget/budget.go
+++ b/internal/linkbudget/budget.go
@@ -49,9 +49,10 @@
 // Config says whose budget it is.
 type Config struct {
 	Instance string
-	Region   string
-	Holder   *snapshot.Holder
-	Peers    Peers
+	// FailureDomain places the instance; the configuration in force names its region.
+	FailureDomain string
+	Holder        *snapshot.Holder
+	Peers         Peers
 }
 
 // Budget is the link budget of one instance. It is safe for concurrent use.
@@ -89,13 +90,22 @@
 	}
 }
 
+// region returns the region of the instance by the configuration in force, or "" if there is none.
+func (b *Budget) region() string {
+	config := b.config.Holder.Load().Config
+	if config == nil {
+		return ""
+	}
+	return config.RegionOf(b.config.FailureDomain)
+}
+
 // Spend takes bytes for the way to a region, and waits for them until the context ends. It returns ErrSpent (wrapped) if they
 // don't come in time. The own region, a link without a capacity and an organisation without a share are not limited.
 func (b *Budget) Spend(ctx context.Context, to, organisation string, bytes int64) error {
-	if b == nil || to == b.config.Region || to == "" {
+	if b == nil || to == b.region() || to == "" {
 		return nil
 	}
-	pool := linkshare.Pool{From: b.config.Region, To: to}
+	pool := linkshare.Pool{From: b.region(), To: to}
 	for {
 		ok, after := b.take(pool, organisation, bytes)
 		if ok {
@@ -109,10 +119,10 @@
 
 // TrySpend is Spend without waiting.
 func (b *Budget) TrySpend(to, organisation string, bytes int64) bool {
-	if b == nil || to == b.config.Region || to == "" {
+	if b == nil || to == b.region() || to == "" {
 		return true
 	}
-	ok, _ := b.take(linkshare.Pool{From: b.config.Region, To: to}, organisation, bytes)
+	ok, _ := b.take(linkshare.Pool{From: b.region(), To: to}, organisation, bytes)
 	return ok
 }
 
@@ -275,9 +285,10 @@
 	b.scanned = now
 	b.first = platform.Instance{}
 	b.count = 0
-	scope := "link/" + b.config.Region
+	own := state.Config.RegionOf(b.config.FailureDomain)
+	scope := "link/" + own
 	state.Endpoints.All(func(inst platform.Instance) bool {
-		if state.Config.RegionOf(inst.FailureDomain) != b.config.Region {
+		if state.Config.RegionOf(inst.FailureDomain) != own {
 			return true
 		}
 		b.count++
@@ -291,12 +302,13 @@
 func (b *Budget) setParts(now time.Time, config *snapshot.Config, instances int) {
 	var parts []linkshare.Part
 	b.limited = map[limit]bool{}
+	own := config.RegionOf(b.config.FailureDomain)
 	for _, region := range config.Regions() {
-		capacity := config.LinkBytesPerSecond(b.config.Region, region)
-		if region == b.config.Region || capacity <= 0 {
+		capacity := config.LinkBytesPerSecond(own, region)
+		if region == own || capacity <= 0 {
 			continue
 		}
-		pool := linkshare.Pool{From: b.config.Region, To: region}
+		pool := linkshare.Pool{From: own, To: region}
 		for name, o := range config.Organisations() {
 			if o.LinkShare <= 0 {
 				continue
--- a/internal/linkbudget/budget_test.go
+++ b/internal/linkbudget/budget_test.go
@@ -80,7 +80,7 @@
 	budgets := map[string]*Budget{}
 	var duties sync.WaitGroup
 	for _, name := range names {
-		budgets[name] = New(Config{Instance: name, Region: "obb", Holder: h, Peers: &wire{from: name, budgets: budgets, cut: cut}})
+		budgets[name] = New(Config{Instance: name, FailureDomain: "obb-muc", Holder: h, Peers: &wire{from: name, budgets: budgets, cut: cut}})
 	}
 	for _, b := range budgets {
 		duties.Go(func() { _ = b.Serve(ctx) })
@@ -117,7 +117,7 @@
 }
 
 func TestWhatIsNotLimited(t *testing.T) {
-	b := New(Config{Instance: "obb-muc-1", Region: "obb", Holder: holder(t, "obb-muc-1")})
+	b := New(Config{Instance: "obb-muc-1", FailureDomain: "obb-muc", Holder: holder(t, "obb-muc-1")})
 	b.round(context.Background())
 	const much = 1 << 40
 	if !b.TrySpend("obb", "haulier-a", much) || !b.TrySpend("nbb", "haulier-b", much) || !(*Budget)(nil).TrySpend("nbb", "haulier-a", much) {
@@ -129,7 +129,7 @@
 }
 
 func TestMessageSpeaksForItsSenderOnly(t *testing.T) {
-	b := New(Config{Instance: "obb-muc-1", Region: "obb", Holder: holder(t, "obb-muc-1")})
+	b := New(Config{Instance: "obb-muc-1", FailureDomain: "obb-muc", Holder: holder(t, "obb-muc-1")})
 	body, err := document.Marshal(message{Loans: []linkshare.Loan{{From: "obb-muc-2", To: "obb-muc-1"}}})
 	if err != nil {
 		t.Fatal(err)
--- a/once/once_test.go
+++ b/once/once_test.go
@@ -1,6 +1,7 @@
 package once
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -159,3 +160,17 @@
 		t.Fatalf("a asks %v after it was told, want all others", v.Peers)
 	}
 }
+
+func TestOwnSeatTakesItsRegionFromTheList(t *testing.T) {
+	now := time.Unix(1_800_000_000, 0)
+	table := New(now, Seat{Instance: "a"}, DefaultLimits)
+	table.SetSeats(now, []Seat{{"a", "obb"}, {"b", "obb"}, {"c", "nbb"}})
+	var names []string
+	for _, s := range table.electorate(now, map[string]bool{"obb": true}) {
+		names = append(names, s.Instance)
+	}
+	slices.Sort(names)
+	if !slices.Equal(names, []string{"a", "b"}) {
+		t.Fatalf("electorate of region obb is %v, want a and b", names)
+	}
+}
--- a/once/table.go
+++ b/once/table.go
@@ -157,6 +157,9 @@
 		listed[s.Instance] = true
 		t.learn(s)
 		t.seats[s.Instance].droppedAt = time.Time{}
+		if s.Instance == t.self.Instance {
+			t.seats[s.Instance].Seat = s // a life learns its region with its first list
+		}
 	}
 	for name, s := range t.seats {
 		if !listed[name] && name != t.self.Instance && s.droppedAt.IsZero() {
