--- a/catalogue/manifest.go
+++ b/catalogue/manifest.go
@@ -7,7 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/chervilwell/chervilwell/document"
-	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/origin"
 )
 
 // Bounds on what is published.
@@ -15,7 +15,7 @@
 	// MaxChunks is the largest number of chunks of a catalogue.
 	MaxChunks = 4096
 	// MaxChunkBytes is the largest packed chunk; it stays below the largest value of the platform.
-	MaxChunkBytes = platform.MaxValueBytes * 3 / 4
+	MaxChunkBytes = origin.MaxValueBytes * 3 / 4
 	// MaxContentBytes is the largest sum of the chunks' content, before compression.
 	MaxContentBytes = 64 << 20
 	// chunkContentBytes is the content beyond which a chunk is split further, before compression.
@@ -51,7 +51,7 @@
 }
 
 // Key returns the key of the chunk on the platform.
-func (c Chunk) Key() string { return platform.ChunkPrefix + c.Digest.String() }
+func (c Chunk) Key() string { return origin.ChunkPrefix + c.Digest.String() }
 
 // ManifestOf returns the manifest of a catalogue's document.
 func ManifestOf(doc *document.Document) Manifest {
@@ -196,5 +196,5 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "encode the manifest")
 	}
-	return append(values, Value{Key: platform.ManifestKey, Data: data}), nil
+	return append(values, Value{Key: origin.ManifestKey, Data: data}), nil
 }
--- a/cmd/chervilwelld/process_test.go
+++ b/cmd/chervilwelld/process_test.go
@@ -23,7 +23,7 @@
 	"github.com/chervilwell/chervilwell/internal/certs"
 	"github.com/chervilwell/chervilwell/internal/headers"
 	"github.com/chervilwell/chervilwell/internal/standin"
-	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/origin"
 )
 
 // runMain makes the test binary behave as the daemon, so that the tests drive real processes.
@@ -139,9 +139,9 @@
 	case <-time.After(giveUp):
 		t.Fatalf("%s does not listen:\n%s", p.name, p.log)
 	}
-	p.site.platform.PutInstance(platform.Instance{
+	p.site.platform.PutInstance(origin.Instance{
 		Name: p.name, FailureDomain: p.domain, Service: "lagerstand",
-		PeerAddr: p.addr["peers"], RequestAddr: p.addr["requests"], State: platform.Live,
+		PeerAddr: p.addr["peers"], RequestAddr: p.addr["requests"], State: origin.Live,
 	})
 }
 
--- a/cmd/standin/platform.go
+++ b/cmd/standin/platform.go
@@ -18,7 +18,7 @@
 	"github.com/chervilwell/chervilwell/catalogue"
 	"github.com/chervilwell/chervilwell/document"
 	"github.com/chervilwell/chervilwell/internal/standin"
-	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/origin"
 )
 
 // platformCommand serves a stand-in for the platform.
@@ -55,7 +55,7 @@
 	if f.NArg() > 0 || c.reload <= 0 {
 		return subcommands.ExitUsageError
 	}
-	pub := &publisher{command: c, platform: standin.NewPlatform(c.cfg), read: map[string]time.Time{}, listed: map[string]platform.Instance{}}
+	pub := &publisher{command: c, platform: standin.NewPlatform(c.cfg), read: map[string]time.Time{}, listed: map[string]origin.Instance{}}
 	if err := pub.publish(); err != nil {
 		return finish(err)
 	}
@@ -71,7 +71,7 @@
 	command  *platformCommand
 	platform *standin.Platform
 	read     map[string]time.Time // time of change of each file as last read
-	listed   map[string]platform.Instance
+	listed   map[string]origin.Instance
 }
 
 // run looks at the files until ctx ends. It keeps what was published on an error.
@@ -145,11 +145,11 @@
 	if err != nil || data == nil {
 		return err
 	}
-	var list []platform.Instance
+	var list []origin.Instance
 	if err := json.Unmarshal(data, &list); err != nil {
 		return errors.Wrapf(err, "%s is not an array of instances", p.command.instances)
 	}
-	next := map[string]platform.Instance{}
+	next := map[string]origin.Instance{}
 	for _, inst := range list {
 		next[inst.Name] = inst
 	}
@@ -202,7 +202,7 @@
 
 // rank orders the manifest after its chunks.
 func rank(key string) int {
-	if key == platform.ManifestKey {
+	if key == origin.ManifestKey {
 		return 1
 	}
 	return 0
--- a/distribution/accept.go
+++ b/distribution/accept.go
@@ -7,7 +7,7 @@
 
 	"github.com/chervilwell/chervilwell/chart/charts"
 	"github.com/chervilwell/chervilwell/document"
-	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/origin"
 	"github.com/chervilwell/chervilwell/snapshot"
 )
 
@@ -146,13 +146,13 @@
 // takeList updates the membership by the difference between two versions of a list.
 func (c *Core) takeList(now time.Time, doc, previous *document.Document) error {
 	diff := document.Diff(previous, doc)
-	set := make([]platform.Instance, len(diff.Set))
+	set := make([]origin.Instance, len(diff.Set))
 	for i, e := range diff.Set {
 		inst, err := snapshot.DecodeInstance(e)
 		if err != nil {
 			return err
 		}
-		if platform.InstancesDocument(inst.FailureDomain) != doc.Name() {
+		if origin.InstancesDocument(inst.FailureDomain) != doc.Name() {
 			return errors.Errorf("instance %q is listed in failure domain %q; correct the list", e.Key, inst.FailureDomain)
 		}
 		set[i] = inst
--- a/distribution/config.go
+++ b/distribution/config.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/chervilwell/chervilwell/document"
-	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/origin"
 )
 
 // Versions of the protocol between processes.
@@ -49,7 +49,7 @@
 // Config describes the process that a Core decides for.
 type Config struct {
 	// Self describes this process to its peers.
-	Self platform.Instance
+	Self origin.Instance
 	// Incarnation numbers the life of this process; each life of one instance needs a higher number.
 	Incarnation uint64
 	// Region is the region of this process; it is used until a catalogue names the region of its failure domain.
--- a/distribution/example_test.go
+++ b/distribution/example_test.go
@@ -6,13 +6,13 @@
 	"time"
 
 	"github.com/chervilwell/chervilwell/distribution"
-	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/origin"
 )
 
 // A process that starts holds nothing: it asks its seeds before all else.
 func Example() {
 	core := distribution.New(distribution.Config{
-		Self:        platform.Instance{Name: "muc-2", FailureDomain: "muc", PeerAddr: "10.0.0.2:7000"},
+		Self:        origin.Instance{Name: "muc-2", FailureDomain: "muc", PeerAddr: "10.0.0.2:7000"},
 		Incarnation: 1, Seeds: []string{"10.0.0.1:7000"}, HasSource: true, FleetSize: 200,
 		Rand: rand.New(rand.NewPCG(1, 2)),
 	})
--- a/distribution/fleet_platform_test.go
+++ b/distribution/fleet_platform_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/chervilwell/chervilwell/catalogue"
 	"github.com/chervilwell/chervilwell/document"
-	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/origin"
 	"github.com/chervilwell/chervilwell/snapshot"
 )
 
@@ -50,7 +50,7 @@
 
 // list publishes the platform's list of a failure domain.
 func (f *fleet) list(fd string, version uint64, names ...string) {
-	l := platform.InstanceList{FailureDomain: fd, Version: version}
+	l := origin.InstanceList{FailureDomain: fd, Version: version}
 	for _, name := range names {
 		if inst := instance(name); inst.FailureDomain == fd {
 			l.Instances = append(l.Instances, inst)
@@ -111,7 +111,7 @@
 func (f *fleet) answer(w waitingRead) {
 	var err error
 	if f.down || f.cutStore[w.n.inst.FailureDomain] {
-		err = platform.ErrUnavailable
+		err = origin.ErrUnavailable
 	}
 	switch a := w.action.(type) {
 	case WatchManifest:
@@ -132,7 +132,7 @@
 	case ReadChunk:
 		entries, ok := f.chunks[a.Digest]
 		if err == nil && !ok {
-			err = platform.ErrNotFound
+			err = origin.ErrNotFound
 		}
 		f.step(w.n, w.life, ChunkRead{Digest: a.Digest, Entries: entries, Err: err})
 	}
--- a/distribution/fleet_test.go
+++ b/distribution/fleet_test.go
@@ -8,7 +8,7 @@
 	"time"
 
 	"github.com/chervilwell/chervilwell/document"
-	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/origin"
 	"github.com/chervilwell/chervilwell/snapshot"
 )
 
@@ -53,7 +53,7 @@
 
 type node struct {
 	*Core
-	inst   platform.Instance
+	inst   origin.Instance
 	holder *snapshot.Holder
 	// life numbers the lives of the instance; events of an earlier one are void.
 	life    uint64
@@ -122,10 +122,10 @@
 	return f
 }
 
-func instance(name string) platform.Instance {
-	return platform.Instance{
+func instance(name string) origin.Instance {
+	return origin.Instance{
 		Name: name, FailureDomain: name[:strings.LastIndex(name, "-")], Service: "lagerstand",
-		PeerAddr: name, RequestAddr: name, State: platform.Live,
+		PeerAddr: name, RequestAddr: name, State: origin.Live,
 	}
 }
 
@@ -339,7 +339,7 @@
 			continue
 		}
 		for fd, doc := range f.lists {
-			if n.Version(platform.InstancesDocument(fd)) != doc.Version() {
+			if n.Version(origin.InstancesDocument(fd)) != doc.Version() {
 				out = append(out, name)
 				break
 			}
--- a/distribution/join.go
+++ b/distribution/join.go
@@ -6,7 +6,7 @@
 
 	"github.com/chervilwell/chervilwell/catalogue"
 	"github.com/chervilwell/chervilwell/document"
-	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/origin"
 )
 
 const catalogueName = catalogue.DocumentName
@@ -293,10 +293,10 @@
 		return false, nil
 	}
 	own := c.cfg.Self.FailureDomain
-	if slices.Contains(c.cfg.Seeds, c.cfg.Self.PeerAddr) || len(c.join.peers) == 0 && c.store.get(platform.InstancesDocument(own)) != nil {
+	if slices.Contains(c.cfg.Seeds, c.cfg.Self.PeerAddr) || len(c.join.peers) == 0 && c.store.get(origin.InstancesDocument(own)) != nil {
 		return true, nil
 	}
-	if c.store.get(platform.InstancesDocument(own)) == nil && now.Sub(c.join.platformAt) < c.cfg.Timing.PlatformLast {
+	if c.store.get(origin.InstancesDocument(own)) == nil && now.Sub(c.join.platformAt) < c.cfg.Timing.PlatformLast {
 		return false, []string{own}
 	}
 	if !c.join.listed {
@@ -335,7 +335,7 @@
 func (c *Core) listsHeld() bool {
 	for _, r := range c.topology.Regions {
 		for _, fd := range r.FailureDomains {
-			if c.store.get(platform.InstancesDocument(fd)) == nil {
+			if c.store.get(origin.InstancesDocument(fd)) == nil {
 				return false
 			}
 		}
--- a/distribution/message.go
+++ b/distribution/message.go
@@ -8,7 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/chervilwell/chervilwell/document"
-	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/origin"
 )
 
 // Sizes of encoded messages in bytes.
@@ -49,8 +49,8 @@
 
 // Sender is a process's description of itself.
 type Sender struct {
-	Instance    platform.Instance `cbor:"1,keyasint"`
-	Incarnation uint64            `cbor:"2,keyasint"`
+	Instance    origin.Instance `cbor:"1,keyasint"`
+	Incarnation uint64          `cbor:"2,keyasint"`
 }
 
 // DocumentVersion names a version of a document compactly: Digest is the beginning of the document's digest.
--- a/distribution/reader.go
+++ b/distribution/reader.go
@@ -11,7 +11,7 @@
 	"github.com/chervilwell/chervilwell/chart"
 	"github.com/chervilwell/chervilwell/chart/charts"
 	"github.com/chervilwell/chervilwell/document"
-	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/origin"
 	"github.com/chervilwell/chervilwell/rank"
 )
 
@@ -122,7 +122,7 @@
 	var lists []string
 	for _, r := range c.topology.Regions {
 		for _, fd := range r.FailureDomains {
-			if c.store.get(platform.InstancesDocument(fd)) == nil {
+			if c.store.get(origin.InstancesDocument(fd)) == nil {
 				lists = append(lists, fd)
 			}
 		}
@@ -197,7 +197,7 @@
 func (c *Core) watchList(now time.Time, fd string) {
 	w := c.reader.lists[fd]
 	if w == nil {
-		w = &watch{version: c.store.version(platform.InstancesDocument(fd)).Revision}
+		w = &watch{version: c.store.version(origin.InstancesDocument(fd)).Revision}
 		c.reader.lists[fd] = w
 	}
 	if w.waiting || now.Before(w.nextAt) || !c.reader.limiter.AllowN(now, 1) {
@@ -233,10 +233,10 @@
 
 // noteSource reports when the platform stops or resumes answering.
 func (c *Core) noteSource(err error) {
-	if errors.Is(err, platform.ErrNotFound) {
+	if errors.Is(err, origin.ErrNotFound) {
 		return
 	}
-	if errors.Is(err, platform.ErrThrottled) {
+	if errors.Is(err, origin.ErrThrottled) {
 		// A platform that is out of budget is not away: other readers in its place would only add to the load.
 		c.reportOnce(DocumentVersion{Name: "throttled"}, Report{
 			Kind: ReportSource, Subject: "platform", Detail: err.Error(), Remedy: "raise the read budget, or look for other readers",
--- a/distribution/relay.go
+++ b/distribution/relay.go
@@ -7,7 +7,7 @@
 
 	"github.com/chervilwell/chervilwell/document"
 	"github.com/chervilwell/chervilwell/membership"
-	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/origin"
 )
 
 // Bounds of relaying.
@@ -364,6 +364,6 @@
 
 // allowedName reports whether a document name is one that the system distributes.
 func allowedName(name string) bool {
-	prefix := platform.InstancesDocument("")
+	prefix := origin.InstancesDocument("")
 	return name == catalogueName || (len(name) > len(prefix) && name[:len(prefix)] == prefix)
 }
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -22,7 +22,7 @@
 	"github.com/chervilwell/chervilwell/document"
 	"github.com/chervilwell/chervilwell/internal/duty"
 	"github.com/chervilwell/chervilwell/internal/peer"
-	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/origin"
 	"github.com/chervilwell/chervilwell/ring"
 	"github.com/chervilwell/chervilwell/snapshot"
 )
@@ -40,7 +40,7 @@
 
 // Config describes an agent.
 type Config struct {
-	Self platform.Instance
+	Self origin.Instance
 	// Region is the region of the instance; it is used until a catalogue names it.
 	Region string
 	// StoreRegions are the regions near the platform; empty means all.
@@ -48,7 +48,7 @@
 	// Seeds are peer addresses to ask at a start.
 	Seeds []string
 	// Source reads the platform; nil means that the process can't.
-	Source    platform.Source
+	Source    origin.Source
 	Transport peer.Transport
 	Holder    *snapshot.Holder
 	Audit     *audit.Trail
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -15,7 +15,7 @@
 	"github.com/chervilwell/chervilwell/document"
 	"github.com/chervilwell/chervilwell/internal/peer"
 	"github.com/chervilwell/chervilwell/internal/standin"
-	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/origin"
 	"github.com/chervilwell/chervilwell/snapshot"
 )
 
@@ -30,7 +30,7 @@
 // running is an agent among others on one network.
 type running struct {
 	*Agent
-	inst   platform.Instance
+	inst   origin.Instance
 	holder *snapshot.Holder
 	trail  *audit.Trail
 	port   *peer.Port
@@ -39,13 +39,13 @@
 
 // group starts agents of one failure domain that share a platform.
 func group(t *testing.T, store *standin.Platform, count int) []*running {
-	network := peer.NewNetwork(func(platform.Instance, platform.Instance) peer.Path { return peer.Path{Delay: time.Millisecond} })
+	network := peer.NewNetwork(func(origin.Instance, origin.Instance) peer.Path { return peer.Path{Delay: time.Millisecond} })
 	var list []*running
 	for i := range count {
 		name := fmt.Sprintf("muc-%d", i)
 		r := &running{
-			inst: platform.Instance{
-				Name: name, FailureDomain: "muc", Service: "lagerstand", PeerAddr: name, RequestAddr: name, State: platform.Live,
+			inst: origin.Instance{
+				Name: name, FailureDomain: "muc", Service: "lagerstand", PeerAddr: name, RequestAddr: name, State: origin.Live,
 			},
 			holder: snapshot.NewHolder(), trail: audit.New(16, zerolog.Nop()),
 		}
@@ -110,7 +110,7 @@
 		time.Sleep(5 * time.Second)
 		requireRevision(t, list, 1, 6)
 		publish(t, store, 2)
-		store.PutInstance(platform.Instance{Name: "muc-9", FailureDomain: "muc", Service: "lagerstand", PeerAddr: "muc-9", State: platform.Live})
+		store.PutInstance(origin.Instance{Name: "muc-9", FailureDomain: "muc", Service: "lagerstand", PeerAddr: "muc-9", State: origin.Live})
 		time.Sleep(time.Second)
 		requireRevision(t, list, 2, 7)
 		if n := len(list[0].Members("muc")); n != 7 {
--- a/internal/agent/api.go
+++ b/internal/agent/api.go
@@ -6,7 +6,7 @@
 
 	"github.com/chervilwell/chervilwell/distribution"
 	"github.com/chervilwell/chervilwell/document"
-	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/origin"
 )
 
 // leaveGrace is how long Leave waits for its notice to be sent.
@@ -39,11 +39,11 @@
 }
 
 // Members returns the instances that count as members of a failure domain, in rank order.
-func (a *Agent) Members(failureDomain string) []platform.Instance {
+func (a *Agent) Members(failureDomain string) []origin.Instance {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	members := a.core.Members(time.Now(), failureDomain)
-	out := make([]platform.Instance, len(members))
+	out := make([]origin.Instance, len(members))
 	for i, m := range members {
 		out[i] = m.Instance
 	}
--- a/internal/agent/source.go
+++ b/internal/agent/source.go
@@ -11,7 +11,7 @@
 	"github.com/chervilwell/chervilwell/catalogue"
 	"github.com/chervilwell/chervilwell/distribution"
 	"github.com/chervilwell/chervilwell/document"
-	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/origin"
 	"github.com/chervilwell/chervilwell/snapshot"
 )
 
@@ -85,7 +85,7 @@
 func (a *Agent) watchManifest(ctx context.Context, act distribution.WatchManifest) {
 	a.metrics.reads.Inc()
 	result := distribution.ManifestRead{ID: act.ID}
-	value, err := a.cfg.Source.Watch(ctx, platform.ManifestKey, act.After)
+	value, err := a.cfg.Source.Watch(ctx, origin.ManifestKey, act.After)
 	if err == nil {
 		result.Tag = value.Tag
 		result.Manifest, err = parseManifest(value.Data)
@@ -117,7 +117,7 @@
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
 	result := distribution.ChunkRead{Digest: act.Digest}
-	value, err := a.cfg.Source.Read(ctx, platform.ChunkPrefix+act.Digest.String())
+	value, err := a.cfg.Source.Read(ctx, origin.ChunkPrefix+act.Digest.String())
 	if err == nil {
 		err = document.Unpack(value.Data, &result.Entries)
 	}
--- a/internal/bench/footprint.go
+++ b/internal/bench/footprint.go
@@ -20,7 +20,7 @@
 	"github.com/chervilwell/chervilwell/internal/certs"
 	"github.com/chervilwell/chervilwell/internal/peer"
 	"github.com/chervilwell/chervilwell/internal/standin"
-	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/origin"
 	"github.com/chervilwell/chervilwell/rank"
 	"github.com/chervilwell/chervilwell/settings"
 	"github.com/chervilwell/chervilwell/snapshot"
@@ -47,7 +47,7 @@
 	platform  *standin.Platform
 	url       string
 	size      largeSize
-	ghosts    []platform.Instance
+	ghosts    []origin.Instance
 	seeds     []string
 	stops     []func()
 
@@ -101,8 +101,8 @@
 	for _, name := range domain {
 		live[name] = true
 	}
-	byName := map[string]*platform.Instance{}
-	var all []platform.Instance
+	byName := map[string]*origin.Instance{}
+	var all []origin.Instance
 	for i := range lists {
 		for n := range lists[i].Instances {
 			inst := &lists[i].Instances[n]
@@ -141,7 +141,7 @@
 	return nil
 }
 
-func instanceNames(l platform.InstanceList) []string {
+func instanceNames(l origin.InstanceList) []string {
 	out := make([]string, len(l.Instances))
 	for i, inst := range l.Instances {
 		out[i] = inst.Name
@@ -166,7 +166,7 @@
 }
 
 // startNeighbour runs an instance's agent within this process, over QUIC.
-func (f *footprint) startNeighbour(inst *platform.Instance) error {
+func (f *footprint) startNeighbour(inst *origin.Instance) error {
 	pair, err := f.authority.Instance(certs.Identity{Instance: inst.Name, FailureDomain: inst.FailureDomain})
 	if err != nil {
 		return err
--- a/internal/bench/large.go
+++ b/internal/bench/large.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/chervilwell/chervilwell/catalogue"
-	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/origin"
 )
 
 // Sizes of the fleet that the design is for.
@@ -68,18 +68,18 @@
 }
 
 // largeInstances returns the platform's lists of instances, one for each failure domain.
-func largeInstances(s largeSize) []platform.InstanceList {
-	lists := make([]platform.InstanceList, s.failureDomains)
+func largeInstances(s largeSize) []origin.InstanceList {
+	lists := make([]origin.InstanceList, s.failureDomains)
 	for i := range lists {
-		lists[i] = platform.InstanceList{FailureDomain: s.domain(i), Version: 1}
+		lists[i] = origin.InstanceList{FailureDomain: s.domain(i), Version: 1}
 	}
 	for i := range s.endpoints {
 		list := &lists[i%s.failureDomains]
-		list.Instances = append(list.Instances, platform.Instance{
+		list.Instances = append(list.Instances, origin.Instance{
 			Name: fmt.Sprintf("%s-%05d", list.FailureDomain, i), FailureDomain: list.FailureDomain,
 			Service:  fmt.Sprintf("service-%04d", i%s.services),
 			PeerAddr: fmt.Sprintf("10.%d.%d.%d:8445", i>>16, i>>8&255, i&255), RequestAddr: fmt.Sprintf("10.%d.%d.%d:8444", i>>16, i>>8&255, i&255),
-			State: platform.Live,
+			State: origin.Live,
 		})
 	}
 	return lists
--- a/internal/bench/mesh.go
+++ b/internal/bench/mesh.go
@@ -17,7 +17,7 @@
 	"github.com/chervilwell/chervilwell/internal/certs"
 	"github.com/chervilwell/chervilwell/internal/frontend"
 	"github.com/chervilwell/chervilwell/internal/standin"
-	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/origin"
 )
 
 // The network of the gritting-salt deployment.
@@ -338,12 +338,12 @@
 }
 
 // instanceOf returns the entry of a placement on the platform's list, without its addresses.
-func instanceOf(p placement) platform.Instance {
-	return platform.Instance{
+func instanceOf(p placement) origin.Instance {
+	return origin.Instance{
 		Name:          fmt.Sprintf("%s-%s-%d", p.domain, p.service, p.count),
 		FailureDomain: p.domain,
 		Service:       p.service,
-		State:         platform.Live,
+		State:         origin.Live,
 	}
 }
 
--- a/internal/bench/mesh_net.go
+++ b/internal/bench/mesh_net.go
@@ -10,14 +10,14 @@
 	"github.com/chervilwell/chervilwell/distribution"
 	"github.com/chervilwell/chervilwell/internal/peer"
 	"github.com/chervilwell/chervilwell/internal/standin"
-	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/origin"
 )
 
 // platformDomain stands for the platform's place in the network.
 const platformDomain = "platform"
 
 // relay returns the address under which a failure domain reaches an instance.
-func (m *Mesh) relay(from string, to platform.Instance) (string, error) {
+func (m *Mesh) relay(from string, to origin.Instance) (string, error) {
 	for _, n := range m.Nodes {
 		if n.Instance.Name == to.Name {
 			return n.relayFrom(from)
@@ -115,24 +115,24 @@
 
 // cutSource is the platform as a failure domain sees it.
 type cutSource struct {
-	platform.Source
+	origin.Source
 	links  *standin.Links
 	domain string
 }
 
-// Read implements platform.Source.
-func (s *cutSource) Read(ctx context.Context, key string) (platform.Value, error) {
-	return cutCall(ctx, s, func(ctx context.Context) (platform.Value, error) { return s.Source.Read(ctx, key) })
+// Read implements origin.Source.
+func (s *cutSource) Read(ctx context.Context, key string) (origin.Value, error) {
+	return cutCall(ctx, s, func(ctx context.Context) (origin.Value, error) { return s.Source.Read(ctx, key) })
 }
 
-// Watch implements platform.Source.
-func (s *cutSource) Watch(ctx context.Context, key, after string) (platform.Value, error) {
-	return cutCall(ctx, s, func(ctx context.Context) (platform.Value, error) { return s.Source.Watch(ctx, key, after) })
+// Watch implements origin.Source.
+func (s *cutSource) Watch(ctx context.Context, key, after string) (origin.Value, error) {
+	return cutCall(ctx, s, func(ctx context.Context) (origin.Value, error) { return s.Source.Watch(ctx, key, after) })
 }
 
-// Instances implements platform.Source.
-func (s *cutSource) Instances(ctx context.Context, failureDomain string, after uint64) (platform.InstanceList, error) {
-	return cutCall(ctx, s, func(ctx context.Context) (platform.InstanceList, error) {
+// Instances implements origin.Source.
+func (s *cutSource) Instances(ctx context.Context, failureDomain string, after uint64) (origin.InstanceList, error) {
+	return cutCall(ctx, s, func(ctx context.Context) (origin.InstanceList, error) {
 		return s.Source.Instances(ctx, failureDomain, after)
 	})
 }
@@ -141,11 +141,11 @@
 func cutCall[T any](ctx context.Context, s *cutSource, call func(context.Context) (T, error)) (T, error) {
 	var none T
 	if s.links.Cut(s.domain, platformDomain) {
-		return none, errors.WithStack(platform.ErrUnavailable)
+		return none, errors.WithStack(origin.ErrUnavailable)
 	}
 	v, err := call(ctx)
 	if s.links.Cut(s.domain, platformDomain) {
-		return none, errors.WithStack(platform.ErrUnavailable)
+		return none, errors.WithStack(origin.ErrUnavailable)
 	}
 	return v, err
 }
--- a/internal/bench/mesh_node.go
+++ b/internal/bench/mesh_node.go
@@ -18,7 +18,7 @@
 	"github.com/chervilwell/chervilwell/internal/peer"
 	"github.com/chervilwell/chervilwell/internal/refusal"
 	"github.com/chervilwell/chervilwell/internal/standin"
-	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/origin"
 	"github.com/chervilwell/chervilwell/snapshot"
 )
 
@@ -30,7 +30,7 @@
 
 // Node is one instance: its target and the process beside it.
 type Node struct {
-	Instance platform.Instance
+	Instance origin.Instance
 	Target   *standin.Target
 
 	mesh    *Mesh
@@ -241,7 +241,7 @@
 }
 
 // Post implements gatekeeper.Peers.
-func (c *linkCarrier) Post(ctx context.Context, to platform.Instance, path string, body []byte) ([]byte, error) {
+func (c *linkCarrier) Post(ctx context.Context, to origin.Instance, path string, body []byte) ([]byte, error) {
 	address, err := c.mesh.relay(c.from, to)
 	if err != nil {
 		return nil, err
--- a/internal/bench/path.go
+++ b/internal/bench/path.go
@@ -14,13 +14,13 @@
 	"github.com/chervilwell/chervilwell/internal/certs"
 	"github.com/chervilwell/chervilwell/internal/frontend"
 	"github.com/chervilwell/chervilwell/internal/gatekeeper"
-	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/origin"
 	"github.com/chervilwell/chervilwell/snapshot"
 )
 
 // pathMember is one instance of a path: frontend, gatekeeper and a target on loopback.
 type pathMember struct {
-	instance   platform.Instance
+	instance   origin.Instance
 	targetAddr string
 	callerAddr string
 	gatekeeper *gatekeeper.Gatekeeper
@@ -123,9 +123,9 @@
 	if err != nil {
 		return err
 	}
-	m.instance = platform.Instance{
+	m.instance = origin.Instance{
 		Name: place.name, FailureDomain: place.failureDomain, Service: place.service,
-		RequestAddr: peers.Addr().String(), State: platform.Live,
+		RequestAddr: peers.Addr().String(), State: origin.Live,
 	}
 	if place.link != nil {
 		if m.instance.RequestAddr, err = place.link(m.instance.RequestAddr); err != nil {
@@ -165,13 +165,13 @@
 
 // publish puts a catalogue and the list of all instances in force.
 func (p *path) publish(cat *catalogue.Catalogue) error {
-	byDomain := map[string][]platform.Instance{}
+	byDomain := map[string][]origin.Instance{}
 	for _, m := range p.members {
 		byDomain[m.instance.FailureDomain] = append(byDomain[m.instance.FailureDomain], m.instance)
 	}
 	var docs []*document.Document
 	for domain, list := range byDomain {
-		doc, err := snapshot.EncodeInstances(platform.InstanceList{FailureDomain: domain, Version: cat.Revision, Instances: list})
+		doc, err := snapshot.EncodeInstances(origin.InstanceList{FailureDomain: domain, Version: cat.Revision, Instances: list})
 		if err != nil {
 			return err
 		}
--- a/internal/bench/process.go
+++ b/internal/bench/process.go
@@ -15,7 +15,7 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/origin"
 )
 
 // clockTicks is the unit of processor time in /proc, per second.
@@ -24,7 +24,7 @@
 // daemonProcess is a daemon that runs as a process of its own.
 type daemonProcess struct {
 	name     string
-	inst     *platform.Instance
+	inst     *origin.Instance
 	operator string
 	command  *exec.Cmd
 }
@@ -37,7 +37,7 @@
 }
 
 // newProcess reserves addresses for a daemon of the instance.
-func (f *footprint) newProcess(inst *platform.Instance) (*daemonProcess, error) {
+func (f *footprint) newProcess(inst *origin.Instance) (*daemonProcess, error) {
 	peers, err := net.ListenPacket("udp", "127.0.0.1:0")
 	if err != nil {
 		return nil, errors.Wrap(err, "reserve an address")
--- a/internal/bench/relay_fleet.go
+++ b/internal/bench/relay_fleet.go
@@ -16,7 +16,7 @@
 	"github.com/chervilwell/chervilwell/internal/agent"
 	"github.com/chervilwell/chervilwell/internal/peer"
 	"github.com/chervilwell/chervilwell/internal/standin"
-	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/origin"
 	"github.com/chervilwell/chervilwell/snapshot"
 )
 
@@ -63,7 +63,7 @@
 // relayMember is one instance with the life that it has now.
 type relayMember struct {
 	fleet *relayFleet
-	inst  platform.Instance
+	inst  origin.Instance
 
 	mu   sync.Mutex
 	life *relayLife
@@ -99,9 +99,9 @@
 	for i := range cfg.Instances {
 		fd := relayDomains[i%len(relayDomains)]
 		name := fmt.Sprintf("%s-%d", fd, i/len(relayDomains))
-		member := &relayMember{fleet: m, inst: platform.Instance{
+		member := &relayMember{fleet: m, inst: origin.Instance{
 			Name: name, FailureDomain: fd, Service: m.services[i%relayServices].Name,
-			PeerAddr: name + ":7000", RequestAddr: name + ":8000", State: platform.Live,
+			PeerAddr: name + ":7000", RequestAddr: name + ":8000", State: origin.Live,
 		}}
 		m.members = append(m.members, member)
 		if i < 2*len(relayDomains) {
@@ -115,7 +115,7 @@
 // relayLinks are the two directions of the link between the regions.
 var relayLinks = []string{"obb>nbb", "nbb>obb"}
 
-func relayPath(from, to platform.Instance) peer.Path {
+func relayPath(from, to origin.Instance) peer.Path {
 	a, b := relayRegion(from.FailureDomain), relayRegion(to.FailureDomain)
 	switch {
 	case a != b:
@@ -138,7 +138,7 @@
 
 // list puts all instances on the platform's list.
 func (m *relayFleet) list() {
-	all := make([]platform.Instance, len(m.members))
+	all := make([]origin.Instance, len(m.members))
 	for i, member := range m.members {
 		all[i] = member.inst
 	}
@@ -281,7 +281,7 @@
 type placedSource struct {
 	fleet         *relayFleet
 	failureDomain string
-	next          platform.Source
+	next          origin.Source
 }
 
 func (s *placedSource) away() bool { return relayRegion(s.failureDomain) != storeRegion }
@@ -290,7 +290,7 @@
 	s.fleet.mu.Lock()
 	defer s.fleet.mu.Unlock()
 	if s.fleet.storeCut[s.failureDomain] {
-		return platform.ErrUnavailable
+		return origin.ErrUnavailable
 	}
 	return nil
 }
@@ -309,15 +309,15 @@
 	}
 }
 
-// Read implements platform.Source.
-func (s *placedSource) Read(ctx context.Context, key string) (platform.Value, error) {
+// Read implements origin.Source.
+func (s *placedSource) Read(ctx context.Context, key string) (origin.Value, error) {
 	return s.Watch(ctx, key, "")
 }
 
-// Watch implements platform.Source.
-func (s *placedSource) Watch(ctx context.Context, key, after string) (platform.Value, error) {
+// Watch implements origin.Source.
+func (s *placedSource) Watch(ctx context.Context, key, after string) (origin.Value, error) {
 	if err := s.reachable(); err != nil {
-		return platform.Value{}, err
+		return origin.Value{}, err
 	}
 	v, err := s.next.Watch(ctx, key, after)
 	if err != nil {
@@ -326,10 +326,10 @@
 	return v, s.cross(ctx, len(v.Data))
 }
 
-// Instances implements platform.Source.
-func (s *placedSource) Instances(ctx context.Context, failureDomain string, after uint64) (platform.InstanceList, error) {
+// Instances implements origin.Source.
+func (s *placedSource) Instances(ctx context.Context, failureDomain string, after uint64) (origin.InstanceList, error) {
 	if err := s.reachable(); err != nil {
-		return platform.InstanceList{}, err
+		return origin.InstanceList{}, err
 	}
 	l, err := s.next.Instances(ctx, failureDomain, after)
 	if err != nil {
@@ -339,7 +339,7 @@
 }
 
 // listBytes estimates the size of a list as JSON.
-func listBytes(l platform.InstanceList) int {
+func listBytes(l origin.InstanceList) int {
 	n := 0
 	for _, i := range l.Instances {
 		n += len(i.Name) + len(i.FailureDomain) + len(i.Service) + len(i.PeerAddr) + len(i.RequestAddr) + len(i.State) +
--- a/internal/bench/watchers.go
+++ b/internal/bench/watchers.go
@@ -11,7 +11,7 @@
 	"github.com/chervilwell/chervilwell/document"
 	"github.com/chervilwell/chervilwell/internal/peer"
 	"github.com/chervilwell/chervilwell/internal/standin"
-	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/origin"
 )
 
 // watchers is the baseline of the distribution: each instance watches the platform itself, with the same budget, delays
@@ -67,12 +67,12 @@
 func xxDomain(fd string) uint64 { return uint64(len(fd)) + uint64(fd[len(fd)-1]) }
 
 // follow keeps one instance's catalogue up to date.
-func (w *watchers) follow(ctx context.Context, source platform.Source, rng *rand.Rand) {
+func (w *watchers) follow(ctx context.Context, source origin.Source, rng *rand.Rand) {
 	held := map[document.Digest]bool{}
 	tag := ""
 	var revision uint64
 	for ctx.Err() == nil {
-		v, err := source.Watch(ctx, platform.ManifestKey, tag)
+		v, err := source.Watch(ctx, origin.ManifestKey, tag)
 		var m catalogue.Manifest
 		if err != nil || json.Unmarshal(v.Data, &m) != nil {
 			backoff(ctx, rng)
@@ -80,7 +80,7 @@
 		}
 		for _, d := range m.Chunks {
 			for !held[d] && ctx.Err() == nil {
-				if _, err := source.Read(ctx, platform.ChunkPrefix+d.String()); err != nil {
+				if _, err := source.Read(ctx, origin.ChunkPrefix+d.String()); err != nil {
 					backoff(ctx, rng)
 					continue
 				}
@@ -112,7 +112,7 @@
 	}
 }
 
-func (w *watchers) followList(ctx context.Context, source platform.Source, fd string, rng *rand.Rand) {
+func (w *watchers) followList(ctx context.Context, source origin.Source, fd string, rng *rand.Rand) {
 	version := uint64(0)
 	for ctx.Err() == nil {
 		l, err := source.Instances(ctx, fd, version)
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -16,7 +16,7 @@
 	"github.com/chervilwell/chervilwell/catalogue"
 	"github.com/chervilwell/chervilwell/document"
 	"github.com/chervilwell/chervilwell/internal/operator"
-	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/origin"
 )
 
 // call runs the tool and returns its output, errors after the marker, and its exit code.
@@ -130,7 +130,7 @@
 	if out, code := call("render", "-out", dir, "../../examples/streusalz.jsonc"); code != 0 {
 		t.Fatalf("exit code %d: %s", code, out)
 	}
-	data, err := os.ReadFile(filepath.Join(dir, platform.ManifestKey))
+	data, err := os.ReadFile(filepath.Join(dir, origin.ManifestKey))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -139,7 +139,7 @@
 		t.Fatal(err)
 	}
 	var chunks []catalogue.Chunk
-	files, _ := filepath.Glob(filepath.Join(dir, platform.ChunkPrefix+"*"))
+	files, _ := filepath.Glob(filepath.Join(dir, origin.ChunkPrefix+"*"))
 	for _, file := range files {
 		c := catalogue.Chunk{}
 		if c.Data, err = os.ReadFile(file); err != nil {
--- a/internal/ctl/files.go
+++ b/internal/ctl/files.go
@@ -15,7 +15,7 @@
 
 	"github.com/chervilwell/chervilwell/catalogue"
 	"github.com/chervilwell/chervilwell/chart/charts"
-	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/origin"
 )
 
 // validate checks a catalogue.
@@ -207,7 +207,7 @@
 
 // checkFollows refuses a catalogue that processes would refuse after the one that was rendered into dir before.
 func checkFollows(dir string, cat *catalogue.Catalogue) error {
-	data, err := os.ReadFile(filepath.Join(dir, filepath.FromSlash(platform.ManifestKey)))
+	data, err := os.ReadFile(filepath.Join(dir, filepath.FromSlash(origin.ManifestKey)))
 	if errors.Is(err, os.ErrNotExist) {
 		return nil
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -23,7 +23,7 @@
 	"github.com/chervilwell/chervilwell/internal/linkbudget"
 	"github.com/chervilwell/chervilwell/internal/operator"
 	"github.com/chervilwell/chervilwell/internal/peer"
-	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/origin"
 	"github.com/chervilwell/chervilwell/settings"
 	"github.com/chervilwell/chervilwell/snapshot"
 )
@@ -154,14 +154,14 @@
 }
 
 // self returns the daemon's own entry as peers see it.
-func (d *Daemon) self() platform.Instance {
-	return platform.Instance{
+func (d *Daemon) self() origin.Instance {
+	return origin.Instance{
 		Name:          d.settings.Instance,
 		FailureDomain: d.settings.FailureDomain,
 		Service:       d.settings.Service,
 		PeerAddr:      d.transport.Addr(),
 		RequestAddr:   d.listeners.requests.Addr().String(),
-		State:         platform.Live,
+		State:         origin.Live,
 	}
 }
 
--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -11,7 +11,7 @@
 	"github.com/chervilwell/chervilwell/internal/gatekeeper"
 	"github.com/chervilwell/chervilwell/internal/linkbudget"
 	"github.com/chervilwell/chervilwell/internal/peer"
-	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/origin"
 )
 
 // buildAgent opens the transport between daemons and builds the distribution on it.
@@ -22,7 +22,7 @@
 	if err != nil {
 		return err
 	}
-	source, err := platform.NewHTTP(s.Platform.URL, &http.Client{})
+	source, err := origin.NewHTTP(s.Platform.URL, &http.Client{})
 	if err != nil {
 		return err
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -17,7 +17,7 @@
 	"github.com/chervilwell/chervilwell/internal/certs"
 	"github.com/chervilwell/chervilwell/internal/daemon"
 	"github.com/chervilwell/chervilwell/internal/standin"
-	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/origin"
 	"github.com/chervilwell/chervilwell/settings"
 )
 
@@ -65,7 +65,7 @@
 
 // Node is one instance: a target and the daemon beside it.
 type Node struct {
-	Instance platform.Instance
+	Instance origin.Instance
 	// Callers and Operator are addresses of the daemon's listeners.
 	Callers, Operator string
 	Target            *standin.Target
@@ -187,9 +187,9 @@
 	}
 	a := d.Addresses()
 	node.Callers, node.Operator = a.Callers, a.Operator
-	node.Instance = platform.Instance{
+	node.Instance = origin.Instance{
 		Name: s.Instance, FailureDomain: s.FailureDomain, Service: s.Service,
-		PeerAddr: a.Peers, RequestAddr: a.Requests, State: platform.Live,
+		PeerAddr: a.Peers, RequestAddr: a.Requests, State: origin.Live,
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	node.stop = stop
--- a/internal/frontend/carrier.go
+++ b/internal/frontend/carrier.go
@@ -20,13 +20,13 @@
 	"github.com/chervilwell/chervilwell/internal/linkbudget"
 	"github.com/chervilwell/chervilwell/internal/refusal"
 	"github.com/chervilwell/chervilwell/internal/stream"
+	"github.com/chervilwell/chervilwell/origin"
 	"github.com/chervilwell/chervilwell/pick"
-	"github.com/chervilwell/chervilwell/platform"
 )
 
 // Shipment is one attempt on its way to a target's instance.
 type Shipment struct {
-	Target       platform.Instance
+	Target       origin.Instance
 	Route        string
 	Organisation string
 	// Request carries the deadline in its context. The carrier may change its headers.
@@ -207,7 +207,7 @@
 }
 
 // Post implements gatekeeper.Peers.
-func (c *HTTPCarrier) Post(ctx context.Context, to platform.Instance, path string, body []byte) ([]byte, error) {
+func (c *HTTPCarrier) Post(ctx context.Context, to origin.Instance, path string, body []byte) ([]byte, error) {
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "https://"+to.RequestAddr+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, errors.Wrap(err, "message")
--- a/internal/frontend/fleet_test.go
+++ b/internal/frontend/fleet_test.go
@@ -14,13 +14,13 @@
 	"github.com/chervilwell/chervilwell/document"
 	"github.com/chervilwell/chervilwell/internal/certs"
 	"github.com/chervilwell/chervilwell/internal/gatekeeper"
-	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/origin"
 	"github.com/chervilwell/chervilwell/snapshot"
 )
 
 // member is one instance of a fleet on loopback: its target, gatekeeper and frontend.
 type member struct {
-	instance   platform.Instance
+	instance   origin.Instance
 	holder     *snapshot.Holder
 	target     *httptest.Server
 	gatekeeper *gatekeeper.Gatekeeper
@@ -91,8 +91,8 @@
 	f.t.Cleanup(m.target.Close)
 	m.store = f.instanceStore(certs.Identity{Instance: name, FailureDomain: domain})
 	peers := f.listen()
-	m.instance = platform.Instance{
-		Name: name, FailureDomain: domain, Service: "lagerstand", RequestAddr: peers.Addr().String(), State: platform.Live,
+	m.instance = origin.Instance{
+		Name: name, FailureDomain: domain, Service: "lagerstand", RequestAddr: peers.Addr().String(), State: origin.Live,
 	}
 	remote := NewHTTPCarrier(m.store)
 	m.gatekeeper = gatekeeper.New(gatekeeper.Config{
@@ -156,8 +156,8 @@
 	}
 	var lists []*document.Document
 	for _, m := range f.members {
-		list, err := snapshot.EncodeInstances(platform.InstanceList{
-			FailureDomain: m.instance.FailureDomain, Version: f.catalogue.Revision, Instances: []platform.Instance{m.instance},
+		list, err := snapshot.EncodeInstances(origin.InstanceList{
+			FailureDomain: m.instance.FailureDomain, Version: f.catalogue.Revision, Instances: []origin.Instance{m.instance},
 		})
 		if err != nil {
 			f.t.Fatal(err)
--- a/internal/frontend/forward.go
+++ b/internal/frontend/forward.go
@@ -14,8 +14,8 @@
 	"github.com/chervilwell/chervilwell/internal/linkbudget"
 	"github.com/chervilwell/chervilwell/internal/refusal"
 	"github.com/chervilwell/chervilwell/once"
+	"github.com/chervilwell/chervilwell/origin"
 	"github.com/chervilwell/chervilwell/pick"
-	"github.com/chervilwell/chervilwell/platform"
 	"github.com/chervilwell/chervilwell/retry"
 )
 
@@ -42,7 +42,7 @@
 }
 
 // target picks the next instance to try. A keyed request goes to its executor, and any to the holder that a refusal named.
-func (f *Frontend) target(req *request, tried []string, last *refusal.Refusal) (platform.Instance, error) {
+func (f *Frontend) target(req *request, tried []string, last *refusal.Refusal) (origin.Instance, error) {
 	var holder string
 	if last != nil {
 		holder = last.Holder
@@ -76,7 +76,7 @@
 }
 
 // attempt sends the request to one target.
-func (f *Frontend) attempt(ctx context.Context, req *request, target platform.Instance) (*http.Response, *refusal.Refusal) {
+func (f *Frontend) attempt(ctx context.Context, req *request, target origin.Instance) (*http.Response, *refusal.Refusal) {
 	limit := f.limitAttempt(ctx, req)
 	shipment := &Shipment{Target: target, Route: req.route.Name, Organisation: req.organisation, Request: req.outgoing(limit.ctx)}
 	resp, refused := limit.judge(f.send(limit.ctx, req, shipment))
--- a/internal/frontend/pick.go
+++ b/internal/frontend/pick.go
@@ -7,8 +7,8 @@
 	"sync"
 	"time"
 
+	"github.com/chervilwell/chervilwell/origin"
 	"github.com/chervilwell/chervilwell/pick"
-	"github.com/chervilwell/chervilwell/platform"
 	"github.com/chervilwell/chervilwell/snapshot"
 )
 
@@ -34,13 +34,13 @@
 }
 
 // start picks a target and counts the request as sent to it. Call ended when it is over.
-func (p *Picker) start(state *snapshot.State, route *snapshot.Route, tried []string) (platform.Instance, error) {
+func (p *Picker) start(state *snapshot.State, route *snapshot.Route, tried []string) (origin.Instance, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
 	choice, err := p.chooser.Pick(now, p.rng, state, route, tried)
 	if err != nil {
-		return platform.Instance{}, err
+		return origin.Instance{}, err
 	}
 	p.chooser.Started(now, choice.Instance.Name)
 	return choice.Instance, nil
@@ -48,7 +48,7 @@
 
 // startRanked picks the holder that a refusal named, if it can be used, or else the usable instance that rank puts first. If
 // none is usable it takes those that failed lately, since no other instance will do instead.
-func (p *Picker) startRanked(state *snapshot.State, route *snapshot.Route, rank func([]string) string, holder string, tried []string) (platform.Instance, error) {
+func (p *Picker) startRanked(state *snapshot.State, route *snapshot.Route, rank func([]string) string, holder string, tried []string) (origin.Instance, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now := time.Now()
@@ -60,7 +60,7 @@
 		found = among(candidates, pick.Ejected, pick.Unreachable, pick.Probing, pick.Silent)
 	}
 	if len(found) == 0 {
-		return platform.Instance{}, &pick.Refusal{Service: route.Service, Reason: pick.NoneUsable}
+		return origin.Instance{}, &pick.Refusal{Service: route.Service, Reason: pick.NoneUsable}
 	}
 	names := make([]string, 0, len(found))
 	for name := range found {
@@ -87,8 +87,8 @@
 }
 
 // among returns the instances of the candidates with one of the verdicts, by name.
-func among(candidates []pick.Candidate, verdicts ...pick.Reason) map[string]platform.Instance {
-	out := map[string]platform.Instance{}
+func among(candidates []pick.Candidate, verdicts ...pick.Reason) map[string]origin.Instance {
+	out := map[string]origin.Instance{}
 	for _, c := range candidates {
 		if slices.Contains(verdicts, c.Verdict) {
 			out[c.Instance.Name] = c.Instance
--- a/internal/gatekeeper/seats.go
+++ b/internal/gatekeeper/seats.go
@@ -14,7 +14,7 @@
 	"github.com/chervilwell/chervilwell/internal/linkbudget"
 	"github.com/chervilwell/chervilwell/internal/refusal"
 	"github.com/chervilwell/chervilwell/once"
-	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/origin"
 	"github.com/chervilwell/chervilwell/snapshot"
 )
 
@@ -35,7 +35,7 @@
 
 // Peers sends a message to the gatekeeper of another instance and returns the answer.
 type Peers interface {
-	Post(ctx context.Context, to platform.Instance, path string, body []byte) ([]byte, error)
+	Post(ctx context.Context, to origin.Instance, path string, body []byte) ([]byte, error)
 }
 
 // keyTable serializes the pure table of keyed requests.
--- a/internal/history/config_test.go
+++ b/internal/history/config_test.go
@@ -13,7 +13,7 @@
 
 	"github.com/chervilwell/chervilwell/catalogue"
 	"github.com/chervilwell/chervilwell/document"
-	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/origin"
 	"github.com/chervilwell/chervilwell/snapshot"
 )
 
@@ -21,7 +21,7 @@
 const inForceLimit = 5 * time.Second
 
 // runFleet runs a fleet through publications and faults drawn from a seed, in virtual time, then lets it settle.
-func runFleet(t *testing.T, seed uint64, build func(*fleet, platform.Instance) process) (f *fleet, calm time.Time) {
+func runFleet(t *testing.T, seed uint64, build func(*fleet, origin.Instance) process) (f *fleet, calm time.Time) {
 	synctest.Test(t, func(t *testing.T) {
 		f = newFleet(t, seed, build)
 		f.platform.PutInstance(f.instances...)
@@ -199,7 +199,7 @@
 
 // read returns the catalogue as the platform has it, without the entries to drop.
 func (n *naive) read(ctx context.Context) *document.Document {
-	v, err := n.f.platform.Read(ctx, platform.ManifestKey)
+	v, err := n.f.platform.Read(ctx, origin.ManifestKey)
 	if err != nil {
 		return nil
 	}
@@ -209,7 +209,7 @@
 	}
 	var all []document.Entry
 	for _, digest := range m.Chunks {
-		chunk, err := n.f.platform.Read(ctx, platform.ChunkPrefix+digest.String())
+		chunk, err := n.f.platform.Read(ctx, origin.ChunkPrefix+digest.String())
 		var entries []document.Entry
 		if err != nil || document.Unpack(chunk.Data, &entries) != nil {
 			return nil
@@ -239,7 +239,7 @@
 		{"in force", naive{deaf: true}},
 	} {
 		t.Run(c.promise, func(t *testing.T) {
-			f, calm := runFleet(t, 1, func(f *fleet, _ platform.Instance) process {
+			f, calm := runFleet(t, 1, func(f *fleet, _ origin.Instance) process {
 				p := c.broken
 				p.f = f
 				return &p
--- a/internal/history/fleet_test.go
+++ b/internal/history/fleet_test.go
@@ -17,7 +17,7 @@
 	"github.com/chervilwell/chervilwell/internal/agent"
 	"github.com/chervilwell/chervilwell/internal/peer"
 	"github.com/chervilwell/chervilwell/internal/standin"
-	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/origin"
 	"github.com/chervilwell/chervilwell/ring"
 	"github.com/chervilwell/chervilwell/snapshot"
 )
@@ -34,7 +34,7 @@
 // port is one agent's end of the network.
 type port struct {
 	net   *network
-	self  platform.Instance
+	self  origin.Instance
 	inbox *ring.Ring[peer.Inbound]
 }
 
@@ -110,8 +110,8 @@
 	network   *network
 	catalogue *catalogue.Catalogue
 	configs   *Configs
-	instances []platform.Instance
-	build     func(f *fleet, inst platform.Instance) process
+	instances []origin.Instance
+	build     func(f *fleet, inst origin.Instance) process
 
 	mu    sync.Mutex
 	stops map[string]func()
@@ -121,7 +121,7 @@
 	calm     map[string]time.Time
 }
 
-func newFleet(t *testing.T, seed uint64, build func(*fleet, platform.Instance) process) *fleet {
+func newFleet(t *testing.T, seed uint64, build func(*fleet, origin.Instance) process) *fleet {
 	t.Helper()
 	cat, err := catalogue.Parse("streusalz.jsonc", examples.Streusalz)
 	if err != nil {
@@ -136,8 +136,8 @@
 	for _, domain := range []string{"obb-muc", "obb-ro", "nbb-la", "nbb-pa"} {
 		for i := range 2 {
 			name := fmt.Sprintf("%s-%d", domain, i+1)
-			f.instances = append(f.instances, platform.Instance{
-				Name: name, FailureDomain: domain, Service: "lagerstand", PeerAddr: name + ":1", RequestAddr: name + ":2", State: platform.Live,
+			f.instances = append(f.instances, origin.Instance{
+				Name: name, FailureDomain: domain, Service: "lagerstand", PeerAddr: name + ":1", RequestAddr: name + ":2", State: origin.Live,
 			})
 			f.network.domain[name+":1"] = domain
 		}
@@ -146,7 +146,7 @@
 }
 
 // newAgent builds the real part.
-func newAgent(f *fleet, inst platform.Instance) process {
+func newAgent(f *fleet, inst origin.Instance) process {
 	holder := snapshot.NewHolder()
 	seeds := make([]string, 0, len(f.instances))
 	for _, other := range f.instances {
@@ -182,7 +182,7 @@
 	}
 }
 
-func (f *fleet) start(inst platform.Instance) {
+func (f *fleet) start(inst origin.Instance) {
 	p := f.build(f, inst)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
--- a/internal/linkbudget/budget.go
+++ b/internal/linkbudget/budget.go
@@ -12,7 +12,7 @@
 	"github.com/chervilwell/chervilwell/document"
 	"github.com/chervilwell/chervilwell/internal/duty"
 	"github.com/chervilwell/chervilwell/linkshare"
-	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/origin"
 	"github.com/chervilwell/chervilwell/rank"
 	"github.com/chervilwell/chervilwell/snapshot"
 )
@@ -36,7 +36,7 @@
 
 // Peers sends a message to another instance.
 type Peers interface {
-	Post(ctx context.Context, to platform.Instance, path string, body []byte) ([]byte, error)
+	Post(ctx context.Context, to origin.Instance, path string, body []byte) ([]byte, error)
 }
 
 // message is what instances of a region tell each other.
@@ -70,7 +70,7 @@
 	scanned time.Time
 	// parts is the configuration that the parts were worked out from.
 	parts *snapshot.Config
-	first platform.Instance
+	first origin.Instance
 }
 
 type limit struct {
@@ -218,7 +218,7 @@
 }
 
 // send sends a message; its tokens are lost if it does not arrive.
-func (b *Budget) send(ctx context.Context, to platform.Instance, m message) {
+func (b *Budget) send(ctx context.Context, to origin.Instance, m message) {
 	if b.config.Peers == nil || to.Name == "" {
 		return
 	}
@@ -283,16 +283,16 @@
 // scan counts the instances of the own region and finds the first by rank.
 func (b *Budget) scan(now time.Time, state *snapshot.State) {
 	b.scanned = now
-	b.first = platform.Instance{}
+	b.first = origin.Instance{}
 	b.count = 0
 	own := state.Config.RegionOf(b.config.FailureDomain)
 	scope := "link/" + own
-	state.Endpoints.All(func(inst platform.Instance) bool {
+	state.Endpoints.All(func(inst origin.Instance) bool {
 		if state.Config.RegionOf(inst.FailureDomain) != own {
 			return true
 		}
 		b.count++
-		if inst.State == platform.Live && (b.first.Name == "" || rank.Less(scope, inst.Name, b.first.Name)) {
+		if inst.State == origin.Live && (b.first.Name == "" || rank.Less(scope, inst.Name, b.first.Name)) {
 			b.first = inst
 		}
 		return true
--- a/internal/linkbudget/budget_test.go
+++ b/internal/linkbudget/budget_test.go
@@ -12,7 +12,7 @@
 	"github.com/chervilwell/chervilwell/catalogue"
 	"github.com/chervilwell/chervilwell/document"
 	"github.com/chervilwell/chervilwell/linkshare"
-	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/origin"
 	"github.com/chervilwell/chervilwell/snapshot"
 )
 
@@ -25,7 +25,7 @@
 	cut     bool
 }
 
-func (w *wire) Post(_ context.Context, to platform.Instance, _ string, body []byte) ([]byte, error) {
+func (w *wire) Post(_ context.Context, to origin.Instance, _ string, body []byte) ([]byte, error) {
 	if w.cut {
 		return nil, errors.New("cut off")
 	}
@@ -52,9 +52,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	list := platform.InstanceList{FailureDomain: "obb-muc", Version: 1}
+	list := origin.InstanceList{FailureDomain: "obb-muc", Version: 1}
 	for _, name := range names {
-		list.Instances = append(list.Instances, platform.Instance{Name: name, FailureDomain: "obb-muc", Service: "depot", State: platform.Live})
+		list.Instances = append(list.Instances, origin.Instance{Name: name, FailureDomain: "obb-muc", Service: "depot", State: origin.Live})
 	}
 	instances, err := snapshot.EncodeInstances(list)
 	if err != nil {
--- a/internal/operator/alerts.go
+++ b/internal/operator/alerts.go
@@ -6,7 +6,7 @@
 	"slices"
 	"strings"
 
-	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/origin"
 	"github.com/chervilwell/chervilwell/snapshot"
 )
 
@@ -46,9 +46,9 @@
 // regionsServed returns, for each service, the regions in which one of its targets takes work.
 func regionsServed(state *snapshot.State) map[string][]string {
 	out := map[string][]string{}
-	state.Endpoints.All(func(inst platform.Instance) bool {
+	state.Endpoints.All(func(inst origin.Instance) bool {
 		region := state.Config.RegionOf(inst.FailureDomain)
-		if inst.State == platform.Live && inService(state.Config, inst) && !slices.Contains(out[inst.Service], region) {
+		if inst.State == origin.Live && inService(state.Config, inst) && !slices.Contains(out[inst.Service], region) {
 			out[inst.Service] = append(out[inst.Service], region)
 		}
 		return true
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -21,7 +21,7 @@
 	"github.com/chervilwell/chervilwell/distribution"
 	"github.com/chervilwell/chervilwell/document"
 	"github.com/chervilwell/chervilwell/examples"
-	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/origin"
 	"github.com/chervilwell/chervilwell/snapshot"
 )
 
@@ -82,11 +82,11 @@
 	b.t.Helper()
 	var docs []*document.Document
 	for _, domain := range domains {
-		list := platform.InstanceList{FailureDomain: domain, Version: 1}
+		list := origin.InstanceList{FailureDomain: domain, Version: 1}
 		for i, service := range []string{"lagerstand", "disposition"} {
 			name := fmt.Sprintf("%s-%d", domain, i+1)
-			list.Instances = append(list.Instances, platform.Instance{
-				Name: name, FailureDomain: domain, Service: service, State: platform.Live, PeerAddr: "10.0.0.1:1", RequestAddr: "10.0.0.1:2",
+			list.Instances = append(list.Instances, origin.Instance{
+				Name: name, FailureDomain: domain, Service: service, State: origin.Live, PeerAddr: "10.0.0.1:1", RequestAddr: "10.0.0.1:2",
 			})
 		}
 		doc, err := snapshot.EncodeInstances(list)
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -7,7 +7,7 @@
 
 	"github.com/chervilwell/chervilwell/audit"
 	"github.com/chervilwell/chervilwell/chart/charts"
-	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/origin"
 	"github.com/chervilwell/chervilwell/snapshot"
 )
 
@@ -89,7 +89,7 @@
 		list.Revision = state.Config.Version().Revision
 	}
 	service, domain := query.Get("service"), query.Get("failureDomain")
-	state.Endpoints.All(func(inst platform.Instance) bool {
+	state.Endpoints.All(func(inst origin.Instance) bool {
 		if (service == "" || service == inst.Service) && (domain == "" || domain == inst.FailureDomain) {
 			list.Instances = append(list.Instances, instanceStatus(state.Config, inst))
 		}
@@ -98,7 +98,7 @@
 	return list, nil
 }
 
-func instanceStatus(config *snapshot.Config, inst platform.Instance) InstanceStatus {
+func instanceStatus(config *snapshot.Config, inst origin.Instance) InstanceStatus {
 	s := InstanceStatus{
 		Name: inst.Name, FailureDomain: inst.FailureDomain, Service: inst.Service, State: inst.State,
 		PeerAddr: inst.PeerAddr, RequestAddr: inst.RequestAddr,
@@ -111,6 +111,6 @@
 }
 
 // inService reports whether operators have the instance and its failure domain in service.
-func inService(config *snapshot.Config, inst platform.Instance) bool {
+func inService(config *snapshot.Config, inst origin.Instance) bool {
 	return config.DomainInService(inst.FailureDomain) && config.InstanceInService(inst.Name)
 }
--- a/internal/operator/types.go
+++ b/internal/operator/types.go
@@ -7,8 +7,8 @@
 	"github.com/chervilwell/chervilwell/catalogue"
 	"github.com/chervilwell/chervilwell/chart"
 	"github.com/chervilwell/chervilwell/distribution"
+	"github.com/chervilwell/chervilwell/origin"
 	"github.com/chervilwell/chervilwell/pick"
-	"github.com/chervilwell/chervilwell/platform"
 )
 
 // Paths of the listener.
@@ -100,11 +100,11 @@
 
 // InstanceStatus is one instance as this process knows it.
 type InstanceStatus struct {
-	Name          string         `json:"name"`
-	FailureDomain string         `json:"failureDomain"`
-	Region        string         `json:"region,omitempty"`
-	Service       string         `json:"service"`
-	State         platform.State `json:"state"`
+	Name          string       `json:"name"`
+	FailureDomain string       `json:"failureDomain"`
+	Region        string       `json:"region,omitempty"`
+	Service       string       `json:"service"`
+	State         origin.State `json:"state"`
 	// InService is false if operators took the instance or its failure domain out of service.
 	InService   bool   `json:"inService"`
 	PeerAddr    string `json:"peerAddr"`
--- a/internal/peer/network.go
+++ b/internal/peer/network.go
@@ -6,7 +6,7 @@
 	"time"
 
 	"github.com/chervilwell/chervilwell/distribution"
-	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/origin"
 	"github.com/chervilwell/chervilwell/ring"
 )
 
@@ -29,7 +29,7 @@
 // Network is an in-memory network for tests and measurements: transports with delay, shared bandwidth, cuts and counts.
 // It is safe for concurrent use.
 type Network struct {
-	path func(from, to platform.Instance) Path
+	path func(from, to origin.Instance) Path
 
 	mu    sync.Mutex
 	ports map[string]*Port
@@ -45,7 +45,7 @@
 }
 
 // NewNetwork returns a network whose paths are given by a function of the two instances.
-func NewNetwork(path func(from, to platform.Instance) Path) *Network {
+func NewNetwork(path func(from, to origin.Instance) Path) *Network {
 	return &Network{path: path, ports: map[string]*Port{}, cut: map[[2]string]bool{}, links: map[string]*sharedLink{}}
 }
 
@@ -103,14 +103,14 @@
 // Port is the Transport of one instance on a Network.
 type Port struct {
 	network *Network
-	inst    platform.Instance
+	inst    origin.Instance
 	inbound *ring.Ring[Inbound]
 	bytes   atomic.Int64
 	closed  atomic.Bool
 }
 
 // Attach connects an instance by its peer address. A later one at the same address replaces it.
-func (n *Network) Attach(inst platform.Instance) *Port {
+func (n *Network) Attach(inst origin.Instance) *Port {
 	p := &Port{network: n, inst: inst, inbound: ring.New[Inbound](InboundQueue, ring.DropOldest)}
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -18,7 +18,7 @@
 
 	"github.com/chervilwell/chervilwell/catalogue"
 	"github.com/chervilwell/chervilwell/document"
-	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/origin"
 )
 
 // keptStates is the number of earlier states that stale mode can go back to.
@@ -34,8 +34,8 @@
 	InstanceLag time.Duration
 }
 
-// Platform stands in for the platform's configuration service. It implements platform.Source in process and serves the
-// wire of platform.HTTP by Handler. It is safe for concurrent use.
+// Platform stands in for the platform's configuration service. It implements origin.Source in process and serves the
+// wire of origin.HTTP by Handler. It is safe for concurrent use.
 type Platform struct {
 	cfg    PlatformConfig
 	budget *rate.Limiter
@@ -45,7 +45,7 @@
 	frozen  *state   // what stale mode serves, or nil
 	outage  bool
 	changed chan struct{} // closed and replaced at each change of what is served
-	truth   map[string]map[string]platform.Instance
+	truth   map[string]map[string]origin.Instance
 	pending []pendingLists
 	reads   ReadCounts
 }
@@ -62,8 +62,8 @@
 
 // state is one published state. It is never changed once it is in the list of states.
 type state struct {
-	values map[string]platform.Value
-	lists  map[string]platform.InstanceList
+	values map[string]origin.Value
+	lists  map[string]origin.InstanceList
 }
 
 func (s *state) clone() *state {
@@ -74,9 +74,9 @@
 func NewPlatform(cfg PlatformConfig) *Platform {
 	p := &Platform{
 		cfg:     cfg,
-		states:  []*state{{values: map[string]platform.Value{}, lists: map[string]platform.InstanceList{}}},
+		states:  []*state{{values: map[string]origin.Value{}, lists: map[string]origin.InstanceList{}}},
 		changed: make(chan struct{}),
-		truth:   map[string]map[string]platform.Instance{},
+		truth:   map[string]map[string]origin.Instance{},
 	}
 	if cfg.ReadsPerSecond > 0 {
 		p.budget = rate.NewLimiter(rate.Limit(cfg.ReadsPerSecond), max(1, int(cfg.ReadsPerSecond)))
@@ -84,13 +84,13 @@
 	return p
 }
 
-// Put publishes a value. It fails on a value larger than platform.MaxValueBytes.
+// Put publishes a value. It fails on a value larger than origin.MaxValueBytes.
 func (p *Platform) Put(key string, data []byte) error {
-	if len(data) > platform.MaxValueBytes {
-		return errors.Errorf("value of %q has %d bytes; split it below %d", key, len(data), platform.MaxValueBytes)
+	if len(data) > origin.MaxValueBytes {
+		return errors.Errorf("value of %q has %d bytes; split it below %d", key, len(data), origin.MaxValueBytes)
 	}
 	tag := strconv.FormatUint(xxhash.Sum64(data), 16)
-	p.publish(func(s *state) { s.values[key] = platform.Value{Data: slices.Clone(data), Tag: strconv.Quote(tag)} })
+	p.publish(func(s *state) { s.values[key] = origin.Value{Data: slices.Clone(data), Tag: strconv.Quote(tag)} })
 	return nil
 }
 
@@ -110,7 +110,7 @@
 		if err != nil {
 			return err
 		}
-		if err := p.Put(platform.ChunkPrefix+digest.String(), packed); err != nil {
+		if err := p.Put(origin.ChunkPrefix+digest.String(), packed); err != nil {
 			return err
 		}
 	}
@@ -118,16 +118,16 @@
 	if err != nil {
 		return errors.Wrap(err, "encode the manifest")
 	}
-	return p.Put(platform.ManifestKey, data)
+	return p.Put(origin.ManifestKey, data)
 }
 
 // PutInstance adds or replaces an instance; its failure domain's list shows it after the lag.
-func (p *Platform) PutInstance(list ...platform.Instance) {
+func (p *Platform) PutInstance(list ...origin.Instance) {
 	p.changeInstances(func() []string {
 		var domains []string
 		for _, inst := range list {
 			if p.truth[inst.FailureDomain] == nil {
-				p.truth[inst.FailureDomain] = map[string]platform.Instance{}
+				p.truth[inst.FailureDomain] = map[string]origin.Instance{}
 			}
 			p.truth[inst.FailureDomain][inst.Name] = inst
 			domains = append(domains, inst.FailureDomain)
@@ -152,8 +152,8 @@
 	slices.Sort(domains)
 	next := pendingLists{due: time.Now().Add(p.cfg.InstanceLag)}
 	for _, d := range slices.Compact(domains) {
-		list := slices.SortedFunc(maps.Values(p.truth[d]), func(a, b platform.Instance) int { return strings.Compare(a.Name, b.Name) })
-		next.lists = append(next.lists, platform.InstanceList{FailureDomain: d, Instances: list})
+		list := slices.SortedFunc(maps.Values(p.truth[d]), func(a, b origin.Instance) int { return strings.Compare(a.Name, b.Name) })
+		next.lists = append(next.lists, origin.InstanceList{FailureDomain: d, Instances: list})
 	}
 	p.pending = append(p.pending, next)
 	if p.cfg.InstanceLag <= 0 {
@@ -166,7 +166,7 @@
 // pendingLists are lists that wait for their lag to pass.
 type pendingLists struct {
 	due   time.Time
-	lists []platform.InstanceList
+	lists []origin.InstanceList
 }
 
 // reveal publishes the lists that are due, in the order of their changes.
@@ -185,7 +185,7 @@
 	}
 }
 
-func (s *state) setLists(lists []platform.InstanceList) {
+func (s *state) setLists(lists []origin.InstanceList) {
 	for _, l := range lists {
 		l.Version = s.lists[l.FailureDomain].Version + 1
 		s.lists[l.FailureDomain] = l
@@ -242,39 +242,39 @@
 	return p.reads
 }
 
-// Read implements platform.Source.
-func (p *Platform) Read(ctx context.Context, key string) (platform.Value, error) {
+// Read implements origin.Source.
+func (p *Platform) Read(ctx context.Context, key string) (origin.Value, error) {
 	return p.Watch(ctx, key, "")
 }
 
-// Watch implements platform.Source.
-func (p *Platform) Watch(ctx context.Context, key, after string) (platform.Value, error) {
-	var v platform.Value
+// Watch implements origin.Source.
+func (p *Platform) Watch(ctx context.Context, key, after string) (origin.Value, error) {
+	var v origin.Value
 	err := p.await(ctx, func(s *state) (bool, error) {
 		var ok bool
 		if v, ok = s.values[key]; !ok && after == "" {
-			return false, errors.Wrap(platform.ErrNotFound, key)
+			return false, errors.Wrap(origin.ErrNotFound, key)
 		}
 		return ok && v.Tag != after, nil
 	})
 	if err != nil {
-		return platform.Value{}, err
+		return origin.Value{}, err
 	}
-	return platform.Value{Data: slices.Clone(v.Data), Tag: v.Tag}, nil
+	return origin.Value{Data: slices.Clone(v.Data), Tag: v.Tag}, nil
 }
 
-// Instances implements platform.Source.
-func (p *Platform) Instances(ctx context.Context, failureDomain string, after uint64) (platform.InstanceList, error) {
-	var list platform.InstanceList
+// Instances implements origin.Source.
+func (p *Platform) Instances(ctx context.Context, failureDomain string, after uint64) (origin.InstanceList, error) {
+	var list origin.InstanceList
 	err := p.await(ctx, func(s *state) (bool, error) {
 		var ok bool
 		if list, ok = s.lists[failureDomain]; !ok && after == 0 {
-			return false, errors.Wrap(platform.ErrNotFound, failureDomain)
+			return false, errors.Wrap(origin.ErrNotFound, failureDomain)
 		}
 		return ok && list.Version > after, nil
 	})
 	if err != nil {
-		return platform.InstanceList{}, err
+		return origin.InstanceList{}, err
 	}
 	list.Instances = slices.Clone(list.Instances)
 	return list, nil
@@ -283,7 +283,7 @@
 // await counts one call and waits until ready holds for what is served.
 func (p *Platform) await(ctx context.Context, ready func(*state) (bool, error)) error {
 	if !p.count(time.Now()) {
-		return errors.WithStack(platform.ErrThrottled)
+		return errors.WithStack(origin.ErrThrottled)
 	}
 	if err := sleep(ctx, p.cfg.Delay); err != nil {
 		return err
@@ -308,7 +308,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.outage {
-		return nil, nil, errors.WithStack(platform.ErrUnavailable)
+		return nil, nil, errors.WithStack(origin.ErrUnavailable)
 	}
 	if p.frozen != nil {
 		return p.frozen, p.changed, nil
--- a/internal/standin/platform_http.go
+++ b/internal/standin/platform_http.go
@@ -9,13 +9,13 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/origin"
 )
 
 // pollTime is the longest time that the stand-in holds a long poll.
 const pollTime = 20 * time.Second
 
-// Handler serves the wire that platform.HTTP documents.
+// Handler serves the wire that origin.HTTP documents.
 func (p *Platform) Handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /v1/values/{key...}", p.serveValue)
@@ -58,9 +58,9 @@
 
 func statusOf(err error) int {
 	switch {
-	case errors.Is(err, platform.ErrNotFound):
+	case errors.Is(err, origin.ErrNotFound):
 		return http.StatusNotFound
-	case errors.Is(err, platform.ErrThrottled):
+	case errors.Is(err, origin.ErrThrottled):
 		return http.StatusTooManyRequests
 	case errors.Is(err, context.DeadlineExceeded):
 		return http.StatusNotModified
--- a/internal/standin/platform_test.go
+++ b/internal/standin/platform_test.go
@@ -14,7 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/chervilwell/chervilwell/catalogue"
-	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/origin"
 )
 
 func mustPut(t *testing.T, p *Platform, key, value string) {
@@ -28,12 +28,12 @@
 	p := NewPlatform(PlatformConfig{})
 	server := httptest.NewServer(p.Handler())
 	defer server.Close()
-	src, err := platform.NewHTTP(server.URL, server.Client())
+	src, err := origin.NewHTTP(server.URL, server.Client())
 	if err != nil {
 		t.Fatal(err)
 	}
 	ctx := context.Background()
-	if _, err := src.Read(ctx, "a/b c"); !errors.Is(err, platform.ErrNotFound) {
+	if _, err := src.Read(ctx, "a/b c"); !errors.Is(err, origin.ErrNotFound) {
 		t.Fatalf("missing key: %v", err)
 	}
 	mustPut(t, p, "a/b c", "one")
@@ -41,7 +41,7 @@
 	if err != nil || string(first.Data) != "one" {
 		t.Fatalf("read: %q %v", first.Data, err)
 	}
-	got := make(chan platform.Value, 1)
+	got := make(chan origin.Value, 1)
 	go func() {
 		v, _ := src.Watch(ctx, "a/b c", first.Tag)
 		got <- v
@@ -50,13 +50,13 @@
 	if v := <-got; string(v.Data) != "two" || v.Tag == first.Tag {
 		t.Fatalf("watch: %+v", v)
 	}
-	p.PutInstance(platform.Instance{Name: "i1", FailureDomain: "d"})
+	p.PutInstance(origin.Instance{Name: "i1", FailureDomain: "d"})
 	list, err := src.Instances(ctx, "d", 0)
 	if err != nil || list.Version != 1 || len(list.Instances) != 1 {
 		t.Fatalf("instances: %+v %v", list, err)
 	}
 	p.SetOutage(true)
-	if _, err := src.Read(ctx, "a/b c"); !errors.Is(err, platform.ErrUnavailable) {
+	if _, err := src.Read(ctx, "a/b c"); !errors.Is(err, origin.ErrUnavailable) {
 		t.Fatalf("outage: %v", err)
 	}
 }
@@ -68,11 +68,11 @@
 		body   []byte
 		want   error
 	}{
-		{"throttled", http.StatusTooManyRequests, nil, platform.ErrThrottled},
-		{"absent", http.StatusNotFound, nil, platform.ErrNotFound},
-		{"broken", http.StatusInternalServerError, nil, platform.ErrUnavailable},
-		{"oversized", http.StatusOK, bytes.Repeat([]byte{1}, platform.MaxValueBytes+1), platform.ErrUnavailable},
-		{"largest", http.StatusOK, bytes.Repeat([]byte{1}, platform.MaxValueBytes), nil},
+		{"throttled", http.StatusTooManyRequests, nil, origin.ErrThrottled},
+		{"absent", http.StatusNotFound, nil, origin.ErrNotFound},
+		{"broken", http.StatusInternalServerError, nil, origin.ErrUnavailable},
+		{"oversized", http.StatusOK, bytes.Repeat([]byte{1}, origin.MaxValueBytes+1), origin.ErrUnavailable},
+		{"largest", http.StatusOK, bytes.Repeat([]byte{1}, origin.MaxValueBytes), nil},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
@@ -80,7 +80,7 @@
 				_, _ = w.Write(c.body)
 			}))
 			defer server.Close()
-			src, err := platform.NewHTTP(server.URL, server.Client())
+			src, err := origin.NewHTTP(server.URL, server.Client())
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -89,7 +89,7 @@
 			}
 		})
 	}
-	if _, err := platform.NewHTTP("192.0.2.7:8500", nil); err == nil {
+	if _, err := origin.NewHTTP("192.0.2.7:8500", nil); err == nil {
 		t.Fatal("accepted a URL without a scheme")
 	}
 }
@@ -115,14 +115,14 @@
 		ctx := context.Background()
 		p := NewPlatform(PlatformConfig{ReadsPerSecond: 2, Delay: 3 * time.Millisecond, InstanceLag: 5 * time.Second})
 		mustPut(t, p, "k", "one")
-		for i, want := range []error{nil, nil, platform.ErrThrottled} {
+		for i, want := range []error{nil, nil, origin.ErrThrottled} {
 			if _, err := p.Read(ctx, "k"); !errors.Is(err, want) {
 				t.Fatalf("read %d: %v, want %v", i, err, want)
 			}
 		}
 		time.Sleep(time.Second)
-		p.PutInstance(platform.Instance{Name: "i1", FailureDomain: "d"})
-		if _, err := p.Instances(ctx, "d", 0); !errors.Is(err, platform.ErrNotFound) {
+		p.PutInstance(origin.Instance{Name: "i1", FailureDomain: "d"})
+		if _, err := p.Instances(ctx, "d", 0); !errors.Is(err, origin.ErrNotFound) {
 			t.Fatalf("list showed before its lag: %v", err)
 		}
 		time.Sleep(6 * time.Second)
@@ -140,7 +140,7 @@
 		p := NewPlatform(PlatformConfig{InstanceLag: time.Second})
 		const count = 50
 		for i := range count {
-			p.PutInstance(platform.Instance{Name: strconv.Itoa(i), FailureDomain: "d"})
+			p.PutInstance(origin.Instance{Name: strconv.Itoa(i), FailureDomain: "d"})
 		}
 		time.Sleep(2 * time.Second)
 		if list, err := p.Instances(context.Background(), "d", 0); err != nil || len(list.Instances) != count {
@@ -158,7 +158,7 @@
 	var missing int
 	m := readManifest(t, p)
 	for _, digest := range m.Chunks {
-		if _, err := p.Read(context.Background(), platform.ChunkPrefix+digest.String()); err != nil {
+		if _, err := p.Read(context.Background(), origin.ChunkPrefix+digest.String()); err != nil {
 			missing++
 		}
 	}
@@ -169,7 +169,7 @@
 
 func readManifest(t *testing.T, p *Platform) catalogue.Manifest {
 	t.Helper()
-	v, err := p.Read(context.Background(), platform.ManifestKey)
+	v, err := p.Read(context.Background(), origin.ManifestKey)
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/membership/example_test.go
+++ b/membership/example_test.go
@@ -5,13 +5,13 @@
 	"time"
 
 	"github.com/chervilwell/chervilwell/membership"
-	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/origin"
 )
 
 func Example() {
 	now := time.Unix(0, 0)
-	view := membership.New(platform.Instance{Name: "muc-1", FailureDomain: "muc"}, 1)
-	view.List(now, []platform.Instance{{Name: "muc-2", FailureDomain: "muc", State: platform.Live}}, nil)
+	view := membership.New(origin.Instance{Name: "muc-1", FailureDomain: "muc"}, 1)
+	view.List(now, []origin.Instance{{Name: "muc-2", FailureDomain: "muc", State: origin.Live}}, nil)
 	fmt.Println(len(view.Order(now, "muc")))
 	view.Left(now, "muc-2", 7) // its own word wins over the list
 	fmt.Println(len(view.Order(now, "muc")))
--- a/membership/membership.go
+++ b/membership/membership.go
@@ -10,7 +10,7 @@
 	"slices"
 	"time"
 
-	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/origin"
 	"github.com/chervilwell/chervilwell/rank"
 )
 
@@ -23,7 +23,7 @@
 
 // Member is one instance as this process sees it.
 type Member struct {
-	platform.Instance
+	origin.Instance
 	// Incarnation is the number of the process life that was heard last; 0 if none was heard.
 	Incarnation uint64
 
@@ -54,7 +54,7 @@
 const maxEarly = 1024
 
 // New returns a view that knows self alone.
-func New(self platform.Instance, incarnation uint64) *View {
+func New(self origin.Instance, incarnation uint64) *View {
 	v := &View{self: self.Name, byName: map[string]*Member{}, order: map[string][]*Member{}, early: map[string]early{}}
 	m := v.upsert(self)
 	m.Incarnation = incarnation
@@ -62,7 +62,7 @@
 }
 
 // upsert returns the member record of inst, with its description replaced.
-func (v *View) upsert(inst platform.Instance) *Member {
+func (v *View) upsert(inst origin.Instance) *Member {
 	m := v.byName[inst.Name]
 	if m != nil && m.FailureDomain != inst.FailureDomain {
 		v.unlink(m)
@@ -100,7 +100,7 @@
 }
 
 // List takes a change of the platform's list: instances added or changed, and names removed.
-func (v *View) List(now time.Time, set []platform.Instance, removed []string) {
+func (v *View) List(now time.Time, set []origin.Instance, removed []string) {
 	for _, inst := range set {
 		if inst.Name == v.self {
 			continue
@@ -121,7 +121,7 @@
 
 // Heard takes the word of an instance about itself. It reports whether the instance counts as alive by it: a word from
 // the life that said it was leaving, or from an earlier one, does not bring it back.
-func (v *View) Heard(now time.Time, inst platform.Instance, incarnation uint64) bool {
+func (v *View) Heard(now time.Time, inst origin.Instance, incarnation uint64) bool {
 	if inst.Name == v.self {
 		return false
 	}
@@ -202,7 +202,7 @@
 	if m.left != 0 && now.Sub(m.leftAt) < LeftFor {
 		return false
 	}
-	return m.heardLately(now) || (m.listed && m.State != platform.Leaving)
+	return m.heardLately(now) || (m.listed && m.State != origin.Leaving)
 }
 
 // Usable reports whether the instance is a member and not suspect.
--- a/platform/example_test.go
+++ b/origin/example_test.go
@@ -1,4 +1,4 @@
-package platform_test
+package origin_test
 
 import (
 	"context"
@@ -8,18 +8,18 @@
 
 	"github.com/pkg/errors"
 
-	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/origin"
 )
 
 func ExampleHTTP() {
 	server := httptest.NewServer(http.NotFoundHandler())
 	defer server.Close()
-	source, err := platform.NewHTTP(server.URL, server.Client())
+	source, err := origin.NewHTTP(server.URL, server.Client())
 	if err != nil {
 		fmt.Println(err)
 		return
 	}
-	_, err = source.Read(context.Background(), platform.ManifestKey)
-	fmt.Println(errors.Is(err, platform.ErrNotFound))
+	_, err = source.Read(context.Background(), origin.ManifestKey)
+	fmt.Println(errors.Is(err, origin.ErrNotFound))
 	// Output: true
 }
--- a/platform/http.go
+++ b/origin/http.go
@@ -1,4 +1,4 @@
-package platform
+package origin
 
 import (
 	"context"
--- a/platform/platform.go
+++ b/origin/origin.go
@@ -1,5 +1,5 @@
-// Package platform is the boundary to the configuration service that the operators publish to. The system only reads it.
-package platform
+// Package origin is the boundary to the configuration service that the operators publish to. The system only reads it.
+package origin
 
 import (
 	"context"
--- a/pick/example_test.go
+++ b/pick/example_test.go
@@ -7,8 +7,8 @@
 
 	"github.com/chervilwell/chervilwell/catalogue"
 	"github.com/chervilwell/chervilwell/document"
+	"github.com/chervilwell/chervilwell/origin"
 	"github.com/chervilwell/chervilwell/pick"
-	"github.com/chervilwell/chervilwell/platform"
 	"github.com/chervilwell/chervilwell/snapshot"
 )
 
@@ -36,8 +36,8 @@
 	}
 	var docs []*document.Document
 	for _, domain := range []string{"obb-muc", "obb-ro"} {
-		list, _ := snapshot.EncodeInstances(platform.InstanceList{FailureDomain: domain, Version: 1, Instances: []platform.Instance{
-			{Name: domain + "-1", FailureDomain: domain, Service: "lagerstand", State: platform.Live},
+		list, _ := snapshot.EncodeInstances(origin.InstanceList{FailureDomain: domain, Version: 1, Instances: []origin.Instance{
+			{Name: domain + "-1", FailureDomain: domain, Service: "lagerstand", State: origin.Live},
 		}})
 		docs = append(docs, list)
 	}
--- a/pick/pick.go
+++ b/pick/pick.go
@@ -16,7 +16,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/origin"
 	"github.com/chervilwell/chervilwell/snapshot"
 )
 
@@ -121,7 +121,7 @@
 
 // Choice is the target picked.
 type Choice struct {
-	Instance platform.Instance
+	Instance origin.Instance
 	Tier     Tier
 	// Probe says that the target is on trial after it was unreachable or ejected.
 	Probe bool
--- a/pick/pick_test.go
+++ b/pick/pick_test.go
@@ -11,7 +11,7 @@
 
 	"github.com/chervilwell/chervilwell/catalogue"
 	"github.com/chervilwell/chervilwell/document"
-	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/origin"
 	"github.com/chervilwell/chervilwell/snapshot"
 )
 
@@ -43,7 +43,7 @@
 type failer interface{ Fatal(args ...any) }
 
 // state compiles a catalogue with a number of instances in each failure domain.
-func state(t failer, cat *catalogue.Catalogue, perDomain int, change func(*platform.Instance)) *snapshot.State {
+func state(t failer, cat *catalogue.Catalogue, perDomain int, change func(*origin.Instance)) *snapshot.State {
 	doc, err := catalogue.Encode(cat)
 	if err != nil {
 		t.Fatal(err)
@@ -55,10 +55,10 @@
 	var docs []*document.Document
 	for _, r := range cat.Regions {
 		for _, d := range r.FailureDomains {
-			list := platform.InstanceList{FailureDomain: d.Name, Version: 1}
+			list := origin.InstanceList{FailureDomain: d.Name, Version: 1}
 			for i := range perDomain {
-				inst := platform.Instance{
-					Name: fmt.Sprintf("%s-%d", d.Name, i), FailureDomain: d.Name, Service: "lagerstand", State: platform.Live,
+				inst := origin.Instance{
+					Name: fmt.Sprintf("%s-%d", d.Name, i), FailureDomain: d.Name, Service: "lagerstand", State: origin.Live,
 				}
 				if change != nil {
 					change(&inst)
@@ -117,9 +117,9 @@
 	cat.Regions[0].FailureDomains[1].State = catalogue.Out
 	cat.Instances = []catalogue.InstanceState{{Name: "obb-muc-1", State: catalogue.Out}}
 	cat.Routes[0].HomeRegions = []string{"obb"}
-	st := state(t, cat, 4, func(i *platform.Instance) {
+	st := state(t, cat, 4, func(i *origin.Instance) {
 		if i.Name == "obb-muc-2" {
-			i.State = platform.Leaving
+			i.State = origin.Leaving
 		}
 	})
 	c := New(Self{Instance: "obb-muc-0", FailureDomain: "obb-muc"})
@@ -208,9 +208,9 @@
 		if rapid.Bool().Draw(t, "homes") {
 			cat.Routes[0].HomeRegions = []string{"nbb"}
 		}
-		st := state(t, cat, 3, func(i *platform.Instance) {
+		st := state(t, cat, 3, func(i *origin.Instance) {
 			if rapid.IntRange(0, 5).Draw(t, "leaving") == 0 {
-				i.State = platform.Leaving
+				i.State = origin.Leaving
 			}
 		})
 		route := st.Config.Route("stock")
@@ -223,7 +223,7 @@
 			if err == nil {
 				inst := choice.Instance
 				region := st.Config.RegionOf(inst.FailureDomain)
-				if !route.Allows(region) || !st.Config.DomainInService(inst.FailureDomain) || inst.State == platform.Leaving || left[inst.Name] {
+				if !route.Allows(region) || !st.Config.DomainInService(inst.FailureDomain) || inst.State == origin.Leaving || left[inst.Name] {
 					t.Fatalf("picked %+v", choice)
 				}
 				c.Started(now, inst.Name)
--- a/pick/table.go
+++ b/pick/table.go
@@ -6,13 +6,13 @@
 	"slices"
 	"time"
 
-	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/origin"
 	"github.com/chervilwell/chervilwell/snapshot"
 )
 
 // candidate is one instance as the snapshot shows it, joined with what the process knows of its target.
 type candidate struct {
-	instance platform.Instance
+	instance origin.Instance
 	tier     Tier
 	// fixed is the snapshot's verdict.
 	fixed  Reason
@@ -77,7 +77,7 @@
 	return t
 }
 
-func (c *Chooser) tierOf(state *snapshot.State, region string, inst platform.Instance) Tier {
+func (c *Chooser) tierOf(state *snapshot.State, region string, inst origin.Instance) Tier {
 	switch {
 	case inst.FailureDomain == c.self.FailureDomain:
 		return OwnDomain
@@ -88,7 +88,7 @@
 }
 
 // verdict returns what the snapshot says of an instance for a route.
-func verdict(state *snapshot.State, route *snapshot.Route, inst platform.Instance) Reason {
+func verdict(state *snapshot.State, route *snapshot.Route, inst origin.Instance) Reason {
 	region := state.Config.RegionOf(inst.FailureDomain)
 	switch {
 	case region == "":
@@ -99,7 +99,7 @@
 		return DomainOut
 	case !state.Config.InstanceInService(inst.Name):
 		return InstanceOut
-	case inst.State == platform.Leaving:
+	case inst.State == origin.Leaving:
 		return ListedLeaving
 	}
 	return Usable
@@ -149,7 +149,7 @@
 
 // Candidate is the verdict on one instance.
 type Candidate struct {
-	Instance platform.Instance
+	Instance origin.Instance
 	Tier     Tier
 	Verdict  Reason
 	// Utilisation is the estimated load against the limit; it may exceed 1 while requests wait.
--- a/snapshot/endpoints.go
+++ b/snapshot/endpoints.go
@@ -11,7 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/chervilwell/chervilwell/document"
-	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/origin"
 )
 
 // nameShards is the number of parts of the index by name. A change copies only the parts that it touches.
@@ -21,7 +21,7 @@
 //
 // Invariant: it is never changed after it was built; With shares what did not change.
 type Endpoints struct {
-	byService map[string][]platform.Instance
+	byService map[string][]origin.Instance
 	// byName leads from the name of an instance to that of its service, whose instances are in order of name.
 	byName [nameShards]map[string]string
 	docs   map[string]*document.Document
@@ -34,7 +34,7 @@
 }
 
 // EncodeInstances returns the platform's list of a failure domain as a document.
-func EncodeInstances(list platform.InstanceList) (*document.Document, error) {
+func EncodeInstances(list origin.InstanceList) (*document.Document, error) {
 	entries := make([]document.Entry, 0, len(list.Instances))
 	for _, inst := range list.Instances {
 		data, err := document.Marshal(inst)
@@ -43,17 +43,17 @@
 		}
 		entries = append(entries, document.Entry{Key: inst.Name, Value: data})
 	}
-	return document.New(platform.InstancesDocument(list.FailureDomain), list.Version, document.DefaultChunks, entries)
+	return document.New(origin.InstancesDocument(list.FailureDomain), list.Version, document.DefaultChunks, entries)
 }
 
 // DecodeInstance returns the instance that an entry of a list holds. Strings that many instances share are kept once.
-func DecodeInstance(entry document.Entry) (platform.Instance, error) {
-	var inst platform.Instance
+func DecodeInstance(entry document.Entry) (origin.Instance, error) {
+	var inst origin.Instance
 	if err := document.Unmarshal(entry.Value, &inst); err != nil {
-		return platform.Instance{}, errors.Wrapf(err, "entry %q", entry.Key)
+		return origin.Instance{}, errors.Wrapf(err, "entry %q", entry.Key)
 	}
 	if inst.Name != entry.Key {
-		return platform.Instance{}, errors.Errorf("entry %q names instance %q; correct the list", entry.Key, inst.Name)
+		return origin.Instance{}, errors.Errorf("entry %q names instance %q; correct the list", entry.Key, inst.Name)
 	}
 	inst.Name = entry.Key
 	inst.FailureDomain = unique.Make(inst.FailureDomain).Value()
@@ -89,7 +89,7 @@
 	next.byService = maps.Clone(e.byService)
 	next.docs = maps.Clone(e.docs)
 	if next.byService == nil {
-		next.byService = map[string][]platform.Instance{}
+		next.byService = map[string][]origin.Instance{}
 	}
 	if next.docs == nil {
 		next.docs = map[string]*document.Document{}
@@ -100,7 +100,7 @@
 func (b *builder) replace(doc *document.Document) error {
 	delta := document.Diff(b.next.docs[doc.Name()], doc)
 	for _, name := range delta.Removed {
-		if inst, ok := b.find(name); ok && platform.InstancesDocument(inst.FailureDomain) == doc.Name() {
+		if inst, ok := b.find(name); ok && origin.InstancesDocument(inst.FailureDomain) == doc.Name() {
 			b.remove(inst)
 		}
 	}
@@ -116,20 +116,20 @@
 }
 
 // find returns an instance while the services that changed are not in order yet.
-func (b *builder) find(name string) (platform.Instance, bool) {
+func (b *builder) find(name string) (origin.Instance, bool) {
 	service, ok := b.next.byName[shardOf(name)][name]
 	if !ok {
-		return platform.Instance{}, false
+		return origin.Instance{}, false
 	}
 	list := b.next.byService[service]
-	i := slices.IndexFunc(list, func(inst platform.Instance) bool { return inst.Name == name })
+	i := slices.IndexFunc(list, func(inst origin.Instance) bool { return inst.Name == name })
 	if i < 0 {
-		return platform.Instance{}, false
+		return origin.Instance{}, false
 	}
 	return list[i], true
 }
 
-func (b *builder) add(inst platform.Instance) {
+func (b *builder) add(inst origin.Instance) {
 	if old, ok := b.find(inst.Name); ok {
 		b.remove(old)
 	}
@@ -139,10 +139,10 @@
 	b.next.count++
 }
 
-func (b *builder) remove(inst platform.Instance) {
+func (b *builder) remove(inst origin.Instance) {
 	b.own(inst)
 	list := b.next.byService[inst.Service]
-	list = slices.DeleteFunc(list, func(i platform.Instance) bool { return i.Name == inst.Name })
+	list = slices.DeleteFunc(list, func(i origin.Instance) bool { return i.Name == inst.Name })
 	b.next.byService[inst.Service] = list
 	if len(list) == 0 {
 		delete(b.next.byService, inst.Service)
@@ -152,7 +152,7 @@
 }
 
 // own copies what a change of inst touches, once.
-func (b *builder) own(inst platform.Instance) {
+func (b *builder) own(inst origin.Instance) {
 	if !b.services[inst.Service] {
 		b.services[inst.Service] = true
 		b.next.byService[inst.Service] = slices.Clone(b.next.byService[inst.Service])
@@ -170,7 +170,7 @@
 // finish orders the services that changed by name of instance, so that equal contents give equal orders.
 func (b *builder) finish() *Endpoints {
 	for service := range b.services {
-		slices.SortFunc(b.next.byService[service], func(x, y platform.Instance) int { return cmp.Compare(x.Name, y.Name) })
+		slices.SortFunc(b.next.byService[service], func(x, y origin.Instance) int { return cmp.Compare(x.Name, y.Name) })
 	}
 	return b.next
 }
@@ -178,7 +178,7 @@
 func shardOf(name string) int { return int(xxhash.Sum64String(name) % nameShards) }
 
 // ForService returns the instances of a service, in order of name. The caller must not change the slice.
-func (e *Endpoints) ForService(name string) []platform.Instance {
+func (e *Endpoints) ForService(name string) []origin.Instance {
 	if e == nil {
 		return nil
 	}
@@ -186,24 +186,24 @@
 }
 
 // Instance returns an instance by name.
-func (e *Endpoints) Instance(name string) (platform.Instance, bool) {
+func (e *Endpoints) Instance(name string) (origin.Instance, bool) {
 	if e == nil {
-		return platform.Instance{}, false
+		return origin.Instance{}, false
 	}
 	service, ok := e.byName[shardOf(name)][name]
 	if !ok {
-		return platform.Instance{}, false
+		return origin.Instance{}, false
 	}
 	list := e.byService[service]
-	i, ok := slices.BinarySearchFunc(list, name, func(inst platform.Instance, name string) int { return strings.Compare(inst.Name, name) })
+	i, ok := slices.BinarySearchFunc(list, name, func(inst origin.Instance, name string) int { return strings.Compare(inst.Name, name) })
 	if !ok {
-		return platform.Instance{}, false
+		return origin.Instance{}, false
 	}
 	return list[i], true
 }
 
 // All calls yield for each instance, in order of service and name, until yield returns false.
-func (e *Endpoints) All(yield func(platform.Instance) bool) {
+func (e *Endpoints) All(yield func(origin.Instance) bool) {
 	if e == nil {
 		return
 	}
--- a/snapshot/endpoints_test.go
+++ b/snapshot/endpoints_test.go
@@ -7,7 +7,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/chervilwell/chervilwell/document"
-	"github.com/chervilwell/chervilwell/platform"
+	"github.com/chervilwell/chervilwell/origin"
 )
 
 // TestEndpointsWithEqualsCompile checks that a chain of changes gives the same instances as building from the last lists.
@@ -17,9 +17,9 @@
 		last := map[string]*document.Document{}
 		for step := range rapid.IntRange(1, 8).Draw(t, "steps") {
 			fd := rapid.SampledFrom([]string{"a", "b"}).Draw(t, "domain")
-			list := platform.InstanceList{FailureDomain: fd, Version: uint64(step + 1)}
+			list := origin.InstanceList{FailureDomain: fd, Version: uint64(step + 1)}
 			for _, n := range rapid.SliceOfDistinct(rapid.IntRange(0, 9), rapid.ID[int]).Draw(t, "instances") {
-				list.Instances = append(list.Instances, platform.Instance{
+				list.Instances = append(list.Instances, origin.Instance{
 					Name: fmt.Sprintf("%s-%d", fd, n), FailureDomain: fd,
 					Service: rapid.SampledFrom([]string{"x", "y"}).Draw(t, "service"),
 				})
