--- /dev/null
+++ b/cmd/chervilwelld/serve.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"github.com/google/subcommands"
+	"github.com/rs/zerolog"
+
+	"github.com/chervilwell/chervilwell/internal/logging"
+	"github.com/chervilwell/chervilwell/internal/node"
+	"github.com/chervilwell/chervilwell/platform"
+)
+
+// Figures of the process on a platform that prices memory and processor time.
+const (
+	// softMemory is the part of the machine's memory above which garbage is collected more often.
+	softMemory = 0.6
+	// heapGrowth is the growth of the heap, in percent, after which garbage is collected. The heap is small, so that collecting
+	// less often costs little memory.
+	heapGrowth = 150
+)
+
+// serveCommand runs the daemon with the settings of the platform that it is deployed on.
+type serveCommand struct{ level string }
+
+func (*serveCommand) Name() string     { return "serve" }
+func (*serveCommand) Synopsis() string { return "run the daemon with the platform's settings" }
+
+func (*serveCommand) Usage() string {
+	return "serve [-log LEVEL]\n  The path of the settings stands in the variable " + platform.SettingsVariable + ".\n"
+}
+
+func (c *serveCommand) SetFlags(f *flag.FlagSet) {
+	f.StringVar(&c.level, "log", "info", "least level of the events logged: debug, info, warn or error")
+}
+
+func (c *serveCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
+	if f.NArg() > 0 {
+		fmt.Fprintln(os.Stderr, "chervilwelld serve takes no arguments")
+		return exitUsage
+	}
+	s, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+	if err != nil {
+		return refuse(err)
+	}
+	log, err := logging.New(os.Stdout, c.level, s.Instance)
+	if err != nil {
+		return refuse(err)
+	}
+	runtime.GOMAXPROCS(1) // the process has a part of one core; further threads would only wake each other
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(softMemory * float64(s.MemoryBytes)))
+	}
+	debug.SetGCPercent(heapGrowth)
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	go reload(ctx, log)
+	log.Info().Str("service", s.Service).Str("target", s.Target.String()).Str("domain", s.FailureDomain).Msg("started")
+	if err := node.New(s, log).Run(ctx); err != nil {
+		log.Error().Err(err).Msg("stopped with an error")
+		return exitRefused
+	}
+	return exitDone
+}
+
+// reload checks the settings file at each SIGHUP. Addresses and limits take effect at the next start.
+func reload(ctx context.Context, log zerolog.Logger) {
+	hup := make(chan os.Signal, 1)
+	signal.Notify(hup, syscall.SIGHUP)
+	for {
+		select {
+		case <-hup:
+		case <-ctx.Done():
+			return
+		}
+		if _, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable)); err != nil {
+			log.Error().Err(err).Msg("changed settings are refused; those in force stay")
+			continue
+		}
+		log.Info().Msg("settings reloaded")
+	}
+}
--- a/internal/httppool/conn.go
+++ b/internal/httppool/conn.go
@@ -147,11 +147,36 @@
 		switch {
 		case resp.StatusCode == http.StatusSwitchingProtocols:
 			return nil, ErrUpgrade
-		case resp.StatusCode >= http.StatusOK:
-			x.limit.N = math.MaxInt64
+		case resp.StatusCode < http.StatusOK:
+			continue
+		}
+		x.limit.N = math.MaxInt64
+		if belongs := x.pool.config.Belongs; belongs == nil || belongs(req, resp) {
 			return resp, nil
 		}
+		if err := discard(resp); err != nil {
+			return nil, err
+		}
+		x.limit.N = x.pool.config.MaxHeaderBytes
+	}
+}
+
+// maxStray is the longest stray answer that is read to get at the one behind it.
+const maxStray = 1 << 20
+
+// ErrStray says that a server sent an answer to another request that could not be passed over.
+var ErrStray = errors.New("server sent an answer to another request; the connection is closed, check the server")
+
+// discard reads a stray answer to its end.
+func discard(resp *http.Response) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStray))
+	if err != nil {
+		return err
+	}
+	if n == maxStray || resp.Close {
+		return ErrStray
 	}
+	return nil
 }
 
 // fail ends the exchange and its connection. Closing comes before the look at what was written, so that nothing is later.
--- a/internal/httppool/pool.go
+++ b/internal/httppool/pool.go
@@ -28,6 +28,9 @@
 	IdleTimeout time.Duration
 	// MaxHeaderBytes bounds the head of an answer.
 	MaxHeaderBytes int64
+	// Belongs reports whether an answer is the request's own; nil means always. Others are read and dropped: a server may
+	// have sent a second answer to an earlier request.
+	Belongs func(*http.Request, *http.Response) bool
 }
 
 // Typed errors of Pool.Do.
--- /dev/null
+++ b/mesh/state.go
@@ -0,0 +1,90 @@
+package mesh
+
+import (
+	"net/netip"
+	"slices"
+	"strings"
+	"sync/atomic"
+	"time"
+)
+
+// Target is one life of a server behind the mesh, as the store lists it.
+type Target struct {
+	// ID names the target; it may come back under the same ID in a later life, which Born tells apart.
+	ID, Service   string
+	Addr          netip.AddrPort
+	FailureDomain string
+	Region        string
+	// Slots is the number of requests that the target runs at a time.
+	Slots int
+	// Leaving targets take no new requests.
+	Leaving bool
+	// ColdFor is how much longer the target was cold when the entry was written.
+	ColdFor time.Duration
+	// Born is the start of this life in Unix milliseconds; 0 if unknown.
+	Born int64
+}
+
+// SameLife reports whether two entries tell of the same life of the same target.
+func (t *Target) SameLife(other *Target) bool {
+	return other != nil && t.ID == other.ID && t.Born == other.Born && t.Addr == other.Addr
+}
+
+// State is all that a process believes of the mesh at one moment. It is never changed after it was built.
+type State struct {
+	// Revision is the store's revision up to which the state is complete.
+	Revision uint64
+	// Config is nil until a usable configuration was read.
+	Config *Config
+	// Out holds the failure domains that operators have taken out of service.
+	Out       map[string]bool
+	byService map[string][]*Target
+	byAddr    map[netip.AddrPort]*Target
+}
+
+// Targets returns the targets of a service in the order of their IDs, leaving ones too. The caller must not change the slice.
+func (s *State) Targets(service string) []*Target { return s.byService[service] }
+
+// At returns the latest life at an address, or nil.
+func (s *State) At(addr netip.AddrPort) *Target { return s.byAddr[addr] }
+
+// Usable reports whether new requests may be sent to a target.
+func (s *State) Usable(t *Target) bool { return !t.Leaving && !s.Out[t.FailureDomain] }
+
+// Machines returns the addresses of the machines that carry targets, without ports, in order.
+func (s *State) Machines() []netip.Addr {
+	var out []netip.Addr
+	for addr := range s.byAddr {
+		out = append(out, addr.Addr())
+	}
+	slices.SortFunc(out, netip.Addr.Compare)
+	return slices.Compact(out)
+}
+
+func newState(revision uint64, config *Config, targets map[string]*Target, out map[string]bool) *State {
+	s := &State{Revision: revision, Config: config, Out: out, byService: map[string][]*Target{}, byAddr: map[netip.AddrPort]*Target{}}
+	for _, t := range targets {
+		s.byService[t.Service] = append(s.byService[t.Service], t)
+		if other := s.byAddr[t.Addr]; other == nil || other.Born < t.Born || other.Born == t.Born && other.Leaving {
+			s.byAddr[t.Addr] = t
+		}
+	}
+	for _, list := range s.byService {
+		slices.SortFunc(list, func(a, b *Target) int { return strings.Compare(a.ID, b.ID) })
+	}
+	return s
+}
+
+// Holder gives out the state in force. It is safe for concurrent use.
+type Holder struct{ state atomic.Pointer[State] }
+
+// Load returns the state in force; before the first Store it is empty but not nil.
+func (h *Holder) Load() *State {
+	if s := h.state.Load(); s != nil {
+		return s
+	}
+	return &State{}
+}
+
+// Store puts a state in force.
+func (h *Holder) Store(s *State) { h.state.Store(s) }
--- /dev/null
+++ b/proxy/frontend.go
@@ -0,0 +1,442 @@
+package proxy
+
+import (
+	"context"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/chervilwell/chervilwell/balance"
+	"github.com/chervilwell/chervilwell/budget"
+	"github.com/chervilwell/chervilwell/internal/clock"
+	"github.com/chervilwell/chervilwell/internal/headers"
+	"github.com/chervilwell/chervilwell/mesh"
+)
+
+// FrontendConfig says what a frontend works with.
+type FrontendConfig struct {
+	// Service is the service beside the process, which callers act for.
+	Service               string
+	FailureDomain, Region string
+	Holder                *mesh.Holder
+	Gatekeeper            *Gatekeeper
+	// Peers reaches the gatekeepers beside other targets.
+	Peers *Peers
+	Names Names
+	// Repeats bounds the repeats of all processes together; each keeps to its part.
+	Repeats budget.Terms
+	Log     zerolog.Logger
+	Metrics *Metrics
+	Rand    *rand.Rand
+}
+
+// Frontend answers the callers of one instance. It is safe for concurrent use.
+type Frontend struct {
+	cfg     FrontendConfig
+	leaving atomic.Bool
+	active  atomic.Int64
+
+	mu       sync.Mutex
+	balancer *balance.Balancer
+	budgets  map[string]*budget.Budget
+	splits   map[string]*split
+}
+
+// NewFrontend returns a frontend.
+func NewFrontend(cfg FrontendConfig) *Frontend {
+	f := &Frontend{cfg: cfg, budgets: map[string]*budget.Budget{}, splits: map[string]*split{}}
+	f.balancer = balance.New(balance.Self{FailureDomain: cfg.FailureDomain, Region: cfg.Region, Own: f.own}, cfg.Rand)
+	return f
+}
+
+func (f *Frontend) own(t *mesh.Target) bool { return t.Addr == f.cfg.Gatekeeper.cfg.Addr }
+
+// Leave makes the frontend close callers' connections after their answers.
+func (f *Frontend) Leave() { f.leaving.Store(true) }
+
+// Active returns the number of requests at work.
+func (f *Frontend) Active() int64 { return f.active.Load() }
+
+// Figures of the frontend.
+const (
+	// assumedDeadline is used where a caller names none.
+	assumedDeadline = 10 * time.Second
+	// maxRefusals is the number of gates that are asked before a request is refused.
+	maxRefusals = 4
+	// maxBuffered is the longest body that is read before the request is sent on, so that it can be sent to another target.
+	maxBuffered = 4 << 20
+	// answerSlack is what the answer of the last target may take to arrive after the request's time.
+	answerSlack = 60 * time.Millisecond
+	// noConfigReturn is when to come back to a process that has just started and knows no configuration.
+	noConfigReturn = 300 * time.Millisecond
+	// patience is the number of mean running times after which the answer to a repeatable request is taken to be lost.
+	patience = 3
+	// worthTrying is the part of the mean running time that has to be left for another attempt.
+	worthTrying = 0.6
+)
+
+// request is a caller's request with what was decided for it.
+type request struct {
+	in       *http.Request
+	state    *mesh.State
+	route    *mesh.Route
+	service  string
+	arrived  time.Time
+	useful   time.Time
+	end      time.Time
+	body     []byte
+	rest     io.Reader
+	length   int64
+	tried    []string
+	arrivals int
+	refusals int
+	back     time.Duration
+	// mayHaveRun is set once an attempt ended without the word that it had not run.
+	mayHaveRun bool
+	// failure is a target's answer that was a failure; it stands if no other target gives a better one.
+	failure *outcome
+}
+
+// ServeHTTP answers a caller.
+func (f *Frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	f.active.Add(1)
+	defer f.active.Add(-1)
+	if f.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	req := &request{in: r, arrived: clock.Now(), state: f.cfg.Holder.Load()}
+	if req.state.Config == nil {
+		o := refused(notRun, reasonNoConfig)
+		o.back = noConfigReturn
+		f.refuse(w, req, o)
+		return
+	}
+	path, _, _ := strings.Cut(r.RequestURI, "?")
+	req.route = req.state.Config.Match(r.Host, path)
+	if req.route == nil {
+		f.cfg.Log.Debug().Str("request", r.Header.Get(f.cfg.Names.RequestID)).Uint64("config", req.state.Config.Version).
+			Str("host", r.Host).Str("path", path).Msg("no route takes the request")
+		http.Error(w, "no route takes this host and path; check them against the configuration", http.StatusNotFound)
+		return
+	}
+	f.plan(req)
+	if err := f.readBody(w, req); err != nil {
+		f.cfg.Log.Debug().Err(err).Str("request", r.Header.Get(f.cfg.Names.RequestID)).Msg("request's body broke off")
+		f.refuse(w, req, refused(notRun, reasonGone))
+		return
+	}
+	o := f.forward(r.Context(), req)
+	f.answer(w, req, o)
+}
+
+// plan decides what needs no look at the body.
+func (f *Frontend) plan(req *request) {
+	deadline := assumedDeadline
+	if ms, err := strconv.ParseFloat(req.in.Header.Get(f.cfg.Names.Deadline), 64); err == nil && ms > 0 {
+		deadline = time.Duration(ms * float64(time.Millisecond))
+	}
+	req.end = req.arrived.Add(min(deadline, req.route.Timeout))
+	req.useful = req.arrived.Add(min(req.route.Objective, deadline))
+	if req.route.Objective <= 0 {
+		req.useful = req.end
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	req.service = f.split(req.route).next(req.route.Parts)
+	f.budget(req.service).Request(req.arrived, f.cfg.Repeats)
+}
+
+// readBody reads a body that is not too long, so that it can be sent again.
+func (f *Frontend) readBody(w http.ResponseWriter, req *request) error {
+	r := req.in
+	req.length = r.ContentLength
+	if r.ContentLength == 0 {
+		return nil
+	}
+	if err := http.NewResponseController(w).SetReadDeadline(time.Now().Add(left(req.end))); err != nil {
+		return err
+	}
+	if r.ContentLength > maxBuffered {
+		req.rest = r.Body
+		return nil
+	}
+	var err error
+	if r.ContentLength > 0 {
+		req.body = make([]byte, r.ContentLength)
+		_, err = io.ReadFull(r.Body, req.body)
+	} else {
+		req.body, err = io.ReadAll(io.LimitReader(r.Body, maxBuffered))
+		if len(req.body) == maxBuffered {
+			req.rest = r.Body
+			return err
+		}
+		req.length = int64(len(req.body))
+	}
+	if err != nil {
+		return err
+	}
+	return http.NewResponseController(w).SetReadDeadline(time.Time{})
+}
+
+// forward tries targets until one answers or no further attempt is allowed.
+func (f *Frontend) forward(ctx context.Context, req *request) *outcome {
+	ctx, cancel := context.WithTimeout(ctx, left(req.end)+answerSlack)
+	defer cancel()
+	last := refused(notRun, reasonNoTarget)
+	for {
+		choice, ok := f.pick(req)
+		if !ok {
+			return req.final(last)
+		}
+		last = f.attempt(ctx, req, choice)
+		if last.run == ran && !f.failedAnswer(req, last) {
+			return last
+		}
+		req.keep(last)
+		if !f.again(ctx, req, last) {
+			return req.final(last)
+		}
+	}
+}
+
+// keep remembers what an attempt that did not help leaves behind.
+func (req *request) keep(o *outcome) {
+	switch o.run {
+	case ran:
+		if req.failure != nil && req.failure.stream != nil {
+			req.failure.stream.Close()
+		}
+		req.failure = o
+	case unknown:
+		req.mayHaveRun = true
+	case notRun:
+	}
+}
+
+// final returns what the caller is told after the last attempt: a target's own answer if there was one, and that the request
+// may have run if any attempt may have.
+func (req *request) final(last *outcome) *outcome {
+	if req.failure != nil {
+		return req.failure
+	}
+	if last.run == notRun && req.mayHaveRun {
+		last.run = unknown
+	}
+	return last
+}
+
+// failedAnswer reports whether a target's answer is a failure that another might not give.
+func (f *Frontend) failedAnswer(req *request, o *outcome) bool {
+	return req.route.Kind.Repeatable() && o.status >= http.StatusInternalServerError
+}
+
+func (f *Frontend) pick(req *request) (balance.Choice, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	choice, ok := f.balancer.Pick(balance.Attempt{
+		Now: clock.Now(), State: f.cfg.Holder.Load(), Route: req.route, Service: req.service, Bytes: len(req.body), Tried: req.tried,
+	})
+	if ok {
+		f.balancer.Started(clock.Now(), choice.Target)
+	}
+	return choice, ok
+}
+
+// attempt sends the request to one target and learns from the outcome.
+func (f *Frontend) attempt(ctx context.Context, req *request, choice balance.Choice) *outcome {
+	req.tried = append(req.tried, choice.Target.ID)
+	bounded, cancel := f.bound(ctx, req, choice)
+	defer cancel()
+	c := f.call(req, choice.Target)
+	var o *outcome
+	if choice.Place == balance.Own {
+		o = f.cfg.Gatekeeper.do(bounded, c)
+	} else {
+		o = f.cfg.Peers.do(bounded, choice.Target, c)
+	}
+	if o.arrived {
+		req.arrivals++
+	}
+	if o.back > 0 && (req.back == 0 || o.back < req.back) {
+		req.back = o.back
+	}
+	f.learn(ctx, req, choice.Target, o)
+	return o
+}
+
+// bound limits the wait for the answer to a repeatable request that may be sent to a second target.
+func (f *Frontend) bound(ctx context.Context, req *request, choice balance.Choice) (context.Context, context.CancelFunc) {
+	if !req.route.Kind.Repeatable() || req.arrivals+1 >= req.route.MaxTargets {
+		return context.WithCancel(ctx)
+	}
+	f.mu.Lock()
+	mean := f.balancer.Expected(req.route.Name)
+	f.mu.Unlock()
+	limit := max(patience*mean, req.route.Objective) + choice.Wait
+	if left(req.end)-limit < mean {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, limit)
+}
+
+func (f *Frontend) call(req *request, t *mesh.Target) *call {
+	h := make(http.Header, len(req.in.Header)+4)
+	for name, values := range req.in.Header {
+		h[name] = values
+	}
+	headers.StripHopByHop(h)
+	for _, name := range [...]string{f.cfg.Names.ExpectTarget, f.cfg.Names.CallerService, f.cfg.Names.Deadline, hopHeader, "Expect"} {
+		delete(h, name)
+	}
+	return &call{
+		method: req.in.Method, uri: req.in.RequestURI, host: req.in.Host, header: h, body: req.body, rest: req.rest, length: req.length,
+		targetID: t.ID, born: t.Born, route: req.route.Name, priority: req.route.Priority,
+		repeatable: req.route.Kind.Repeatable(), caller: f.cfg.Service, useful: req.useful, end: req.end,
+	}
+}
+
+func (f *Frontend) learn(ctx context.Context, req *request, t *mesh.Target, o *outcome) {
+	result := balance.Good
+	switch {
+	case ctx.Err() != nil:
+		result = balance.Abandoned
+	case o.leaving || o.reason == reasonLeaving || o.reason == reasonMoved:
+		result = balance.Leaving
+	case o.reason == reasonUnreachable || o.reason == reasonTargetDown:
+		result = balance.Unreachable
+	case o.run == unknown || o.reason == reasonShed || o.run == ran && o.status >= http.StatusInternalServerError:
+		result = balance.Faulty
+	case o.run == notRun:
+		result = balance.Refused
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.balancer.Ended(clock.Now(), t, req.route.Name, result, o.load, o.took)
+}
+
+// again decides on another attempt.
+func (f *Frontend) again(ctx context.Context, req *request, o *outcome) bool {
+	if ctx.Err() != nil || req.rest != nil {
+		return false
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	need := time.Duration(worthTrying * float64(f.balancer.Expected(req.route.Name)))
+	if left(req.end) < need {
+		return false
+	}
+	if !o.arrived && o.run == notRun {
+		req.refusals++
+		return req.refusals < maxRefusals
+	}
+	if o.run != notRun && !req.route.Kind.Repeatable() {
+		return false
+	}
+	if req.arrivals >= req.route.MaxTargets || !f.budget(req.service).Spend(clock.Now(), f.cfg.Repeats) {
+		return false
+	}
+	f.cfg.Metrics.repeats.Inc()
+	return true
+}
+
+func (f *Frontend) budget(service string) *budget.Budget {
+	b := f.budgets[service]
+	if b == nil {
+		b = &budget.Budget{}
+		f.budgets[service] = b
+	}
+	return b
+}
+
+// answer writes an outcome to the caller.
+func (f *Frontend) answer(w http.ResponseWriter, req *request, o *outcome) {
+	if o.run != ran {
+		f.refuse(w, req, o)
+		return
+	}
+	h := w.Header()
+	headers.StripHopByHop(o.header)
+	delete(o.header, hopAnswerHeader)
+	for name, values := range o.header {
+		h[name] = values
+	}
+	f.note(req, o, o.status)
+	if err := writeBody(w, o); err != nil {
+		f.cfg.Log.Debug().Err(err).Str("request", req.in.Header.Get(f.cfg.Names.RequestID)).Msg("answer was not sent whole")
+		panic(http.ErrAbortHandler) // breaks the connection, so that the part isn't taken for the whole
+	}
+}
+
+// refuse answers for a request that no target answered.
+func (f *Frontend) refuse(w http.ResponseWriter, req *request, o *outcome) {
+	status := http.StatusServiceUnavailable
+	if o.run != notRun {
+		status = http.StatusBadGateway
+		if o.reason == reasonTimeout {
+			status = http.StatusGatewayTimeout
+		}
+	} else {
+		w.Header().Set("Retry-After", strconv.FormatFloat(f.comeBack(req, o).Seconds(), 'f', 3, 64))
+	}
+	f.note(req, o, status)
+	h := w.Header()
+	h["Content-Length"] = []string{"0"}
+	h["Content-Type"] = nil
+	if id := req.in.Header.Get(f.cfg.Names.RequestID); id != "" {
+		h.Set(f.cfg.Names.RequestID, id)
+	}
+	w.WriteHeader(status)
+}
+
+// comeBack returns when a refused request has a chance again.
+func (f *Frontend) comeBack(req *request, o *outcome) time.Duration {
+	back := req.back
+	if back == 0 {
+		back = o.back
+	}
+	if back == 0 {
+		back = defaultReturn
+	}
+	if !req.end.IsZero() {
+		back = min(back, max(left(req.end)/3, 0))
+	}
+	return max(back, leastReturn)
+}
+
+const (
+	// defaultReturn is the advice where no gate gave one: about the time in which a target that has just gone is replaced in the
+	// choice of the processes.
+	defaultReturn = 150 * time.Millisecond
+	leastReturn   = 10 * time.Millisecond
+)
+
+func (f *Frontend) note(req *request, o *outcome, status int) {
+	kind := "none"
+	if req.route != nil {
+		kind = kindNames[req.route.Kind]
+	}
+	reason := o.reason
+	if reason == "" {
+		reason = reasonNone
+	}
+	took := clock.Now().Sub(req.arrived)
+	f.cfg.Metrics.answered(kind, strconv.Itoa(status), reason, took)
+	if status >= http.StatusInternalServerError {
+		route := ""
+		if req.route != nil {
+			route = req.route.Name
+		}
+		f.cfg.Log.Debug().Str("request", req.in.Header.Get(f.cfg.Names.RequestID)).Str("route", route).Str("service", req.service).
+			Int("status", status).Str("reason", reason).Strs("tried", req.tried).Int("arrivals", req.arrivals).Dur("took", took).
+			Dur("left", left(req.end)).Msg("request failed")
+	}
+}
+
+var kindNames = [...]string{mesh.Safe: "safe", mesh.Once: "once", mesh.Upload: "upload"}
