--- a/follow/follow.go
+++ b/follow/follow.go
@@ -39,8 +39,9 @@
 
 // Figures of the follower.
 const (
-	// watchWait is the longest that a watch waits at the store. A connection that went silent is found by its keep-alive.
-	watchWait = 10 * time.Second
+	// watchShare is the part of the time within which a change has to be in force that a watch waits at the store: one that went
+	// deaf is replaced in time.
+	watchShare = 0.5
 	// gather is the pause after a change before the next watch, in which further changes come together. It is a small part of the
 	// time within which a change has to be in force.
 	gather = 250 * time.Millisecond
@@ -59,6 +60,8 @@
 	Source Source
 	Peers  Peers
 	Holder *mesh.Holder
+	// ApplyWithin is the time within which a change has to be in force.
+	ApplyWithin time.Duration
 	// Changed is called after each change of the state.
 	Changed func(*mesh.State)
 	Log     zerolog.Logger
@@ -131,7 +134,7 @@
 
 func (f *Follower) watch(ctx context.Context) error {
 	f.mu.Lock()
-	after, wait := f.book.Revision(), watchWait
+	after, wait := f.book.Revision(), time.Duration(watchShare*float64(f.cfg.ApplyWithin))
 	if next := f.book.NextExpiry(); !next.IsZero() {
 		wait = min(wait, max(next.Sub(clock.Now()), 0)+time.Millisecond)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -74,7 +74,7 @@
 		Peers: &follow.PeerClient{
 			Self: s.Target.Addr(), Port: s.Peers.Port(), Holder: n.holder, Decode: decoder.Decode, Rand: rng(),
 		},
-		Holder: n.holder, Changed: func(*mesh.State) { n.gatekeeper.Update() }, Log: log, Rand: rng(),
+		Holder: n.holder, ApplyWithin: s.ApplyWithin, Changed: func(*mesh.State) { n.gatekeeper.Update() }, Log: log, Rand: rng(),
 	})
 	return n
 }
@@ -160,7 +160,7 @@
 	n.leaving.Store(true)
 	n.frontend.Leave()
 	n.gatekeeper.Leave()
-	quiet := began
+	quiet, last := began, n.lastEntry()
 	for {
 		time.Sleep(stopTick)
 		now := clock.Now()
@@ -171,6 +171,9 @@
 		if past >= callersLeave {
 			n.gatekeeper.Stop()
 		}
+		if past >= last {
+			n.frontend.Stop()
+		}
 		if past >= callersLeave && now.Sub(quiet) >= quietFor || past >= n.settings.StopGrace-lastWork {
 			n.log.Info().Dur("took", past).Int64("active", n.work()).Msg("stopped")
 			return
@@ -178,4 +181,16 @@
 	}
 }
 
+// lastEntry returns the time after the signal to stop from which on callers are refused, so that what was let in before is
+// finished within the grace. Some callers keep coming where too few other processes are left.
+func (n *Node) lastEntry() time.Duration {
+	var longest time.Duration
+	if c := n.holder.Load().Config; c != nil {
+		for _, r := range c.Routes {
+			longest = max(longest, r.Timeout)
+		}
+	}
+	return max(n.settings.StopGrace-2*lastWork-longest, callersLeave)
+}
+
 func (n *Node) work() int64 { return n.frontend.Active() + n.gatekeeper.Active() }
--- a/proxy/frontend.go
+++ b/proxy/frontend.go
@@ -41,6 +41,7 @@
 type Frontend struct {
 	cfg     FrontendConfig
 	leaving atomic.Bool
+	stopped atomic.Bool
 	active  atomic.Int64
 
 	mu       sync.Mutex
@@ -61,6 +62,9 @@
 // Leave makes the frontend close callers' connections after their answers.
 func (f *Frontend) Leave() { f.leaving.Store(true) }
 
+// Stop makes the frontend refuse new requests; what runs goes on.
+func (f *Frontend) Stop() { f.stopped.Store(true) }
+
 // Active returns the number of requests at work.
 func (f *Frontend) Active() int64 { return f.active.Load() }
 
@@ -82,7 +86,7 @@
 	worthTrying = 0.6
 )
 
-// request is a caller's request with what was decided for it.
+// request is a caller's request with what was decided for it. The frontend's lock guards tried, arrivals and back.
 type request struct {
 	in       *http.Request
 	state    *mesh.State
@@ -112,6 +116,10 @@
 		w.Header().Set("Connection", "close")
 	}
 	req := &request{in: r, arrived: clock.Now(), state: f.cfg.Holder.Load()}
+	if f.stopped.Load() {
+		f.refuse(w, req, refused(notRun, reasonLeaving))
+		return
+	}
 	if req.state.Config == nil {
 		o := refused(notRun, reasonNoConfig)
 		o.back = noConfigReturn
@@ -195,7 +203,7 @@
 		if !ok {
 			return req.final(last)
 		}
-		last = f.attempt(ctx, req, choice)
+		last = f.hedged(ctx, req, choice)
 		if last.run == ran && !f.failedAnswer(req, last) {
 			return last
 		}
@@ -245,47 +253,24 @@
 	})
 	if ok {
 		f.balancer.Started(clock.Now(), choice.Target)
+		req.tried = append(req.tried, choice.Target.ID)
 	}
 	return choice, ok
 }
 
 // attempt sends the request to one target and learns from the outcome.
 func (f *Frontend) attempt(ctx context.Context, req *request, choice balance.Choice) *outcome {
-	req.tried = append(req.tried, choice.Target.ID)
-	bounded, cancel := f.bound(ctx, req, choice)
-	defer cancel()
 	c := f.call(req, choice.Target)
 	var o *outcome
 	if choice.Place == balance.Own {
-		o = f.cfg.Gatekeeper.do(bounded, c)
+		o = f.cfg.Gatekeeper.do(ctx, c)
 	} else {
-		o = f.cfg.Peers.do(bounded, choice.Target, c)
-	}
-	if o.arrived {
-		req.arrivals++
-	}
-	if o.back > 0 && (req.back == 0 || o.back < req.back) {
-		req.back = o.back
+		o = f.cfg.Peers.do(ctx, choice.Target, c)
 	}
 	f.learn(ctx, req, choice.Target, o)
 	return o
 }
 
-// bound limits the wait for the answer to a repeatable request that may be sent to a second target.
-func (f *Frontend) bound(ctx context.Context, req *request, choice balance.Choice) (context.Context, context.CancelFunc) {
-	if !req.route.Kind.Repeatable() || req.arrivals+1 >= req.route.MaxTargets {
-		return context.WithCancel(ctx)
-	}
-	f.mu.Lock()
-	mean := f.balancer.Expected(req.route.Name)
-	f.mu.Unlock()
-	limit := max(patience*mean, req.route.Objective) + choice.Wait
-	if left(req.end)-limit < mean {
-		return context.WithCancel(ctx)
-	}
-	return context.WithTimeout(ctx, limit)
-}
-
 func (f *Frontend) call(req *request, t *mesh.Target) *call {
 	h := make(http.Header, len(req.in.Header)+4)
 	for name, values := range req.in.Header {
@@ -318,6 +303,12 @@
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if o.arrived {
+		req.arrivals++
+	}
+	if o.back > 0 && (req.back == 0 || o.back < req.back) {
+		req.back = o.back
+	}
 	f.balancer.Ended(clock.Now(), t, req.route.Name, result, o.load, o.took)
 }
 
@@ -339,7 +330,12 @@
 	if o.run != notRun && !req.route.Kind.Repeatable() {
 		return false
 	}
-	if req.arrivals >= req.route.MaxTargets || !f.budget(req.service).Spend(clock.Now(), f.cfg.Repeats) {
+	return f.repeat(req, req.arrivals)
+}
+
+// repeat spends one repeat after a number of arrivals and reports whether it is allowed. The lock is held.
+func (f *Frontend) repeat(req *request, arrivals int) bool {
+	if arrivals >= req.route.MaxTargets || !f.budget(req.service).Spend(clock.Now(), f.cfg.Repeats) {
 		return false
 	}
 	f.cfg.Metrics.repeats.Inc()
@@ -434,7 +430,7 @@
 			route = req.route.Name
 		}
 		f.cfg.Log.Debug().Str("request", req.in.Header.Get(f.cfg.Names.RequestID)).Str("route", route).Str("service", req.service).
-			Int("status", status).Str("reason", reason).Strs("tried", req.tried).Int("arrivals", req.arrivals).Dur("took", took).
+			Int("status", status).Str("reason", reason).Str("tried", strings.Join(req.tried, ",")).Int("arrivals", req.arrivals).Dur("took", took).
 			Dur("left", left(req.end)).Msg("request failed")
 	}
 }
--- a/proxy/health.go
+++ b/proxy/health.go
@@ -104,6 +104,7 @@
 		k.check(healthPause)
 	case left(k.health.coldUntil) > 0: // its entry says that it is cold; the timer ends that
 	default:
+		k.cfg.Log.Debug().Msg("target is warm")
 		k.health.warmAt = clock.Now()
 		k.gate.SetWarm(k.health.warmAt)
 	}
