Relay the store's changes within a region; weigh lateness against bytes moved

Change: one root a region watches the store, the others wait at it and get patches; the choice compares the risk of a late answer with the cost of the bytes.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -32,8 +32,8 @@
 	forgetFaults = 3 * time.Second
 	// faultRate is the weight of one result in the share of faults: a handful of faults in a row make a target bad.
 	faultRate = 0.25
-	// faultCost is the number of running times that a target with nothing but faults seems slower.
-	faultCost = 12.0
+	// faultCost is the cost of a target with nothing but faults; one in some ten faults weighs like an answer that is often late.
+	faultCost = 2.0
 	// forgetSpeed is the time in which a target's speed goes half the way back to the common one.
 	forgetSpeed = 4 * time.Second
 	// speedRate is the weight of one running time in a target's speed.
@@ -43,23 +43,35 @@
 	// noise is the part of its score that a target may randomly seem slower, so that equal targets share the work.
 	noise = 0.12
 	// explore is the share of choices made without regard to the score, so that each target stays known.
-	explore = 0.01
+	explore = 0.02
+	// maxExploreCost bounds what such a choice may cost in bytes moved.
+	maxExploreCost = 0.1
 	// firstBackoff and maxBackoff bound the time for which a target that can't be reached is left alone. The first covers a
 	// dropped packet, the last keeps a returned target waiting no longer than a second.
 	firstBackoff = 150 * time.Millisecond
 	maxBackoff   = time.Second
 	// maxTargets bounds the targets remembered; above it those not listed any more are forgotten.
 	maxTargets = 4096
-	// byteTime is the cost of moving one byte to another failure domain, as if on a link of 400 Mbit/s.
-	byteTime = 20 * time.Nanosecond
+	// headBytes is what the heads of a request and its answer add to their bodies.
+	headBytes = 1200
+	// lateSteep shapes the risk of a late answer: small while the expected time is a part of the objective, then rising steeply.
+	lateSteep = 3
+	// lateMost bounds the risk, so that among targets that are all late the nearest is still preferred.
+	lateMost = 3.0
+	// hasteCost is the cost of an expected time as long as the objective apart from the risk, which orders idle targets by speed.
+	hasteCost = 0.05
 )
 
-// hop is the round trip to a place, assumed until one was measured, plus what the distance is meant to cost.
+// byteCost is the cost of moving a byte to a place, in requests. Links between regions carry a few megabytes a second for all
+// traffic together, so that forty kilobytes across one are as dear as a request; those between failure domains are wider.
+var byteCost = [...]float64{OtherRegion: 25e-6, SameRegion: 7e-6, SameDomain: 0, Own: 0}
+
+// hop is the round trip to a place with what both processes take.
 var hop = [...]time.Duration{
 	Own:         0,
 	SameDomain:  time.Millisecond,
-	SameRegion:  5 * time.Millisecond,
-	OtherRegion: 32 * time.Millisecond,
+	SameRegion:  4 * time.Millisecond,
+	OtherRegion: 27 * time.Millisecond,
 }
 
 // Result says how an attempt at a target ended.
@@ -121,13 +133,19 @@
 	self    Self
 	rng     *rand.Rand
 	targets map[string]*target
-	// routes holds the mean running time of each route.
-	routes map[string]time.Duration
+	routes  map[string]route
+}
+
+// route is what is known of a route's requests.
+type route struct {
+	// run is the mean running time, answer the mean length of the answer's body.
+	run    time.Duration
+	answer float64
 }
 
 // New returns a balancer that knows nothing.
 func New(self Self, rng *rand.Rand) *Balancer {
-	return &Balancer{self: self, rng: rng, targets: map[string]*target{}, routes: map[string]time.Duration{}}
+	return &Balancer{self: self, rng: rng, targets: map[string]*target{}, routes: map[string]route{}}
 }
 
 // Choice is a target with what is expected of it.
@@ -157,8 +175,8 @@
 			continue
 		}
 		score := b.score(a, known, place) * (1 + noise*b.rng.Float64())
-		if exploring {
-			score = b.rng.Float64()
+		if exploring && b.moved(a, place) < maxExploreCost {
+			score *= b.rng.Float64()
 		}
 		if score < bestScore {
 			best, bestScore = choice, score
@@ -191,16 +209,23 @@
 	return OtherRegion
 }
 
-// score is the expected time until the answer, in seconds, with the costs of distance and faults.
+// score is the expected cost of a choice, in requests: the risk that the answer is late or fails, and the bytes moved.
 func (b *Balancer) score(a Attempt, t *target, place Place) float64 {
-	run := b.expect(a.Route.Name).Seconds()
+	route := b.route(a.Route.Name)
 	speed := 1 + (t.speed-1)*decay(a.Now.Sub(t.speedAt), forgetSpeed)
 	faults := t.faults * decay(a.Now.Sub(t.faultAt), forgetFaults)
-	cost := hop[place]
-	if place >= SameRegion {
-		cost += byteTime * time.Duration(a.Bytes)
+	expected := hop[place].Seconds() + t.wait(a.Now).Seconds() + route.run.Seconds()*speed
+	objective := a.Route.Objective
+	if objective <= 0 {
+		objective = a.Route.Timeout
 	}
-	return cost.Seconds() + t.wait(a.Now).Seconds() + run*(speed+faultCost*faults)
+	x := expected / objective.Seconds()
+	return min(math.Pow(x, lateSteep), lateMost) + hasteCost*x + faultCost*faults + b.moved(a, place)
+}
+
+// moved is the cost of moving a request and its answer.
+func (b *Balancer) moved(a Attempt, place Place) float64 {
+	return byteCost[place] * (float64(a.Bytes+headBytes) + b.route(a.Route.Name).answer)
 }
 
 // wait is the expected wait at a target: what it last reported, grown by this process's requests since.
@@ -225,11 +250,11 @@
 	return math.Exp2(-float64(age) / float64(half))
 }
 
-func (b *Balancer) expect(route string) time.Duration {
-	if mean := b.routes[route]; mean > 0 {
-		return mean
+func (b *Balancer) route(name string) route {
+	if r, ok := b.routes[name]; ok {
+		return r
 	}
-	return firstGuess
+	return route{run: firstGuess}
 }
 
 // firstGuess is the running time assumed before any was seen.
@@ -250,19 +275,29 @@
 // Started notes that a request goes to a target.
 func (b *Balancer) Started(now time.Time, t *mesh.Target) { b.target(now, t).mine++ }
 
-// Ended notes how an attempt ended. The load is nil if the target's process said nothing; ran is the running time at the
-// target, or 0 if it is not known.
-func (b *Balancer) Ended(now time.Time, t *mesh.Target, route string, result Result, load *intake.Load, ran time.Duration) {
+// End describes how an attempt ended.
+type End struct {
+	Route  string
+	Result Result
+	// Load is nil if the target's process said nothing.
+	Load *intake.Load
+	// Ran is the running time at the target, or 0 if it is not known; Answer the length of the answer's body.
+	Ran    time.Duration
+	Answer int
+}
+
+// Ended notes how an attempt ended.
+func (b *Balancer) Ended(now time.Time, t *mesh.Target, e End) {
 	known := b.target(now, t)
 	known.mine = max(known.mine-1, 0)
-	if load != nil {
-		known.load, known.at, known.reported = *load, now, known.mine
+	if e.Load != nil {
+		known.load, known.at, known.reported = *e.Load, now, known.mine
 	}
-	switch result {
+	switch e.Result {
 	case Good:
 		known.until, known.backoff = time.Time{}, 0
 		known.fault(now, 0)
-		b.observe(now, known, route, ran)
+		b.observe(now, known, e)
 	case Faulty:
 		known.fault(now, 1)
 	case Refused:
@@ -280,19 +315,21 @@
 	t.faultAt = now
 }
 
-func (b *Balancer) observe(now time.Time, t *target, route string, ran time.Duration) {
-	if ran <= 0 {
+func (b *Balancer) observe(now time.Time, t *target, e End) {
+	if e.Ran <= 0 {
 		return
 	}
-	if len(b.routes) > maxTargets {
-		clear(b.routes)
-	}
-	mean := b.routes[route]
-	if mean == 0 {
-		mean = ran
+	r, ok := b.routes[e.Route]
+	if !ok {
+		if len(b.routes) > maxTargets {
+			clear(b.routes)
+		}
+		r = route{run: e.Ran, answer: float64(e.Answer)}
 	}
-	speed := float64(ran) / float64(mean)
-	b.routes[route] = mean + time.Duration(routeRate*float64(ran-mean))
+	speed := float64(e.Ran) / float64(max(r.run, 1))
+	r.run += time.Duration(routeRate * float64(e.Ran-r.run))
+	r.answer += routeRate * (float64(e.Answer) - r.answer)
+	b.routes[e.Route] = r
 	t.speed = 1 + (t.speed-1)*decay(now.Sub(t.speedAt), forgetSpeed)
 	t.speed += speedRate * (min(speed, maxSpeed) - t.speed)
 	t.speedAt = now
@@ -306,4 +343,4 @@
 )
 
 // Expected returns the mean running time of a route's requests.
-func (b *Balancer) Expected(route string) time.Duration { return b.expect(route) }
+func (b *Balancer) Expected(route string) time.Duration { return b.route(route).run }
--- a/follow/exchange.go
+++ b/follow/exchange.go
@@ -4,15 +4,16 @@
 	"context"
 	"encoding/json"
 	"io"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/netip"
+	"net/url"
 	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"github.com/chervilwell/chervilwell/internal/clock"
 	"github.com/chervilwell/chervilwell/mesh"
 )
 
@@ -21,104 +22,189 @@
 
 // Figures of the exchange.
 const (
-	exchangeTimeout = time.Second
-	maxExchange     = 16 << 20
+	// exchangeSlack is what an answer may take beyond the time that it may wait at the peer: two round trips between regions and
+	// a scheduling delay.
+	exchangeSlack = 300 * time.Millisecond
+	maxExchange   = 16 << 20
+	// maxExchangeWait bounds the wait that a peer may ask for.
+	maxExchangeWait = 5 * time.Second
 )
 
-// entry is a fact as processes exchange it.
+// entry is a change as processes exchange it: a new version, a patch to it, or a removal.
 type entry struct {
-	Key      string `json:"key"`
-	Revision uint64 `json:"revision"`
-	Raw      []byte `json:"raw"`
+	Key      string `json:"k"`
+	Revision uint64 `json:"r"`
+	Raw      []byte `json:"raw,omitempty"`
+	Patch    *patch `json:"p,omitempty"`
+	Removed  bool   `json:"x,omitempty"`
+	// LapseUs is, on a removal that is in doubt, the microseconds until it is believed.
+	LapseUs int64 `json:"l,omitempty"`
 }
 
-// knowledge is all that a process knows at a revision. Entries are left out if the asker knows as much.
+// knowledge is what a process tells: the changes after the revision that the asker knows, or everything.
 type knowledge struct {
-	Revision uint64  `json:"revision"`
-	Entries  []entry `json:"entries,omitempty"`
+	Revision uint64 `json:"r"`
+	// AgeUs is the time since the store's last word, in microseconds.
+	AgeUs   int64   `json:"a"`
+	Whole   bool    `json:"w,omitempty"`
+	Entries []entry `json:"e,omitempty"`
 }
 
-// ServeHTTP tells another process what this one knows. The query's after is the revision that the other knows.
+func (k *knowledge) age() time.Duration { return time.Duration(k.AgeUs) * time.Microsecond }
+
+// ServeHTTP tells another process what this one knows. The query holds the revision after which changes are wanted and the
+// milliseconds to wait for one.
 func (f *Follower) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	after, err := strconv.ParseUint(r.URL.Query().Get("after"), 10, 64)
+	query := r.URL.Query()
+	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
+	wait, err2 := strconv.Atoi(query.Get("wait"))
+	if r.URL.Path != StatePath || err != nil || err2 != nil {
+		http.Error(w, "question is malformed; run the same version everywhere", http.StatusBadRequest)
+		return
+	}
+	f.await(r.Context(), after, min(time.Duration(wait)*time.Millisecond, maxExchangeWait))
+	data, err := json.Marshal(f.tell(after))
 	if err != nil {
-		http.Error(w, "after is not a revision; run the same version everywhere", http.StatusBadRequest)
+		f.cfg.Log.Error().Err(err).Msg("state can't be told to a peer")
+		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
-	facts, revision := f.Facts()
-	known := knowledge{Revision: revision}
-	if revision > after {
-		for _, fact := range facts {
-			known.Entries = append(known.Entries, entry{fact.Key, fact.Revision, fact.Raw})
+	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
+	if _, err := w.Write(data); err != nil {
+		f.cfg.Log.Debug().Err(err).Msg("peer left before it had the state")
+	}
+}
+
+// await waits until more than a revision is known, the store's last word is too old to follow, or the time is up.
+func (f *Follower) await(ctx context.Context, after uint64, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		f.mu.Lock()
+		revision, changed := f.book.Revision(), f.changed
+		fresh := f.maxAge() - f.age(clock.Now())
+		f.mu.Unlock()
+		if revision > after || fresh <= 0 {
+			return
+		}
+		stale := time.NewTimer(fresh)
+		select {
+		case <-changed:
+		case <-stale.C:
+		case <-timer.C:
+			stale.Stop()
+			return
+		case <-ctx.Done():
+			stale.Stop()
+			return
 		}
+		stale.Stop()
 	}
-	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(known); err != nil {
-		f.cfg.Log.Debug().Err(err).Msg("peer left before it had the state")
+}
+
+func (f *Follower) tell(after uint64) *knowledge {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	now := clock.Now()
+	known := &knowledge{Revision: f.book.Revision(), AgeUs: f.age(now).Microseconds()}
+	if known.Revision <= after {
+		return known
 	}
+	var changes []mesh.Change
+	changes, known.Whole = f.book.Since(now, after)
+	for _, c := range changes {
+		e := entry{Key: c.Key, Revision: c.Revision}
+		switch {
+		case c.Raw == nil:
+			e.Removed, e.LapseUs = true, c.Lapse.Microseconds()
+		case c.Base != nil:
+			p := diff(c.Base.Raw, c.Raw)
+			p.Base = c.Base.Revision
+			e.Patch = &p
+		default:
+			e.Raw = c.Raw
+		}
+		known.Entries = append(known.Entries, e)
+	}
+	return known
 }
 
-// PeerClient asks the other processes in turn, those of the own failure domain no sooner than others. It implements Peers.
+// PeerClient asks other processes. It implements Peers.
 type PeerClient struct {
-	// Self is the own machine, Port the port of the other processes.
-	Self   netip.Addr
-	Port   uint16
-	Holder *mesh.Holder
-	Decode func(key string, revision uint64, raw []byte) (mesh.Fact, error)
-	Rand   *rand.Rand
+	port   uint16
 	client *http.Client
 }
 
-// ErrAlone says that no other process is known.
-var ErrAlone = errors.New("no other process is known; waiting for the store")
+// NewPeerClient returns a client for processes that listen on port of their machines.
+func NewPeerClient(port uint16) *PeerClient {
+	dialer := &net.Dialer{Timeout: exchangeSlack}
+	return &PeerClient{port: port, client: &http.Client{Transport: &http.Transport{
+		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, DisableCompression: true,
+	}}}
+}
 
 // Ask implements Peers.
-func (p *PeerClient) Ask(ctx context.Context, after uint64) ([]mesh.Fact, uint64, error) {
-	var others []netip.Addr
-	for _, addr := range p.Holder.Load().Machines() {
-		if addr != p.Self {
-			others = append(others, addr)
-		}
-	}
-	if len(others) == 0 {
-		return nil, 0, ErrAlone
+func (p *PeerClient) Ask(ctx context.Context, addr netip.Addr, after uint64, wait time.Duration) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, wait+exchangeSlack)
+	defer cancel()
+	query := url.Values{"after": {strconv.FormatUint(after, 10)}, "wait": {strconv.FormatInt(wait.Milliseconds(), 10)}}
+	url := "http://" + netip.AddrPortFrom(addr, p.port).String() + StatePath + "?" + query.Encode()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "question to a peer")
 	}
-	known, err := p.ask(ctx, others[p.Rand.IntN(len(others))], after)
+	resp, err := p.client.Do(req)
 	if err != nil {
-		return nil, 0, err
+		return nil, errors.Wrapf(err, "peer %s", addr)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Errorf("peer %s answered with status %d; run the same version everywhere", addr, resp.StatusCode)
 	}
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxExchange))
+	return data, errors.Wrapf(err, "peer %s", addr)
+}
+
+// learn takes what a peer told and reports whether it could be used.
+func (f *Follower) learn(known *knowledge) error {
 	facts := make([]mesh.Fact, 0, len(known.Entries))
 	for _, e := range known.Entries {
-		fact, err := p.Decode(e.Key, e.Revision, e.Raw)
+		fact, err := f.fact(e)
 		if err != nil {
-			continue // the peer that read it from the store has reported it
+			return err
 		}
 		facts = append(facts, fact)
 	}
-	return facts, known.Revision, nil
+	f.take(func(now time.Time) bool {
+		if known.Whole {
+			return f.book.Replace(now, facts, known.Revision)
+		}
+		return f.book.Apply(now, facts, known.Revision)
+	})
+	return nil
 }
 
-func (p *PeerClient) ask(ctx context.Context, addr netip.Addr, after uint64) (*knowledge, error) {
-	ctx, cancel := context.WithTimeout(ctx, exchangeTimeout)
-	defer cancel()
-	url := "http://" + netip.AddrPortFrom(addr, p.Port).String() + StatePath + "?after=" + strconv.FormatUint(after, 10)
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
-	if err != nil {
-		return nil, errors.Wrap(err, "question to a peer")
+// fact turns an exchanged entry into a fact. An entry that can't be used is reported where it was read from the store.
+func (f *Follower) fact(e entry) (mesh.Fact, error) {
+	if e.Removed {
+		return mesh.Fact{Key: e.Key, Revision: e.Revision, Lapse: time.Duration(e.LapseUs) * time.Microsecond}, nil
 	}
-	if p.client == nil {
-		dialer := &net.Dialer{Timeout: exchangeTimeout}
-		p.client = &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}}
+	if e.Patch != nil {
+		f.mu.Lock()
+		held, ok := f.book.Fact(e.Key)
+		f.mu.Unlock()
+		if !ok || held.Revision != e.Patch.Base {
+			return mesh.Fact{}, ErrPatch
+		}
+		raw, err := e.Patch.apply(held.Raw)
+		if err != nil {
+			return mesh.Fact{}, err
+		}
+		e.Raw = raw
 	}
-	resp, err := p.client.Do(req)
+	fact, err := f.cfg.Decode(e.Key, e.Revision, e.Raw)
 	if err != nil {
-		return nil, errors.Wrapf(err, "peer %s", addr)
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return nil, errors.Errorf("peer %s answered with status %d; run the same version everywhere", addr, resp.StatusCode)
+		return mesh.Fact{Key: e.Key, Revision: e.Revision, Raw: e.Raw}, nil
 	}
-	var known knowledge
-	err = json.NewDecoder(io.LimitReader(resp.Body, maxExchange)).Decode(&known)
-	return &known, errors.Wrapf(err, "peer %s", addr)
+	return fact, nil
 }
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -1,10 +1,16 @@
-// Package follow keeps a process's state up to date with what is published: from the store where it answers, and from another
-// process where it doesn't.
+// Package follow keeps a process's state up to date with what is published.
+//
+// In each region the processes form a tree in rendezvous order, the same for all who hold the same list. Its root watches the
+// store; the others wait at their parent for changes, which it passes on as patches. A process whose parents are silent, or know
+// less than the store could tell by now, reads the store itself; where the store doesn't answer, it takes what any process knows.
 package follow
 
 import (
 	"context"
+	"encoding/json"
 	"math/rand/v2"
+	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -13,6 +19,7 @@
 
 	"github.com/chervilwell/chervilwell/internal/clock"
 	"github.com/chervilwell/chervilwell/mesh"
+	"github.com/chervilwell/chervilwell/rank"
 )
 
 // Typed errors of a Source.
@@ -31,20 +38,27 @@
 	Watch(ctx context.Context, after uint64, wait time.Duration) ([]mesh.Fact, uint64, error)
 }
 
-// Peers reads what other processes know.
+// Peers asks other processes.
 type Peers interface {
-	// Ask returns the facts of some other process if it knows a later revision than after.
-	Ask(ctx context.Context, after uint64) ([]mesh.Fact, uint64, error)
+	// Ask returns what the process at addr tells of what changed after a revision, once something did or the wait is over.
+	Ask(ctx context.Context, addr netip.Addr, after uint64, wait time.Duration) ([]byte, error)
 }
 
 // Figures of the follower.
 const (
-	// watchShare is the part of the time within which a change has to be in force that a watch waits at the store: one that went
+	// waitShare is the part of the time within which a change has to be in force that a watch or a question waits: one that went
 	// deaf is replaced in time.
-	watchShare = 0.5
+	waitShare = 0.35
+	// ageShare is the part of that time for which a parent's knowledge is good without a new word of the store. It leaves time to
+	// read the store instead, and lies above waitShare, so that a quiet store does not make it old.
+	ageShare = 0.55
+	// shun is the time for which a parent that failed is not asked.
+	shun = 3 * time.Second
+	// fanout is the number of processes that wait at one parent: each costs it a question every waitShare.
+	fanout = 24
 	// gather is the pause after a change before the next watch, in which further changes come together. It is a small part of the
 	// time within which a change has to be in force.
-	gather = 250 * time.Millisecond
+	gather = 150 * time.Millisecond
 	// firstRetry and maxRetry bound the pauses between calls to a store that does not answer.
 	firstRetry = 100 * time.Millisecond
 	maxRetry   = time.Second
@@ -58,14 +72,21 @@
 // Config says what a follower works with.
 type Config struct {
 	Source Source
+	// Peers may be nil; every process then reads the store.
 	Peers  Peers
 	Holder *mesh.Holder
+	// Decode turns an entry as the store holds it into a fact.
+	Decode func(key string, revision uint64, raw []byte) (mesh.Fact, error)
+	// Self is the own machine, Region its region.
+	Self   netip.Addr
+	Region string
 	// ApplyWithin is the time within which a change has to be in force.
 	ApplyWithin time.Duration
 	// Changed is called after each change of the state.
 	Changed func(*mesh.State)
 	Log     zerolog.Logger
-	Rand    *rand.Rand
+	// Rand is used under the follower's lock.
+	Rand *rand.Rand
 }
 
 // Follower keeps the state. Run it once.
@@ -74,51 +95,137 @@
 
 	mu   sync.Mutex
 	book *mesh.Book
-	// silentSince is when the store stopped answering; zero while it answers.
+	// changed is closed and replaced at each change.
+	changed chan struct{}
+	// heard is when the store's last word was spoken, as far as this process knows.
+	heard time.Time
+	// silentSince is when the store stopped answering; zero while it answers or is not asked.
 	silentSince time.Time
+
+	// listed is set once the store or a peer has told everything.
+	listed bool
+	// shunned holds the parents that failed, with the end of it.
+	shunned map[netip.Addr]time.Time
 }
 
 // New returns a follower that knows nothing.
 func New(cfg Config) *Follower {
-	return &Follower{cfg: cfg, book: mesh.NewBook(), silentSince: clock.Now()}
-}
-
-// Facts returns what is known and up to which revision, for other processes.
-func (f *Follower) Facts() (map[string]mesh.Fact, uint64) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.book.Facts(), f.book.Revision()
+	return &Follower{
+		cfg: cfg, book: mesh.NewBook(), changed: make(chan struct{}), silentSince: clock.Now(), shunned: map[netip.Addr]time.Time{},
+	}
 }
 
-// Serve follows the store until ctx ends. It is a suture service.
+// Serve follows until ctx ends. It is a suture service.
 func (f *Follower) Serve(ctx context.Context) error {
-	go f.askPeers(ctx)
+	go f.askAnyone(ctx)
 	retry := firstRetry
-	listed := false
 	for ctx.Err() == nil {
-		var err error
-		if listed {
-			err = f.watch(ctx)
-		} else {
-			err = f.list(ctx)
+		if parent, ok := f.parent(); ok {
+			f.askParent(ctx, parent)
+			continue
 		}
+		err := f.readStore(ctx)
 		switch {
 		case err == nil:
-			listed, retry = true, firstRetry
+			retry = firstRetry
 			continue
 		case ctx.Err() != nil:
 			return ctx.Err()
 		case errors.Is(err, ErrCompacted):
-			listed = false
+			f.listed = false
 			continue
 		}
 		f.lost(err)
-		pause(ctx, time.Duration(float64(retry)*(0.5+f.cfg.Rand.Float64())))
+		pause(ctx, f.jitter(retry))
 		retry = min(2*retry, maxRetry)
 	}
 	return ctx.Err()
 }
 
+// parent returns the nearest process above this one in the tree of the region that is not shunned.
+func (f *Follower) parent() (netip.Addr, bool) {
+	if f.cfg.Peers == nil || !f.listed {
+		return netip.Addr{}, false
+	}
+	order := rank.Sort(f.cfg.Region, f.names())
+	place := slices.Index(order, f.cfg.Self.String())
+	now := clock.Now()
+	for _, above := range rank.Ancestors(place, fanout) {
+		addr, err := netip.ParseAddr(order[above])
+		if err == nil && now.After(f.shunned[addr]) {
+			return addr, true
+		}
+	}
+	return netip.Addr{}, false
+}
+
+// names returns the machines of the region, this one too.
+func (f *Follower) names() []string {
+	names := []string{f.cfg.Self.String()}
+	for _, addr := range f.cfg.Holder.Load().Machines(f.cfg.Region) {
+		if addr != f.cfg.Self {
+			names = append(names, addr.String())
+		}
+	}
+	return names
+}
+
+// askParent waits at a parent for changes and shuns it if it fails or knows too little.
+func (f *Follower) askParent(ctx context.Context, parent netip.Addr) {
+	known, err := f.ask(ctx, parent, f.share(waitShare))
+	if err == nil && known.age() < f.maxAge() {
+		f.hear(known.age())
+		if err = f.learn(known); err == nil {
+			return
+		}
+	}
+	if ctx.Err() != nil {
+		return
+	}
+	f.cfg.Log.Info().Err(err).Str("parent", parent.String()).Msg("parent is silent or knows too little; reading the store")
+	f.shunned[parent] = clock.Now().Add(shun)
+}
+
+func (f *Follower) ask(ctx context.Context, addr netip.Addr, wait time.Duration) (*knowledge, error) {
+	f.mu.Lock()
+	after := f.book.Revision()
+	f.mu.Unlock()
+	data, err := f.cfg.Peers.Ask(ctx, addr, after, wait)
+	if err != nil {
+		return nil, err
+	}
+	var known knowledge
+	return &known, errors.Wrap(json.Unmarshal(data, &known), "peer's answer; run the same version everywhere")
+}
+
+// hear notes that the store's word is no older than age.
+func (f *Follower) hear(age time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if at := clock.Now().Add(-age); at.After(f.heard) {
+		f.heard = at
+	}
+	f.silentSince = time.Time{}
+}
+
+// age is the time since the store's last word. The lock is held.
+func (f *Follower) age(now time.Time) time.Duration { return now.Sub(f.heard) }
+
+func (f *Follower) share(part float64) time.Duration {
+	return time.Duration(part * float64(f.cfg.ApplyWithin))
+}
+
+// maxAge is the age from which on a process's knowledge is not followed.
+func (f *Follower) maxAge() time.Duration { return f.share(ageShare) }
+
+// readStore lists the store once and then watches it.
+func (f *Follower) readStore(ctx context.Context) error {
+	if !f.listed {
+		return f.list(ctx)
+	}
+	return f.watch(ctx)
+}
+
 // String names the service in the supervisor's logs.
 func (f *Follower) String() string { return "follower" }
 
@@ -129,12 +236,13 @@
 	}
 	f.found()
 	f.take(func(now time.Time) bool { return f.book.Replace(now, facts, revision) })
+	f.listed = true
 	return nil
 }
 
 func (f *Follower) watch(ctx context.Context) error {
 	f.mu.Lock()
-	after, wait := f.book.Revision(), time.Duration(watchShare*float64(f.cfg.ApplyWithin))
+	after, wait := f.book.Revision(), f.share(waitShare)
 	if next := f.book.NextExpiry(); !next.IsZero() {
 		wait = min(wait, max(next.Sub(clock.Now()), 0)+time.Millisecond)
 	}
@@ -162,6 +270,8 @@
 		state = f.book.State()
 		f.report(before, state)
 		f.cfg.Holder.Store(state)
+		close(f.changed)
+		f.changed = make(chan struct{})
 	}
 	f.mu.Unlock()
 	if state != nil && f.cfg.Changed != nil {
@@ -180,10 +290,11 @@
 func (f *Follower) found() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	now := clock.Now()
+	f.heard = now
 	if f.silentSince.IsZero() {
 		return
 	}
-	now := clock.Now()
 	silent := now.Sub(f.silentSince)
 	f.cfg.Log.Info().Dur("silent", silent).Msg("store answers")
 	if f.book.Revision() > 0 && silent >= lapseAfter {
@@ -202,26 +313,41 @@
 	}
 }
 
-// askPeers asks other processes while the store is silent.
-func (f *Follower) askPeers(ctx context.Context) {
+// askAnyone asks other processes in turn while the store is silent, however old their knowledge is.
+func (f *Follower) askAnyone(ctx context.Context) {
 	for ctx.Err() == nil {
 		pause(ctx, askEvery)
 		f.mu.Lock()
-		silent, after := f.silentSince, f.book.Revision()
+		silent, before := f.silentSince, f.book.Revision()
 		f.mu.Unlock()
 		if f.cfg.Peers == nil || silent.IsZero() || clock.Now().Sub(silent) < askAfter {
 			continue
 		}
-		facts, revision, err := f.cfg.Peers.Ask(ctx, after)
-		if err != nil || revision <= after {
-			f.cfg.Log.Debug().Err(err).Uint64("theirs", revision).Msg("peer knows nothing newer")
+		others := f.cfg.Holder.Load().Machines("")
+		if len(others) == 0 {
 			continue
 		}
-		f.cfg.Log.Info().Uint64("revision", revision).Msg("took what a peer knows")
-		f.take(func(now time.Time) bool { return f.book.Replace(now, facts, revision) })
+		known, err := f.ask(ctx, f.oneOf(others), 0)
+		if err == nil && known.Revision > before {
+			err = f.learn(known)
+			f.cfg.Log.Info().Err(err).Uint64("revision", known.Revision).Msg("took what a peer knows")
+		}
 	}
 }
 
+// jitter returns a time around d, so that processes don't call together.
+func (f *Follower) jitter(d time.Duration) time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return time.Duration(float64(d) * (0.5 + f.cfg.Rand.Float64()))
+}
+
+func (f *Follower) oneOf(list []netip.Addr) netip.Addr {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return list[f.cfg.Rand.IntN(len(list))]
+}
+
 // pause waits for a time or for the end of ctx.
 func pause(ctx context.Context, d time.Duration) {
 	timer := time.NewTimer(d)
--- /dev/null
+++ b/follow/patch.go
@@ -0,0 +1,96 @@
+package follow
+
+import (
+	"bytes"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+)
+
+// patch turns one version of an entry into the next. Versions mostly differ in few places, so that it is short.
+type patch struct {
+	// Base is the revision of the version that the patch is for.
+	Base uint64 `json:"base"`
+	// Ops build the new version from pieces of the base and new bytes.
+	Ops []op `json:"ops"`
+	// Sum is the xxhash of the result.
+	Sum uint64 `json:"sum"`
+}
+
+// op copies Count pieces of the base from From on, or adds New.
+type op struct {
+	From  int    `json:"f,omitempty"`
+	Count int    `json:"c,omitempty"`
+	New   []byte `json:"n,omitempty"`
+}
+
+// ErrPatch says that a patch does not fit what is held; the whole entry is asked for.
+var ErrPatch = errors.New("patch does not fit the version held; asking for everything")
+
+// pieces cuts an entry after each closing brace, so that a change of one element changes one piece.
+func pieces(raw []byte) [][]byte {
+	var out [][]byte
+	for len(raw) > 0 {
+		end := bytes.IndexByte(raw, '}') + 1
+		if end == 0 {
+			end = len(raw)
+		}
+		out = append(out, raw[:end])
+		raw = raw[end:]
+	}
+	return out
+}
+
+// diff returns the patch from base to target.
+func diff(base, target []byte) patch {
+	p := patch{Sum: xxhash.Sum64(target)}
+	at := map[string]int{}
+	old := pieces(base)
+	for i, piece := range old {
+		if _, ok := at[string(piece)]; !ok {
+			at[string(piece)] = i
+		}
+	}
+	for _, piece := range pieces(target) {
+		var last *op
+		if n := len(p.Ops); n > 0 {
+			last = &p.Ops[n-1]
+		}
+		if last != nil && last.New == nil && last.From+last.Count < len(old) && bytes.Equal(old[last.From+last.Count], piece) {
+			last.Count++
+			continue
+		}
+		if i, ok := at[string(piece)]; ok {
+			p.Ops = append(p.Ops, op{From: i, Count: 1})
+			continue
+		}
+		if last != nil && last.New != nil {
+			last.New = append(last.New, piece...)
+			continue
+		}
+		p.Ops = append(p.Ops, op{New: bytes.Clone(piece)})
+	}
+	return p
+}
+
+// apply returns what the patch makes of base.
+func (p patch) apply(base []byte) ([]byte, error) {
+	old := pieces(base)
+	var out []byte
+	for _, o := range p.Ops {
+		if o.New != nil {
+			out = append(out, o.New...)
+			continue
+		}
+		if o.From < 0 || o.Count < 0 || o.From+o.Count > len(old) {
+			return nil, ErrPatch
+		}
+		for _, piece := range old[o.From : o.From+o.Count] {
+			out = append(out, piece...)
+		}
+	}
+	if xxhash.Sum64(out) != p.Sum {
+		return nil, ErrPatch
+	}
+	return out, nil
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -71,9 +71,7 @@
 	})
 	n.follower = follow.New(follow.Config{
 		Source: platform.NewStore(s.Store, decoder, func(err error) { log.Warn().Err(err).Msg("entry is not used") }),
-		Peers: &follow.PeerClient{
-			Self: s.Target.Addr(), Port: s.Peers.Port(), Holder: n.holder, Decode: decoder.Decode, Rand: rng(),
-		},
+		Peers:  follow.NewPeerClient(s.Peers.Port()), Decode: decoder.Decode, Self: s.Target.Addr(), Region: s.Region,
 		Holder: n.holder, ApplyWithin: s.ApplyWithin, Changed: func(*mesh.State) { n.gatekeeper.Update() }, Log: log, Rand: rng(),
 	})
 	return n
--- a/mesh/book.go
+++ b/mesh/book.go
@@ -1,9 +1,6 @@
 package mesh
 
-import (
-	"maps"
-	"time"
-)
+import "time"
 
 // Fact is one thing that the store says, decoded. Exactly one of the fields besides Key and Revision is set, or none if the
 // entry was removed or names nothing usable.
@@ -18,6 +15,8 @@
 	Out string
 	// Raw is the entry as it was read, for other processes.
 	Raw []byte
+	// Lapse is, on a removal that is in doubt, the time until it is believed.
+	Lapse time.Duration
 }
 
 func (f Fact) present() bool { return f.Config != nil || f.Target != nil || f.Out != "" }
@@ -38,10 +37,32 @@
 	lapsed map[string]time.Time
 	// doubtUntil is the end of the time in which removals may be the outage's doing.
 	doubtUntil time.Time
+	// removals holds the latest removals, oldest first; all above the revision floor are there.
+	removals []removal
+	floor    uint64
+	// past holds earlier versions of large entries, oldest first, as bases of patches.
+	past map[string][]Fact
 }
 
+// removal is an entry's end.
+type removal struct {
+	key      string
+	revision uint64
+}
+
+// Bounds of what is kept for other processes.
+const (
+	// maxRemovals is the number of removals kept: some minutes of an ordinary day of the largest fleet.
+	maxRemovals = 1024
+	// largeEntry is the size in bytes from which on an entry's earlier versions are kept, maxPast their number.
+	largeEntry = 4 << 10
+	maxPast    = 3
+)
+
 // NewBook returns an empty book.
-func NewBook() *Book { return &Book{facts: map[string]Fact{}, lapsed: map[string]time.Time{}} }
+func NewBook() *Book {
+	return &Book{facts: map[string]Fact{}, lapsed: map[string]time.Time{}, past: map[string][]Fact{}}
+}
 
 // Revision returns the store's revision up to which the book is complete.
 func (b *Book) Revision() uint64 { return b.revision }
@@ -55,6 +76,9 @@
 	for _, f := range facts {
 		changed = b.apply(now, f) || changed
 	}
+	if b.revision == 0 {
+		b.floor = revision
+	}
 	b.revision = max(b.revision, revision)
 	return changed
 }
@@ -88,9 +112,12 @@
 	if f.Config != nil && (b.config == nil || f.Config.Version > b.config.Version) {
 		b.config = f.Config
 	}
-	if known.Target != nil && !known.Target.Leaving && !f.present() && now.Before(b.doubtUntil) {
+	if !f.present() {
+		b.removed(f.Key, f.Revision)
+	}
+	if until := b.believed(now, known, f); until.After(now) {
 		if _, waiting := b.lapsed[f.Key]; !waiting {
-			b.lapsed[f.Key] = b.doubtUntil
+			b.lapsed[f.Key] = until
 		}
 		known.Revision = f.Revision
 		b.facts[f.Key] = known
@@ -101,10 +128,39 @@
 		delete(b.facts, f.Key)
 		return known.present()
 	}
+	b.remember(known)
 	b.facts[f.Key] = f
 	return true
 }
 
+// believed returns the time from which on a change is believed: at once, but for the removal of a target that may only have
+// lapsed.
+func (b *Book) believed(now time.Time, known, f Fact) time.Time {
+	if f.present() || known.Target == nil || known.Target.Leaving {
+		return now
+	}
+	if f.Lapse > 0 {
+		return now.Add(f.Lapse)
+	}
+	return b.doubtUntil
+}
+
+func (b *Book) removed(key string, revision uint64) {
+	b.removals = append(b.removals, removal{key, revision})
+	if n := len(b.removals) - maxRemovals; n > 0 {
+		b.floor = b.removals[n-1].revision
+		b.removals = b.removals[n:]
+	}
+}
+
+func (b *Book) remember(old Fact) {
+	if len(old.Raw) < largeEntry {
+		return
+	}
+	list := append(b.past[old.Key], old)
+	b.past[old.Key] = list[max(len(list)-maxPast, 0):]
+}
+
 // Expire removes the targets whose grace has ended and reports whether there were any.
 func (b *Book) Expire(now time.Time) bool {
 	changed := false
@@ -144,5 +200,56 @@
 	return newState(b.revision, b.config, targets, out)
 }
 
-// Facts returns the facts held, in no order.
-func (b *Book) Facts() map[string]Fact { return maps.Clone(b.facts) }
+// Change is a fact with the earlier version that whoever asks holds, if it is known.
+type Change struct {
+	Fact
+	// Base is nil unless the fact is large and its earlier version is known.
+	Base *Fact
+}
+
+// Since returns what changed after a revision, removals too. It reports whether that is a whole listing instead, because the
+// history does not reach back that far.
+func (b *Book) Since(now time.Time, after uint64) (changes []Change, whole bool) {
+	whole = after == 0 || after < b.floor
+	if whole {
+		after = 0
+	}
+	for key, f := range b.facts {
+		if _, waiting := b.lapsed[key]; !waiting && f.Revision > after {
+			changes = append(changes, Change{Fact: f, Base: b.base(key, after)})
+		}
+	}
+	if whole {
+		return changes, true
+	}
+	for _, r := range b.removals {
+		if f, held := b.facts[r.key]; r.revision > after && (!held || f.Revision == r.revision) {
+			lapse := time.Duration(0)
+			if until, waiting := b.lapsed[r.key]; waiting {
+				lapse = max(until.Sub(now), 1)
+			}
+			changes = append(changes, Change{Fact: Fact{Key: r.key, Revision: r.revision, Lapse: lapse}})
+		}
+	}
+	return changes, false
+}
+
+// base returns the version of a large entry that was current at a revision.
+func (b *Book) base(key string, at uint64) *Fact {
+	if at == 0 {
+		return nil
+	}
+	list := b.past[key]
+	for i := len(list) - 1; i >= 0; i-- {
+		if list[i].Revision <= at {
+			return &list[i]
+		}
+	}
+	return nil
+}
+
+// Fact returns the fact that is held under a key.
+func (b *Book) Fact(key string) (Fact, bool) {
+	f, ok := b.facts[key]
+	return f, ok
+}
--- a/mesh/state.go
+++ b/mesh/state.go
@@ -51,11 +51,13 @@
 // Usable reports whether new requests may be sent to a target.
 func (s *State) Usable(t *Target) bool { return !t.Leaving && !s.Out[t.FailureDomain] }
 
-// Machines returns the addresses of the machines that carry targets, without ports, in order.
-func (s *State) Machines() []netip.Addr {
+// Machines returns the addresses of the machines that carry targets in a region, without ports, in order. An empty region means all.
+func (s *State) Machines(region string) []netip.Addr {
 	var out []netip.Addr
-	for addr := range s.byAddr {
-		out = append(out, addr.Addr())
+	for addr, t := range s.byAddr {
+		if region == "" || t.Region == region {
+			out = append(out, addr.Addr())
+		}
 	}
 	slices.SortFunc(out, netip.Addr.Compare)
 	return slices.Compact(out)
--- a/proxy/frontend.go
+++ b/proxy/frontend.go
@@ -309,7 +309,7 @@
 	if o.back > 0 && (req.back == 0 || o.back < req.back) {
 		req.back = o.back
 	}
-	f.balancer.Ended(clock.Now(), t, req.route.Name, result, o.load, o.took)
+	f.balancer.Ended(clock.Now(), t, balance.End{Route: req.route.Name, Result: result, Load: o.load, Ran: o.took, Answer: len(o.body)})
 }
 
 // again decides on another attempt.
