Requests that will be late wait last, and not at all beside a lack of room for punctual ones

Change: the time that a returning caller has waited counts; punctual before late within a priority; 1.5 mean running times allowed.

--- a/intake/intake.go
+++ b/intake/intake.go
@@ -1,7 +1,10 @@
 // Package intake decides when the requests for one target run: at once, after a wait, or not at all.
 //
 // A request waits only while it can still be answered in time, and one that can't is refused at once with the time after which
-// a slot is expected to be free. More urgent routes go first. A cold target takes requests at a bounded rate.
+// a slot is expected to be free. More urgent routes go first. Among equals, requests whose answer will be late anyway, such as
+// those that come back after a refusal, go last, and none of them waits while there is not even room for the others: so a standing
+// overload costs the requests that don't fit, and not the punctuality of those that do. A cold target takes requests at a bounded
+// rate.
 //
 // The package is pure: the caller passes the time and acts on what is returned.
 package intake
@@ -26,6 +29,8 @@
 	index   int
 	expect  time.Duration
 	waiting bool
+	// late is set if the answer can't be as early as it should.
+	late bool
 }
 
 // Verdict says what happens to a request.
@@ -47,6 +52,8 @@
 	firstGuess = 100 * time.Millisecond
 	// learnRate is the weight of a new running time in the mean: some twenty requests, about one turnover of the slots.
 	learnRate = 0.05
+	// spread is the number of mean running times within which nine of ten runs end, where they spread by half around the mean.
+	spread = 1.5
 	// maxRoutes bounds the routes whose running times are kept.
 	maxRoutes = 4096
 	// coldBurst is the part of a second's cold rate that may come at once; with the rate itself it stays below the rate
@@ -55,6 +62,8 @@
 	// minReturn and maxReturn bound the advice on when to come back.
 	minReturn = 20 * time.Millisecond
 	maxReturn = 2 * time.Second
+	// saturated is the time after the refusal of a punctual request in which late ones don't wait.
+	saturated = 500 * time.Millisecond
 	// evictRounds bounds the waiting requests that one arrival may push out.
 	evictRounds = 4
 )
@@ -74,6 +83,8 @@
 	cold     bool
 	// nextCold is the earliest start of the next request if starts were evenly spaced (generic cell rate algorithm).
 	nextCold time.Time
+	// refusedAt is when a punctual request was last refused for want of room.
+	refusedAt time.Time
 }
 
 // New returns a gate for a target with slots places.
@@ -109,8 +120,10 @@
 		g.start(now)
 		return Run, 0
 	}
+	r.late = now.Add(r.allow()).After(r.Useful)
 	wait := g.waitFor(now, r)
 	if !g.worthwhile(now, r, wait) {
+		g.noteRefusal(now, r)
 		return Refuse, g.comeBack(wait)
 	}
 	g.arrivals++
@@ -122,13 +135,33 @@
 
 // worthwhile reports whether a request that starts after wait is answered in time.
 func (g *Gate) worthwhile(now time.Time, r *Request, wait time.Duration) bool {
-	end := now.Add(wait + r.expect)
-	if r.Priority == 0 {
-		return end.Before(r.Deadline)
+	if r.late && r.Priority > 0 && now.Sub(g.refusedAt) < saturated {
+		return false
+	}
+	return now.Add(wait + r.allow()).Before(r.limit())
+}
+
+// allow is the time that a run may well take.
+func (r *Request) allow() time.Duration { return time.Duration(spread * float64(r.expect)) }
+
+func (g *Gate) noteRefusal(now time.Time, r *Request) {
+	if !r.late {
+		g.refusedAt = now
 	}
-	return end.Before(r.Useful)
 }
 
+// limit is the time by which the request should be answered: while that is of full use, or by the deadline if it is late anyway or
+// a call that another request waits for, as the most urgent ones are.
+func (r *Request) limit() time.Time {
+	if r.late || r.Priority == 0 || r.Deadline.Before(r.Useful) {
+		return r.Deadline
+	}
+	return r.Useful
+}
+
+// LastStart is the latest time at which a waiting request is still worth starting; a run may be half as long as the mean.
+func (r *Request) LastStart() time.Time { return r.limit().Add(-r.expect / 2) }
+
 // evict refuses the least urgent requests that more urgent ones have pushed back too far.
 func (g *Gate) evict(now time.Time) {
 	for range evictRounds {
@@ -136,6 +169,7 @@
 		if last == nil || g.worthwhile(now, last, g.waitFor(now, last)) {
 			return
 		}
+		g.noteRefusal(now, last)
 		g.drop(last)
 		last.Start(false)
 	}
@@ -294,7 +328,7 @@
 	for len(g.queue) > 0 && g.free(now) {
 		r := g.queue[0]
 		g.drop(r)
-		if !now.Add(r.expect / 2).Before(r.Deadline) {
+		if !now.Before(r.LastStart()) {
 			r.Start(false)
 			continue
 		}
@@ -303,13 +337,16 @@
 	}
 }
 
-// queue is a heap of waiting requests, most urgent first, then in the order of arrival.
+// queue is a heap of waiting requests: most urgent first, punctual before late ones, then in the order of arrival.
 type queue []*Request
 
 func (q queue) less(a, b *Request) bool {
 	if a.Priority != b.Priority {
 		return a.Priority < b.Priority
 	}
+	if a.late != b.late {
+		return b.late
+	}
 	return a.arrival < b.arrival
 }
 
@@ -348,7 +385,7 @@
 		if other == r {
 			continue
 		}
-		if other.Priority < r.Priority || other.Priority == r.Priority && (!r.waiting || other.arrival < r.arrival) {
+		if q.less(other, r) || !r.waiting && !q.less(r, other) {
 			n++
 		}
 	}
--- /dev/null
+++ b/mesh/mesh_test.go
@@ -0,0 +1,144 @@
+package mesh
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+func route(name, host, prefix string, parts ...Part) *Route {
+	return &Route{Name: name, Host: host, Prefix: prefix, Timeout: time.Second, MaxTargets: 2, Parts: parts}
+}
+
+func config(t *testing.T, version uint64) *Config {
+	t.Helper()
+	c, err := NewConfig(version, []*Route{
+		route("all", "a.example", "/", Part{"s", 1}), route("long", "a.example", "/x/y/", Part{"s", 1}), route("short", "a.example", "/x/", Part{"s", 1}),
+	}, []*Service{{Name: "s"}}, Limits{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func TestMatchTakesTheLongestPrefix(t *testing.T) {
+	c := config(t, 1)
+	for _, test := range []struct{ host, path, want string }{
+		{"a.example", "/x/y/z", "long"},
+		{"a.example:80", "/x/yz", "short"},
+		{"A.Example", "/", "all"},
+		{"b.example", "/x/y/z", ""},
+	} {
+		got := ""
+		if r := c.Match(test.host, test.path); r != nil {
+			got = r.Name
+		}
+		if got != test.want {
+			t.Errorf("%s%s: got %q, want %q", test.host, test.path, got, test.want)
+		}
+	}
+}
+
+func TestConfigIsRefusedAsAWhole(t *testing.T) {
+	services := []*Service{{Name: "s"}}
+	for name, r := range map[string]*Route{
+		"unknown service": route("r", "h", "/", Part{"other", 1}),
+		"negative weight": route("r", "h", "/", Part{"s", -1}),
+		"no weight":       route("r", "h", "/", Part{"s", 0}),
+		"no part":         route("r", "h", "/"),
+		"bare prefix":     route("r", "h", "/x", Part{"s", 1}),
+		"no host":         route("r", "", "/", Part{"s", 1}),
+		"no timeout":      {Name: "r", Host: "h", Prefix: "/", MaxTargets: 1, Parts: []Part{{"s", 1}}},
+	} {
+		if _, err := NewConfig(1, []*Route{r}, services, Limits{}); !errors.Is(err, ErrConfig) {
+			t.Errorf("%s: got %v", name, err)
+		}
+	}
+}
+
+func target(id string, leaving bool) *Target {
+	return &Target{ID: id, Service: "s", Addr: netip.MustParseAddrPort("10.0.0.1:80"), FailureDomain: "d", Leaving: leaving, Slots: 1}
+}
+
+func TestVersionNeverFalls(t *testing.T) {
+	b := NewBook()
+	b.Apply(epoch, []Fact{{Key: "c", Revision: 5, Config: config(t, 7)}}, 5)
+	b.Apply(epoch, []Fact{{Key: "c", Revision: 6, Config: config(t, 6)}}, 6)
+	if got := b.State().Config.Version; got != 7 {
+		t.Errorf("version %d is in force after 7", got)
+	}
+	if b.Replace(epoch, []Fact{{Key: "c", Revision: 2, Config: config(t, 2)}}, 4) {
+		t.Error("an old listing changed the book")
+	}
+}
+
+func TestBadEntryLeavesTheRest(t *testing.T) {
+	b := NewBook()
+	b.Apply(epoch, []Fact{{Key: "a", Revision: 1, Target: target("a", false)}, {Key: "b", Revision: 2, Target: target("b", false)}}, 2)
+	b.Apply(epoch, []Fact{{Key: "a", Revision: 3}}, 3)
+	if got := b.State().Targets("s"); len(got) != 1 || got[0].ID != "b" {
+		t.Errorf("got %v", got)
+	}
+}
+
+func TestRemovalIsBelievedAtOnceBesideACalmStore(t *testing.T) {
+	b := NewBook()
+	b.Apply(epoch, []Fact{{Key: "a", Revision: 1, Target: target("a", false)}}, 1)
+	b.Apply(epoch, []Fact{{Key: "a", Revision: 2}}, 2)
+	if len(b.State().Targets("s")) != 0 {
+		t.Error("a removed target is still listed")
+	}
+}
+
+func TestLapsedTargetIsKeptForItsGrace(t *testing.T) {
+	b := NewBook()
+	b.Apply(epoch, []Fact{{Key: "a", Revision: 1, Target: target("a", false)}, {Key: "b", Revision: 1, Target: target("b", true)}}, 1)
+	b.Returned(epoch)
+	b.Replace(epoch, nil, 5)
+	if got := b.State().Targets("s"); len(got) != 1 || got[0].ID != "a" {
+		t.Fatalf("after the outage got %v, want the live target and not the leaving one", got)
+	}
+	if !b.NextExpiry().Equal(epoch.Add(LapseGrace)) {
+		t.Errorf("expires at %v", b.NextExpiry())
+	}
+	if !b.Expire(epoch.Add(LapseGrace)) || len(b.State().Targets("s")) != 0 {
+		t.Error("a target that did not come back is still listed")
+	}
+}
+
+func TestSinceTellsChangesAndRemovals(t *testing.T) {
+	b := NewBook()
+	b.Apply(epoch, []Fact{{Key: "a", Revision: 1, Target: target("a", false), Raw: []byte("a")}, {Key: "b", Revision: 2, Target: target("b", false), Raw: []byte("b")}}, 2)
+	b.Apply(epoch, []Fact{{Key: "a", Revision: 3}, {Key: "c", Revision: 4, Target: target("c", false), Raw: []byte("c")}}, 4)
+	changes, whole := b.Since(epoch, 2)
+	if whole || len(changes) != 2 {
+		t.Fatalf("got %v, whole %v", changes, whole)
+	}
+	if _, whole := b.Since(epoch, 1); !whole {
+		t.Error("a revision before the history got no whole listing")
+	}
+	child := NewBook()
+	all, _ := b.Since(epoch, 0)
+	var facts []Fact
+	for _, c := range all {
+		facts = append(facts, c.Fact)
+	}
+	child.Replace(epoch, facts, b.Revision())
+	if got := child.State().Targets("s"); len(got) != 2 {
+		t.Errorf("child holds %v", got)
+	}
+}
+
+func TestLatestLifeHoldsTheAddress(t *testing.T) {
+	old, now := target("old", false), target("new", false)
+	old.Born, now.Born = 1, 2
+	b := NewBook()
+	b.Apply(epoch, []Fact{{Key: "n", Revision: 1, Target: now}, {Key: "o", Revision: 2, Target: old}}, 2)
+	if got := b.State().At(now.Addr); got.ID != "new" {
+		t.Errorf("got %s", got.ID)
+	}
+}
--- a/proxy/frontend.go
+++ b/proxy/frontend.go
@@ -44,15 +44,16 @@
 	stopped atomic.Bool
 	active  atomic.Int64
 
-	mu       sync.Mutex
-	balancer *balance.Balancer
-	budgets  map[string]*budget.Budget
-	splits   map[string]*split
+	mu        sync.Mutex
+	balancer  *balance.Balancer
+	budgets   map[string]*budget.Budget
+	splits    map[string]*split
+	patiences patiences
 }
 
 // NewFrontend returns a frontend.
 func NewFrontend(cfg FrontendConfig) *Frontend {
-	f := &Frontend{cfg: cfg, budgets: map[string]*budget.Budget{}, splits: map[string]*split{}}
+	f := &Frontend{cfg: cfg, budgets: map[string]*budget.Budget{}, splits: map[string]*split{}, patiences: patiences{}}
 	f.balancer = balance.New(balance.Self{FailureDomain: cfg.FailureDomain, Region: cfg.Region, Own: f.own}, cfg.Rand)
 	return f
 }
@@ -151,12 +152,12 @@
 		deadline = time.Duration(ms * float64(time.Millisecond))
 	}
 	req.end = req.arrived.Add(min(deadline, req.route.Timeout))
-	req.useful = req.arrived.Add(min(req.route.Objective, deadline))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	req.useful = req.arrived.Add(req.route.Objective - f.patiences.spent(req.route.Name, deadline))
 	if req.route.Objective <= 0 {
 		req.useful = req.end
 	}
-	f.mu.Lock()
-	defer f.mu.Unlock()
 	req.service = f.split(req.route).next(req.route.Parts)
 	f.budget(req.service).Request(req.arrived, f.cfg.Repeats)
 }
--- a/proxy/gatekeeper.go
+++ b/proxy/gatekeeper.go
@@ -208,29 +208,40 @@
 	return o
 }
 
-// await waits for a request's turn and returns why it won't come, or nil.
+// await waits for a request's turn and returns why it won't come, or nil. One whose turn is too late to be answered in time is
+// refused while its caller can still go elsewhere.
 func (k *Gatekeeper) await(ctx context.Context, req *intake.Request, turn chan bool) *outcome {
+	timer := time.NewTimer(left(req.LastStart()))
+	defer timer.Stop()
+	reason := reasonBusy
 	select {
 	case run := <-turn:
 		if run {
 			return nil
 		}
+		return k.busy(reason)
+	case <-timer.C:
 	case <-ctx.Done():
-		k.mu.Lock()
-		waiting := k.gate.Cancel(req)
-		k.mu.Unlock()
-		if waiting {
-			return refused(notRun, reasonGone)
-		}
-		if run := <-turn; run {
-			k.done(req, -1)
+		reason = reasonGone
+	}
+	k.mu.Lock()
+	waiting := k.gate.Cancel(req)
+	k.mu.Unlock()
+	if !waiting && <-turn {
+		if ctx.Err() == nil {
+			return nil
 		}
-		return refused(notRun, reasonGone)
+		k.done(req, -1)
 	}
-	o := refused(notRun, reasonBusy)
+	return k.busy(reason)
+}
+
+// busy is a refusal with the time after which the backlog is expected to be gone.
+func (k *Gatekeeper) busy(reason string) *outcome {
+	o := refused(notRun, reason)
 	k.mu.Lock()
+	defer k.mu.Unlock()
 	o.back = k.gate.CalmReturn(clock.Now())
-	k.mu.Unlock()
 	return o
 }
 
