A peer that answers at once without news is shunned; the exchange names its form

Change: knowledge carries its form, an answer without news before half the wait shuns the peer, news are followed by a breath. Test: TestParentThatAnswersAtOnceIsNotAskedWithoutEnd fails without the change (virtual time does not advance).

--- a/follow/exchange.go
+++ b/follow/exchange.go
@@ -43,6 +43,8 @@
 
 // knowledge is what a process tells: the changes after the revision that the asker knows, or everything.
 type knowledge struct {
+	// Form is the version of this layout.
+	Form     int    `json:"v"`
 	Revision uint64 `json:"r"`
 	// AgeUs is the time since the store's last word, in microseconds.
 	AgeUs   int64   `json:"a"`
@@ -50,6 +52,15 @@
 	Entries []entry `json:"e,omitempty"`
 }
 
+// form is the layout of knowledge that this version speaks.
+const form = 1
+
+// ErrForm says that a peer speaks another layout; it is shunned, and the store read instead, until all run the same version.
+var ErrForm = errors.New("peer speaks another version of the exchange; finish the upgrade")
+
+// ErrHasty says that a peer answered at once without anything new, which would be asked for again without end.
+var ErrHasty = errors.New("peer answers without waiting and has nothing new; check its version")
+
 func (k *knowledge) age() time.Duration { return time.Duration(k.AgeUs) * time.Microsecond }
 
 // ServeHTTP tells another process what this one knows. The query holds the revision after which changes are wanted and the
@@ -106,7 +117,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := clock.Now()
-	known := &knowledge{Revision: f.book.Revision(), AgeUs: f.age(now).Microseconds()}
+	known := &knowledge{Form: form, Revision: f.book.Revision(), AgeUs: f.age(now).Microseconds()}
 	if known.Revision <= after {
 		return known
 	}
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -59,6 +59,8 @@
 	// gather is the pause after a change before the next watch, in which further changes come together. It is a small part of the
 	// time within which a change has to be in force.
 	gather = 150 * time.Millisecond
+	// breath is the pause between a parent's news and the next question, in which a quick succession of changes comes together.
+	breath = 50 * time.Millisecond
 	// firstRetry and maxRetry bound the pauses between calls to a store that does not answer.
 	firstRetry = 100 * time.Millisecond
 	maxRetry   = time.Second
@@ -172,12 +174,20 @@
 
 // askParent waits at a parent for changes and shuns it if it fails or knows too little.
 func (f *Follower) askParent(ctx context.Context, parent netip.Addr) {
-	known, err := f.ask(ctx, parent, f.share(waitShare))
+	asked, wait, before := clock.Now(), f.share(waitShare), f.Revision()
+	known, err := f.ask(ctx, parent, wait)
 	if err == nil && known.age() < f.maxAge() {
 		f.hear(known.age())
-		if err = f.learn(known); err == nil {
+		if err = f.learn(known); err == nil && f.Revision() > before {
+			pause(ctx, breath)
 			return
 		}
+		if err == nil && clock.Now().Sub(asked) >= wait/2 {
+			return
+		}
+		if err == nil {
+			err = ErrHasty
+		}
 	}
 	if ctx.Err() != nil {
 		return
@@ -186,16 +196,23 @@
 	f.shunned[parent] = clock.Now().Add(shun)
 }
 
-func (f *Follower) ask(ctx context.Context, addr netip.Addr, wait time.Duration) (*knowledge, error) {
+// Revision returns the store's revision up to which everything is known.
+func (f *Follower) Revision() uint64 {
 	f.mu.Lock()
-	after := f.book.Revision()
-	f.mu.Unlock()
-	data, err := f.cfg.Peers.Ask(ctx, addr, after, wait)
+	defer f.mu.Unlock()
+	return f.book.Revision()
+}
+
+func (f *Follower) ask(ctx context.Context, addr netip.Addr, wait time.Duration) (*knowledge, error) {
+	data, err := f.cfg.Peers.Ask(ctx, addr, f.Revision(), wait)
 	if err != nil {
 		return nil, err
 	}
 	var known knowledge
-	return &known, errors.Wrap(json.Unmarshal(data, &known), "peer's answer; run the same version everywhere")
+	if err := json.Unmarshal(data, &known); err != nil || known.Form != form {
+		return nil, ErrForm
+	}
+	return &known, nil
 }
 
 // hear notes that the store's word is no older than age.
--- /dev/null
+++ b/follow/follow_test.go
@@ -0,0 +1,379 @@
+package follow
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	"pgregory.net/rapid"
+
+	"github.com/chervilwell/chervilwell/mesh"
+	"github.com/chervilwell/chervilwell/rank"
+)
+
+const applyWithin = 2 * time.Second
+
+// store is a stand-in for the published store.
+type store struct {
+	mu       sync.Mutex
+	revision uint64
+	entries  map[string]mesh.Fact
+	log      []mesh.Fact
+	down     bool
+	deaf     bool
+	calls    int
+	changed  chan struct{}
+}
+
+func newStore() *store { return &store{entries: map[string]mesh.Fact{}, changed: make(chan struct{})} }
+
+func decode(key string, revision uint64, raw []byte) (mesh.Fact, error) {
+	f := mesh.Fact{Key: key, Revision: revision, Raw: raw}
+	if name, ok := strings.CutPrefix(key, "out/"); ok {
+		f.Out = name
+		return f, nil
+	}
+	addr := netip.AddrPortFrom(netip.MustParseAddr(key), 80)
+	f.Target = &mesh.Target{ID: key, Service: "s", Addr: addr, FailureDomain: "d", Region: "r", Slots: 1}
+	return f, nil
+}
+
+func (s *store) put(key string, raw string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	f, _ := decode(key, s.revision, []byte(raw))
+	s.entries[key] = f
+	s.log = append(s.log, f)
+	s.wake()
+}
+
+func (s *store) remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	delete(s.entries, key)
+	s.log = append(s.log, mesh.Fact{Key: key, Revision: s.revision})
+	s.wake()
+}
+
+func (s *store) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *store) set(down, deaf bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down, s.deaf = down, deaf
+	s.wake()
+}
+
+func (s *store) List(context.Context) ([]mesh.Fact, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.down {
+		return nil, 0, ErrAway
+	}
+	var out []mesh.Fact
+	for _, f := range s.entries {
+		out = append(out, f)
+	}
+	return out, s.revision, nil
+}
+
+func (s *store) Watch(ctx context.Context, after uint64, wait time.Duration) ([]mesh.Fact, uint64, error) {
+	s.mu.Lock()
+	s.calls++
+	deaf := s.deaf
+	s.mu.Unlock()
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		if s.down {
+			s.mu.Unlock()
+			return nil, 0, ErrAway
+		}
+		var out []mesh.Fact
+		for _, f := range s.log {
+			if f.Revision > after && !deaf {
+				out = append(out, f)
+			}
+		}
+		revision, changed := s.revision, s.changed
+		s.mu.Unlock()
+		if len(out) > 0 {
+			return out, revision, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return nil, after, nil
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+// fleet joins followers without a network.
+type fleet struct {
+	store     *store
+	followers map[netip.Addr]*Follower
+	// away holds the machines that can't reach the store, lost those that can't be reached.
+	away, lost map[netip.Addr]bool
+	mu         sync.Mutex
+	asked      int
+	// stub answers instead of a follower.
+	stub map[netip.Addr]func() []byte
+}
+
+type linked struct {
+	*fleet
+	self netip.Addr
+}
+
+func (l linked) List(ctx context.Context) ([]mesh.Fact, uint64, error) {
+	if l.isAway() {
+		return nil, 0, ErrAway
+	}
+	return l.store.List(ctx)
+}
+
+func (l linked) Watch(ctx context.Context, after uint64, wait time.Duration) ([]mesh.Fact, uint64, error) {
+	if l.isAway() {
+		time.Sleep(wait)
+		return nil, 0, ErrAway
+	}
+	return l.store.Watch(ctx, after, wait)
+}
+
+func (l linked) isAway() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.away[l.self]
+}
+
+func (l linked) Ask(ctx context.Context, addr netip.Addr, after uint64, wait time.Duration) ([]byte, error) {
+	l.mu.Lock()
+	l.asked++
+	lost, f, stub := l.lost[addr] || l.lost[l.self], l.followers[addr], l.stub[addr]
+	l.mu.Unlock()
+	if stub != nil {
+		return stub(), nil
+	}
+	if lost || f == nil {
+		time.Sleep(wait + exchangeSlack)
+		return nil, context.DeadlineExceeded
+	}
+	w := httptest.NewRecorder()
+	r := httptest.NewRequest(http.MethodGet, fmt.Sprintf("%s?after=%d&wait=%d", StatePath, after, wait.Milliseconds()), nil).WithContext(ctx)
+	f.ServeHTTP(w, r)
+	return io.ReadAll(w.Body)
+}
+
+func newFleet(ctx context.Context, size int) *fleet {
+	fl := &fleet{
+		store: newStore(), followers: map[netip.Addr]*Follower{}, away: map[netip.Addr]bool{}, lost: map[netip.Addr]bool{},
+		stub: map[netip.Addr]func() []byte{},
+	}
+	for i := range size {
+		addr := machine(i)
+		fl.store.put(addr.String(), "first")
+	}
+	for i := range size {
+		addr := machine(i)
+		link := linked{fl, addr}
+		fl.followers[addr] = New(Config{
+			Source: link, Peers: link, Holder: &mesh.Holder{}, Decode: decode, Self: addr, Region: "r", ApplyWithin: applyWithin,
+			Log: zerolog.Nop(), Rand: rand.New(rand.NewPCG(1, uint64(i))),
+		})
+	}
+	for _, f := range fl.followers {
+		go func() { _ = f.Serve(ctx) }()
+	}
+	return fl
+}
+
+func machine(i int) netip.Addr { return netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}) }
+
+// behind returns the followers that do not hold a failure domain as taken out.
+func (fl *fleet) behind(domain string) (out []netip.Addr) {
+	for addr, f := range fl.followers {
+		if !f.cfg.Holder.Load().Out[domain] {
+			out = append(out, addr)
+		}
+	}
+	return out
+}
+
+func play(t *testing.T, size int, test func(fl *fleet)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		fl := newFleet(ctx, size)
+		time.Sleep(5 * time.Second)
+		test(fl)
+		cancel()
+		time.Sleep(10 * time.Second) // calls that don't end with their context
+		synctest.Wait()
+	})
+}
+
+// root returns the process that watches the store.
+func (fl *fleet) root() netip.Addr {
+	var names []string
+	for addr := range fl.followers {
+		names = append(names, addr.String())
+	}
+	return netip.MustParseAddr(rank.Sort("r", names)[0])
+}
+
+func TestChangeReachesAllThroughOneReader(t *testing.T) {
+	play(t, 12, func(fl *fleet) {
+		fl.store.mu.Lock()
+		before := fl.store.calls
+		fl.store.mu.Unlock()
+		fl.store.put("out/x", "{}")
+		time.Sleep(applyWithin / 2)
+		if late := fl.behind("x"); len(late) > 0 {
+			t.Errorf("%v don't know the change", late)
+		}
+		time.Sleep(9 * time.Second)
+		fl.store.mu.Lock()
+		defer fl.store.mu.Unlock()
+		if calls := fl.store.calls - before; calls > 25 {
+			t.Errorf("12 processes made %d calls in 10 s, one reader makes about 14", calls)
+		}
+	})
+}
+
+// Once found: a watch that heard nothing was kept for ten seconds while configurations changed.
+func TestDeafWatchIsReplacedInTime(t *testing.T) {
+	play(t, 3, func(fl *fleet) {
+		fl.store.set(false, true)
+		time.Sleep(applyWithin)
+		fl.store.set(false, false)
+		fl.store.put("out/x", "{}")
+		time.Sleep(applyWithin)
+		if late := fl.behind("x"); len(late) > 0 {
+			t.Errorf("%v don't know the change", late)
+		}
+	})
+}
+
+func TestReaderThatLosesTheStoreIsNotFollowed(t *testing.T) {
+	play(t, 8, func(fl *fleet) {
+		fl.mu.Lock()
+		fl.away[fl.root()] = true
+		fl.mu.Unlock()
+		fl.store.put("out/x", "{}")
+		time.Sleep(applyWithin)
+		for _, late := range fl.behind("x") {
+			if !fl.away[late] {
+				t.Errorf("%v doesn't know the change, though it reaches the store", late)
+			}
+		}
+		time.Sleep(applyWithin)
+		if late := fl.behind("x"); len(late) > 0 {
+			t.Errorf("%v does not take from the others what it can't read", late)
+		}
+	})
+}
+
+func TestLostReaderIsReplacedInTime(t *testing.T) {
+	play(t, 8, func(fl *fleet) {
+		fl.mu.Lock()
+		fl.lost[fl.root()], fl.away[fl.root()] = true, true
+		fl.mu.Unlock()
+		fl.store.put("out/x", "{}")
+		time.Sleep(applyWithin)
+		if late := fl.behind("x"); len(late) > 1 {
+			t.Errorf("%v don't know the change", late)
+		}
+	})
+}
+
+// Once found: processes of two versions, one of which answered at once, asked each other thousands of times a second.
+func TestParentThatAnswersAtOnceIsNotAskedWithoutEnd(t *testing.T) {
+	for name, answer := range map[string]string{"another form": `{"revision":1}`, "nothing new": `{"v":1,"r":1,"a":0}`} {
+		t.Run(name, func(t *testing.T) {
+			play(t, 2, func(fl *fleet) {
+				fl.mu.Lock()
+				fl.stub[fl.root()] = func() []byte { return []byte(answer) }
+				fl.asked = 0
+				fl.mu.Unlock()
+				time.Sleep(10 * time.Second)
+				fl.mu.Lock()
+				defer fl.mu.Unlock()
+				if fl.asked > 10 {
+					t.Errorf("asked %d times in 10 s", fl.asked)
+				}
+			})
+		})
+	}
+}
+
+func TestLiveTargetOutlastsItsLapsedEntry(t *testing.T) {
+	play(t, 4, func(fl *fleet) {
+		fl.store.set(true, false)
+		time.Sleep(6 * time.Second)
+		lapsed := machine(2).String()
+		fl.store.remove(lapsed)
+		fl.store.set(false, false)
+		time.Sleep(1500 * time.Millisecond)
+		for addr, f := range fl.followers {
+			if f.cfg.Holder.Load().At(netip.AddrPortFrom(machine(2), 80)) == nil {
+				t.Errorf("%v dropped a target whose entry lapsed in the outage", addr)
+			}
+		}
+		time.Sleep(mesh.LapseGrace + 2*time.Second)
+		for addr, f := range fl.followers {
+			if f.cfg.Holder.Load().At(netip.AddrPortFrom(machine(2), 80)) != nil {
+				t.Errorf("%v keeps a target that did not come back", addr)
+			}
+		}
+	})
+}
+
+func TestPatchRebuildsTheTarget(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		elements := rapid.SliceOfN(rapid.StringMatching(`[a-c]{0,3}\}?`), 0, 40)
+		base := []byte(strings.Join(elements.Draw(rt, "base"), ""))
+		target := []byte(strings.Join(elements.Draw(rt, "target"), ""))
+		got, err := diff(base, target).apply(base)
+		if err != nil || !bytes.Equal(got, target) {
+			rt.Fatalf("got %q, %v, want %q", got, err, target)
+		}
+	})
+}
+
+func TestPatchOfAnotherBaseIsRefused(t *testing.T) {
+	p := diff([]byte("{a}{b}"), []byte("{a}{c}"))
+	if _, err := p.apply([]byte("{x}{b}")); err == nil {
+		t.Error("a patch was applied to another base")
+	}
+}
+
+func TestPatchOfOneElementIsShort(t *testing.T) {
+	var base bytes.Buffer
+	for i := range 300 {
+		fmt.Fprintf(&base, `{"Name":"r-%d","Weight":%d},`, i, i)
+	}
+	target := bytes.Replace(base.Bytes(), []byte(`"Weight":77}`), []byte(`"Weight":78}`), 1)
+	if p := diff(base.Bytes(), target); len(p.Ops) != 3 {
+		t.Errorf("%d operations", len(p.Ops))
+	}
+}
