Tests of the data path; a broken exchange is told from an expired one; long answers stream

Cause: the gatekeeper ended its context before it looked at why an exchange had failed, so that every failure passed for a timeout: a refused connection did not count against the target, nor a reset for a restart. Answers above 1 MB were cut as the request's context ended before their body. Both found by the tests, which fail without the change.

--- /dev/null
+++ b/balance/balance_test.go
@@ -0,0 +1,177 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/chervilwell/chervilwell/intake"
+	"github.com/chervilwell/chervilwell/mesh"
+)
+
+var epoch = time.Unix(1_000_000, 0)
+
+// state holds one target of service s in each of the failure domains, named after them.
+func state(domains ...string) *mesh.State {
+	book := mesh.NewBook()
+	for i, d := range domains {
+		region := "near"
+		if d[0] == 'f' {
+			region = "far"
+		}
+		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 80)
+		book.Apply(epoch, []mesh.Fact{{Key: d, Revision: uint64(i + 1), Target: &mesh.Target{
+			ID: d, Service: "s", Addr: addr, FailureDomain: d, Region: region, Slots: 18,
+		}}}, uint64(i+1))
+	}
+	return book.State()
+}
+
+func newBalancer() *Balancer {
+	return New(Self{FailureDomain: "n1", Region: "near", Own: func(*mesh.Target) bool { return false }}, rand.New(rand.NewPCG(1, 2)))
+}
+
+func attempt(s *mesh.State, bytes int) Attempt {
+	return Attempt{
+		Now: epoch, State: s, Service: "s", Bytes: bytes,
+		Route: &mesh.Route{Name: "r", Objective: 500 * time.Millisecond, Timeout: time.Second},
+	}
+}
+
+// shares picks often and returns how often each target was taken.
+func shares(t *testing.T, b *Balancer, a Attempt) map[string]int {
+	t.Helper()
+	out := map[string]int{}
+	for range 1000 {
+		c, ok := b.Pick(a)
+		if !ok {
+			t.Fatal("no target")
+		}
+		out[c.Target.ID]++
+	}
+	return out
+}
+
+func ended(b *Balancer, at time.Time, t *mesh.Target, e End) {
+	b.Started(at, t)
+	if e.Route == "" {
+		e.Route = "r"
+	}
+	b.Ended(at, t, e)
+}
+
+func byID(s *mesh.State, id string) *mesh.Target {
+	for _, t := range s.Targets("s") {
+		if t.ID == id {
+			return t
+		}
+	}
+	return nil
+}
+
+// Load pattern: a calm day. Work stays in its failure domain, and large bodies never cross regions.
+func TestCalmWorkStaysNear(t *testing.T) {
+	s, b := state("n1", "n2", "f1"), newBalancer()
+	got := shares(t, b, attempt(s, 60_000))
+	if got["n1"] < 950 || got["f1"] > 0 {
+		t.Errorf("got %v", got)
+	}
+}
+
+// Load pattern: the near target's queue is longer than the objective. Small requests go to the next failure domain.
+func TestOverloadSpills(t *testing.T) {
+	s, b := state("n1", "n2", "f1"), newBalancer()
+	ended(b, epoch, byID(s, "n1"), End{Result: Good, Ran: 100 * time.Millisecond, Load: &intake.Load{
+		Running: 18, Slots: 18, Waiting: 60, Wait: 500 * time.Millisecond, Interval: 8 * time.Millisecond,
+	}})
+	if got := shares(t, b, attempt(s, 300)); got["n2"] < 900 {
+		t.Errorf("got %v", got)
+	}
+}
+
+// Load pattern: one of two near targets runs five times slower than the other.
+func TestSlowTargetIsAvoidedAndTriedAgain(t *testing.T) {
+	s, b := state("n1", "n2"), newBalancer()
+	for i := range 30 {
+		at := epoch.Add(time.Duration(i) * 10 * time.Millisecond)
+		ended(b, at, byID(s, "n1"), End{Result: Good, Ran: 800 * time.Millisecond})
+		ended(b, at, byID(s, "n2"), End{Result: Good, Ran: 160 * time.Millisecond})
+	}
+	a := attempt(s, 300)
+	a.Now = epoch.Add(300 * time.Millisecond)
+	if got := shares(t, b, a); got["n1"] > 50 {
+		t.Errorf("at once got %v", got)
+	}
+	a.Now = epoch.Add(time.Minute)
+	if got := shares(t, b, a); got["n1"] < 500 {
+		t.Errorf("after a minute got %v", got)
+	}
+}
+
+// Load pattern: a target whose health is good fails near half of its requests.
+func TestFaultyTargetIsAvoided(t *testing.T) {
+	s, b := state("n1", "n2"), newBalancer()
+	for i := range 20 {
+		result := Faulty
+		if i%2 == 0 {
+			result = Good
+		}
+		ended(b, epoch, byID(s, "n1"), End{Result: result})
+	}
+	if got := shares(t, b, attempt(s, 300)); got["n1"] > 100 {
+		t.Errorf("got %v", got)
+	}
+}
+
+func TestHomesAndServiceBindEvenWithoutAlternative(t *testing.T) {
+	s, b := state("n1", "f1"), newBalancer()
+	a := attempt(s, 300)
+	a.Route.HomeRegions = []string{"far"}
+	if got := shares(t, b, a); got["f1"] != 1000 {
+		t.Errorf("got %v", got)
+	}
+	a.Tried = []string{"f1"}
+	if c, ok := b.Pick(a); ok {
+		t.Errorf("picked %s outside the home region", c.Target.ID)
+	}
+}
+
+func TestUnreachableTargetIsLeftAloneForItsBackoff(t *testing.T) {
+	s, b := state("n1", "n2"), newBalancer()
+	ended(b, epoch, byID(s, "n1"), End{Result: Unreachable})
+	if got := shares(t, b, attempt(s, 300)); got["n1"] > 0 {
+		t.Errorf("got %v", got)
+	}
+	a := attempt(s, 300)
+	a.Now = epoch.Add(maxBackoff)
+	if got := shares(t, b, a); got["n1"] < 500 {
+		t.Errorf("after the backoff got %v", got)
+	}
+	a.Now, a.Tried = epoch, []string{"n2"}
+	if c, ok := b.Pick(a); !ok || c.Target.ID != "n1" {
+		t.Error("the only target left is not tried within its backoff")
+	}
+}
+
+func TestNewLifeIsNotBlamedForTheOld(t *testing.T) {
+	s, b := state("n1", "n2"), newBalancer()
+	old := byID(s, "n1")
+	for range 10 {
+		ended(b, epoch, old, End{Result: Faulty})
+	}
+	next := *old
+	next.Born = 5
+	if known := b.target(epoch, &next); known.faults != 0 {
+		t.Errorf("faults %v", known.faults)
+	}
+}
+
+func ExampleBalancer() {
+	s := state("n1", "f1")
+	b := newBalancer()
+	choice, _ := b.Pick(attempt(s, 300))
+	fmt.Println(choice.Target.ID, choice.Place == SameDomain)
+	// Output: n1 true
+}
--- a/proxy/frontend.go
+++ b/proxy/frontend.go
@@ -197,7 +197,10 @@
 // forward tries targets until one answers or no further attempt is allowed.
 func (f *Frontend) forward(ctx context.Context, req *request) *outcome {
 	ctx, cancel := context.WithTimeout(ctx, left(req.end)+answerSlack)
-	defer cancel()
+	return f.tryTargets(ctx, req).then(cancel)
+}
+
+func (f *Frontend) tryTargets(ctx context.Context, req *request) *outcome {
 	last := refused(notRun, reasonNoTarget)
 	for {
 		choice, ok := f.pick(req)
--- a/proxy/gatekeeper.go
+++ b/proxy/gatekeeper.go
@@ -291,7 +291,7 @@
 	ctx, cancel := context.WithTimeout(ctx, left(c.end)+endSlack)
 	resp, err := k.pool.Do(k.request(ctx, c))
 	if err != nil {
-		cancel()
+		defer cancel()
 		return k.failed(ctx, err)
 	}
 	o := &outcome{run: ran, arrived: true, status: resp.StatusCode, header: resp.Header}
@@ -301,14 +301,10 @@
 		return o
 	}
 	if err := readWhole(resp, o); err != nil {
-		cancel()
+		defer cancel()
 		return k.failed(ctx, err)
 	}
-	if o.stream != nil {
-		o.stream = &closing{ReadCloser: o.stream, then: cancel}
-	} else {
-		cancel()
-	}
+	o.then(cancel)
 	if resp.Header.Get(k.cfg.Names.Signature) == "" {
 		if o.stream != nil {
 			o.stream.Close()
--- /dev/null
+++ b/proxy/proxy_test.go
@@ -0,0 +1,504 @@
+package proxy
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/chervilwell/chervilwell/budget"
+	"github.com/chervilwell/chervilwell/mesh"
+)
+
+var names = Names{
+	RequestID: "X-Id", Deadline: "X-Deadline", Signature: "X-Signature", ExpectTarget: "X-Expect", NotRun: "X-Not-Run",
+	CallerService: "X-Caller", TargetID: "X-Target", ColdFor: "X-Cold",
+}
+
+// seen is what a stand-in target was asked.
+type seen struct {
+	method, uri, id, caller, expect string
+	deadline                        int
+	body                            []byte
+	hop                             string
+}
+
+// behaviour is what a stand-in target does with a request; nil answers it well.
+type behaviour func(conn net.Conn, r *http.Request, s seen) (keep bool)
+
+// standin is a target on a loopback address of its own.
+type standin struct {
+	addr netip.AddrPort
+	mu   sync.Mutex
+	seen []seen
+	left int
+	does behaviour
+	cold string
+}
+
+func (s *standin) set(b behaviour) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.does = b
+}
+
+func (s *standin) runs() []seen {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return append([]seen(nil), s.seen...)
+}
+
+func startStandin(t *testing.T, ip string) *standin {
+	t.Helper()
+	l, err := net.Listen("tcp4", ip+":0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	s := &standin{addr: netip.MustParseAddrPort(l.Addr().String()), cold: "0"}
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go s.serve(conn)
+		}
+	}()
+	return s
+}
+
+func (s *standin) serve(conn net.Conn) {
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	for {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if r.URL.Path == "/health" {
+			s.mu.Lock()
+			cold := s.cold
+			s.mu.Unlock()
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Target: t\r\nX-Cold: %s\r\nContent-Length: 0\r\n\r\n", cold)
+			continue
+		}
+		got := seen{method: r.Method, uri: r.RequestURI, id: r.Header.Get("X-Id"), caller: r.Header.Get("X-Caller"), expect: r.Header.Get("X-Expect"), hop: r.Header.Get(hopHeader)}
+		got.deadline, _ = strconv.Atoi(r.Header.Get("X-Deadline"))
+		s.mu.Lock()
+		does := s.does
+		s.mu.Unlock()
+		if does == nil || !strings.HasPrefix(r.URL.Path, "/early/") {
+			got.body, _ = io.ReadAll(r.Body)
+		}
+		s.mu.Lock()
+		s.seen = append(s.seen, got)
+		s.mu.Unlock()
+		if does == nil {
+			does = good
+		}
+		if !does(conn, r, got) {
+			return
+		}
+	}
+}
+
+func answer(conn net.Conn, s seen, status int, extra, body string) {
+	fmt.Fprintf(conn, "HTTP/1.1 %d X\r\nX-Id: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, s.id, extra, len(body), body)
+}
+
+const signed = "X-Signature: sig\r\n"
+
+func good(conn net.Conn, _ *http.Request, s seen) bool {
+	answer(conn, s, 200, signed, "hello "+s.id)
+	return true
+}
+
+func sheds(conn net.Conn, _ *http.Request, s seen) bool {
+	answer(conn, s, 503, "X-Not-Run: 1\r\n", "")
+	return true
+}
+
+func breaksOff(conn net.Conn, _ *http.Request, s seen) bool {
+	fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\n%sContent-Length: 100\r\n\r\npart", s.id, signed)
+	return false
+}
+
+// node is one process of the test's mesh.
+type node struct {
+	frontend   *Frontend
+	gatekeeper *Gatekeeper
+	target     *standin
+	callers    *httptest.Server
+}
+
+// cluster is two processes with a target each on loopback addresses of their own.
+type cluster struct {
+	nodes []*node
+	book  *mesh.Book
+}
+
+const testService = "s"
+
+func startCluster(t *testing.T, kind mesh.Kind) *cluster {
+	t.Helper()
+	c := &cluster{book: mesh.NewBook()}
+	var port uint16
+	for i := range 2 {
+		ip := fmt.Sprintf("127.0.0.%d", i+1)
+		l, err := net.Listen("tcp4", fmt.Sprintf("%s:%d", ip, port))
+		if err != nil {
+			t.Fatal(err)
+		}
+		port = uint16(l.Addr().(*net.TCPAddr).Port)
+		n := &node{target: startStandin(t, ip)}
+		holder := &mesh.Holder{}
+		n.gatekeeper = NewGatekeeper(GatekeeperConfig{
+			Addr: n.target.addr, Service: testService, Holder: holder, Names: names, Log: zerolog.Nop(), Metrics: NewMetrics(nil),
+		})
+		n.frontend = NewFrontend(FrontendConfig{
+			Service: "caller" + strconv.Itoa(i), FailureDomain: "d" + strconv.Itoa(i), Region: "r", Holder: holder, Gatekeeper: n.gatekeeper,
+			Peers: NewPeers(port), Names: names, Log: zerolog.Nop(), Metrics: NewMetrics(nil), Rand: rand.New(rand.NewPCG(1, uint64(i))),
+			Repeats: budget.Terms{Ratio: 1, Slack: 100, Window: 10 * time.Second},
+		})
+		server := &http.Server{Handler: ServePeers(n.gatekeeper)}
+		go func() { _ = server.Serve(l) }()
+		n.callers = httptest.NewServer(n.frontend)
+		t.Cleanup(func() { n.callers.Close(); server.Close() })
+		c.nodes = append(c.nodes, n)
+		c.book.Apply(time.Now(), []mesh.Fact{{Key: ip, Revision: uint64(i + 1), Target: &mesh.Target{
+			ID: "t" + strconv.Itoa(i), Service: testService, Addr: n.target.addr, FailureDomain: "d" + strconv.Itoa(i), Region: "r", Slots: 18, Born: 1,
+		}}}, uint64(i+1))
+	}
+	config, err := mesh.NewConfig(1, []*mesh.Route{{
+		Name: "route", Host: "h.example", Prefix: "/", Kind: kind, Timeout: time.Second, Objective: 500 * time.Millisecond,
+		MaxTargets: 2, Priority: 1, Parts: []mesh.Part{{Service: testService, Weight: 1}},
+	}}, []*mesh.Service{{Name: testService, HealthPath: "/health", ColdRate: 1000}}, mesh.Limits{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.book.Apply(time.Now(), []mesh.Fact{{Key: "config", Revision: 9, Config: config}}, 9)
+	c.publish()
+	return c
+}
+
+func (c *cluster) publish() {
+	for _, n := range c.nodes {
+		n.gatekeeper.cfg.Holder.Store(c.book.State())
+		n.gatekeeper.Update()
+	}
+}
+
+// ask sends a request to the first process.
+func (c *cluster) ask(t *testing.T, method, path, body string) (*http.Response, string) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), method, c.nodes[0].callers.URL+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h.example"
+	req.Header.Set("X-Id", "id-"+path)
+	req.Header.Set("X-Deadline", "900")
+	req.Header.Set("X-Caller", "forged")
+	req.Header.Set("X-Expect", "forged")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return resp, "broken: " + err.Error()
+	}
+	return resp, string(data)
+}
+
+func TestRequestReachesTheTargetUnchanged(t *testing.T) {
+	for i, name := range []string{"own target", "peer's target"} {
+		t.Run(name, func(t *testing.T) {
+			c := startCluster(t, mesh.Once)
+			c.leave(1 - i)
+			resp, body := c.ask(t, http.MethodPost, "/a%2Fb//c/../d?x=%20&y", "payload")
+			if resp.StatusCode != 200 || body != "hello id-/a%2Fb//c/../d?x=%20&y" || resp.Header.Get("X-Signature") != "sig" {
+				t.Fatalf("got %d %q %v", resp.StatusCode, body, resp.Header)
+			}
+			if resp.Header.Get(hopAnswerHeader) != "" {
+				t.Error("the caller sees a header between processes")
+			}
+			runs := c.nodes[i].target.runs()
+			if len(runs) != 1 {
+				t.Fatalf("%d runs", len(runs))
+			}
+			got := runs[0]
+			if got.method != "POST" || got.uri != "/a%2Fb//c/../d?x=%20&y" || string(got.body) != "payload" || got.caller != "caller0" ||
+				got.expect != "t"+strconv.Itoa(i) || got.hop != "" {
+				t.Errorf("target saw %+v", got)
+			}
+			if got.deadline > 900 || got.deadline < 500 {
+				t.Errorf("target was given %d ms of 900", got.deadline)
+			}
+		})
+	}
+}
+
+// leave marks a target as leaving.
+func (c *cluster) leave(i int) {
+	old := *c.book.State().At(c.nodes[i].target.addr)
+	old.Leaving = true
+	revision := c.book.Revision() + 1
+	c.book.Apply(time.Now(), []mesh.Fact{{Key: fmt.Sprintf("127.0.0.%d", i+1), Revision: revision, Target: &old}}, revision)
+	c.publish()
+}
+
+func TestAnswersThatAreNotTheTargetsOwn(t *testing.T) {
+	for _, test := range []struct {
+		name       string
+		kind       mesh.Kind
+		first      behaviour
+		wantStatus int
+		wantRuns   int
+	}{
+		{"broken off, repeatable", mesh.Safe, breaksOff, 200, 2},
+		{"broken off, once", mesh.Once, breaksOff, 502, 1},
+		{"unsigned, once", mesh.Once, func(c net.Conn, _ *http.Request, s seen) bool { answer(c, s, 200, "", "x"); return true }, 502, 1},
+		{"another's answer, once", mesh.Once, func(c net.Conn, _ *http.Request, s seen) bool {
+			s.id = "other"
+			answer(c, s, 200, signed, "x")
+			return false
+		}, 502, 1},
+		{"no answer, once", mesh.Once, func(net.Conn, *http.Request, seen) bool { return false }, 502, 1},
+		{"shed, once", mesh.Once, sheds, 200, 2},
+		{"wrong target, once", mesh.Once, func(c net.Conn, _ *http.Request, s seen) bool { answer(c, s, 421, "", ""); return true }, 200, 2},
+		{"own failure, once", mesh.Once, func(c net.Conn, _ *http.Request, s seen) bool { answer(c, s, 500, signed, "bad"); return true }, 500, 1},
+		{"own failure, repeatable", mesh.Safe, func(c net.Conn, _ *http.Request, s seen) bool { answer(c, s, 500, signed, "bad"); return true }, 200, 2},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			c := startCluster(t, test.kind)
+			c.nodes[0].target.set(test.first)
+			resp, body := c.ask(t, http.MethodGet, "/x/", "")
+			if resp.StatusCode != test.wantStatus {
+				t.Errorf("status %d, want %d", resp.StatusCode, test.wantStatus)
+			}
+			if resp.StatusCode == 200 && body != "hello id-/x/" || resp.StatusCode == 502 && resp.Header.Get("X-Signature") != "" {
+				t.Errorf("got %q %v", body, resp.Header)
+			}
+			if runs := len(c.nodes[0].target.runs()) + len(c.nodes[1].target.runs()); runs != test.wantRuns {
+				t.Errorf("%d targets saw the request, want %d", runs, test.wantRuns)
+			}
+		})
+	}
+}
+
+func TestSecondAnswerBelongsToNoRequest(t *testing.T) {
+	c := startCluster(t, mesh.Once)
+	c.leave(1)
+	c.nodes[0].target.set(func(conn net.Conn, _ *http.Request, s seen) bool {
+		good(conn, nil, s)
+		good(conn, nil, s)
+		return true
+	})
+	for i := range 5 {
+		path := fmt.Sprintf("/%d/", i)
+		if resp, body := c.ask(t, http.MethodGet, path, ""); resp.StatusCode != 200 || body != "hello id-"+path {
+			t.Fatalf("got %d %q", resp.StatusCode, body)
+		}
+	}
+}
+
+func TestAnswerWithoutLengthThatBreaksIsNotPassedOn(t *testing.T) {
+	c := startCluster(t, mesh.Once)
+	c.leave(1)
+	c.nodes[0].target.set(func(conn net.Conn, _ *http.Request, s seen) bool {
+		fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Id: %s\r\n%sConnection: close\r\n\r\npart", s.id, signed)
+		time.Sleep(20 * time.Millisecond)
+		_ = conn.(*net.TCPConn).SetLinger(0)
+		return false
+	})
+	if resp, body := c.ask(t, http.MethodGet, "/x/", ""); resp.StatusCode != 502 {
+		t.Errorf("got %d %q", resp.StatusCode, body)
+	}
+}
+
+func TestEarlyAnswerToALongBody(t *testing.T) {
+	c := startCluster(t, mesh.Upload)
+	c.leave(1)
+	c.nodes[0].target.set(func(conn net.Conn, r *http.Request, s seen) bool {
+		answer(conn, s, 413, signed, "too long")
+		_, _ = io.Copy(io.Discard, r.Body)
+		return true
+	})
+	resp, body := c.ask(t, http.MethodPost, "/early/", strings.Repeat("x", 3<<20))
+	if resp.StatusCode != 413 || body != "too long" {
+		t.Fatalf("got %d %q", resp.StatusCode, body)
+	}
+	c.nodes[0].target.set(nil)
+	if resp, body := c.ask(t, http.MethodPost, "/next/", "y"); resp.StatusCode != 200 || body != "hello id-/next/" {
+		t.Errorf("after it got %d %q", resp.StatusCode, body)
+	}
+}
+
+func TestRefusalsBeforeAnyTarget(t *testing.T) {
+	c := startCluster(t, mesh.Once)
+	c.leave(0)
+	c.leave(1)
+	resp, _ := c.ask(t, http.MethodPost, "/x/", "")
+	if back, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); resp.StatusCode != 503 || err != nil || back <= 0 || back > 0.9/3 {
+		t.Errorf("without a target got %d, Retry-After %q", resp.StatusCode, resp.Header.Get("Retry-After"))
+	}
+	req := httptest.NewRequest(http.MethodGet, "/x/", nil)
+	req.Host = "other.example"
+	w := httptest.NewRecorder()
+	c.nodes[0].frontend.ServeHTTP(w, req)
+	if w.Code != 404 {
+		t.Errorf("without a route got %d", w.Code)
+	}
+	c.nodes[0].gatekeeper.cfg.Holder.Store(&mesh.State{})
+	if resp, _ := c.ask(t, http.MethodGet, "/x/", ""); resp.StatusCode != 503 || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("without a configuration got %d", resp.StatusCode)
+	}
+	if n := len(c.nodes[0].target.runs()) + len(c.nodes[1].target.runs()); n != 0 {
+		t.Errorf("%d requests reached a target", n)
+	}
+}
+
+func TestDeadPeerIsNotRunAndAnotherServes(t *testing.T) {
+	c := startCluster(t, mesh.Once)
+	c.leave(0)
+	third := *c.book.State().At(c.nodes[1].target.addr)
+	third.ID, third.Addr = "gone", netip.MustParseAddrPort("127.0.0.9:1")
+	c.book.Apply(time.Now(), []mesh.Fact{{Key: "gone", Revision: 50, Target: &third}}, 50)
+	c.publish()
+	for i := range 10 {
+		if resp, _ := c.ask(t, http.MethodPost, fmt.Sprintf("/%d/", i), "x"); resp.StatusCode != 200 {
+			t.Errorf("got %d", resp.StatusCode)
+		}
+	}
+}
+
+func TestTimeoutOfTheRoute(t *testing.T) {
+	c := startCluster(t, mesh.Once)
+	c.leave(1)
+	stop := make(chan struct{})
+	defer close(stop)
+	c.nodes[0].target.set(func(net.Conn, *http.Request, seen) bool { <-stop; return false })
+	began := time.Now()
+	resp, _ := c.ask(t, http.MethodGet, "/x/", "")
+	if took := time.Since(began); resp.StatusCode != 504 || took > 1200*time.Millisecond {
+		t.Errorf("got %d after %v", resp.StatusCode, took)
+	}
+}
+
+// Once found: a silent attempt was broken off where no second one was allowed.
+func TestSilentTargetIsHedgedNotCut(t *testing.T) {
+	c := startCluster(t, mesh.Safe)
+	c.nodes[0].target.set(func(conn net.Conn, _ *http.Request, s seen) bool {
+		time.Sleep(700 * time.Millisecond)
+		return good(conn, nil, s)
+	})
+	began := time.Now()
+	if resp, body := c.ask(t, http.MethodGet, "/x/", ""); resp.StatusCode != 200 || body != "hello id-/x/" {
+		t.Fatalf("got %d %q", resp.StatusCode, body)
+	}
+	if took := time.Since(began); took > 650*time.Millisecond {
+		t.Errorf("the second target's answer took %v", took)
+	}
+	c.leave(1)
+	if resp, _ := c.ask(t, http.MethodGet, "/y/", ""); resp.StatusCode != 200 {
+		t.Errorf("without a second target got %d", resp.StatusCode)
+	}
+}
+
+func TestCallerThatLeavesEndsARepeatableRequest(t *testing.T) {
+	c := startCluster(t, mesh.Safe)
+	c.leave(0)
+	ended := make(chan struct{})
+	c.nodes[1].target.set(func(conn net.Conn, _ *http.Request, _ seen) bool {
+		_, _ = conn.Read(make([]byte, 1))
+		close(ended)
+		return false
+	})
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	req, _ := http.NewRequestWithContext(ctx, http.MethodGet, c.nodes[0].callers.URL+"/x/", nil)
+	req.Host = "h.example"
+	req.Header.Set("X-Id", "1")
+	if resp, err := http.DefaultClient.Do(req); err == nil {
+		resp.Body.Close()
+		t.Fatal("answered")
+	}
+	select {
+	case <-ended:
+	case <-time.After(400 * time.Millisecond):
+		t.Error("the target is still at work 0.4 s after its caller left")
+	}
+}
+
+func TestSplitFollowsTheWeights(t *testing.T) {
+	s := &split{credit: map[string]float64{}}
+	got := map[string]int{}
+	for range 100 {
+		got[s.next([]mesh.Part{{Service: "a", Weight: 70}, {Service: "b", Weight: 30}, {Service: "c", Weight: 0}})]++
+	}
+	if got["a"] != 70 || got["b"] != 30 || got["c"] != 0 {
+		t.Errorf("got %v", got)
+	}
+}
+
+func TestReturningCallerHasWaitedAlready(t *testing.T) {
+	p := patiences{}
+	p.spent("r", time.Second)
+	if got := p.spent("r", 600*time.Millisecond); got < 390*time.Millisecond || got > 400*time.Millisecond {
+		t.Errorf("got %v", got)
+	}
+	if got := p.spent("r", 990*time.Millisecond); got != 0 {
+		t.Errorf("a fresh caller has waited %v", got)
+	}
+}
+
+func TestHopFormsAreReadBack(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	in := &call{targetID: "t", born: 7, route: "r", caller: "c", priority: 2, repeatable: true, useful: now.Add(-time.Second), end: now.Add(time.Second)}
+	var out call
+	if err := parseCall(formatCall(in, now), now, &out); err != nil {
+		t.Fatal(err)
+	}
+	if out.targetID != "t" || out.born != 7 || out.route != "r" || out.caller != "c" || out.priority != 2 || !out.repeatable ||
+		!out.useful.Equal(in.useful) || !out.end.Equal(in.end) {
+		t.Errorf("got %+v", out)
+	}
+	for _, bad := range []string{"", "a b", "t x r c 1 true 5 5", "t 1 r c 1 true 5 five"} {
+		if err := parseCall(bad, now, &call{}); err == nil {
+			t.Errorf("%q was read", bad)
+		}
+	}
+	var o outcome
+	if err := parseOutcome("9 busy false false 0 0 0", &o); err == nil {
+		t.Error("an unknown outcome was read")
+	}
+}
+
+func TestAnswerPastTheBufferIsStreamed(t *testing.T) {
+	c := startCluster(t, mesh.Safe)
+	c.leave(0)
+	long := bytes.Repeat([]byte("0123456789"), maxWhole/4)
+	c.nodes[1].target.set(func(conn net.Conn, _ *http.Request, s seen) bool {
+		answer(conn, s, 200, signed, string(long))
+		return true
+	})
+	if resp, body := c.ask(t, http.MethodGet, "/x/", ""); resp.StatusCode != 200 || body != string(long) {
+		t.Errorf("got %d and %d bytes of %d", resp.StatusCode, len(body), len(long))
+	}
+}
