Judge each life of a process apart: the known reversion was a replaced process

Ruled out: a fall within a life. Change: the check judges each life; a new check, Joined, wants a replaced process to begin no lower than its neighbours, which it always reaches.

--- a/internal/history/config_test.go
+++ b/internal/history/config_test.go
@@ -137,12 +137,21 @@
 	}
 }
 
+// joinTime is the time in which a starting process asks its peers, with a lost message's repetition.
+const joinTime = time.Second
+
+// neighbours reports whether two instances share a failure domain.
+func (f *fleet) neighbours(a, b string) bool {
+	return a != b && f.network.domain[a+":1"] == f.network.domain[b+":1"]
+}
+
 // check runs every checker of configuration.
 func (f *fleet) check(calm time.Time) map[string]error {
 	sights, publications := f.configs.Sights(), f.configs.Publications()
 	before := func(_ string, at time.Time) bool { return at.Before(calm) }
 	return map[string]error{
 		"never back":    Monotonic(sights),
+		"joined":        Joined(sights, joinTime, f.neighbours),
 		"no dangling":   Closed(sights),
 		"never in part": Whole(sights, publications),
 		"in force":      InForce(sights, publications, inForceLimit, before),
@@ -252,3 +261,38 @@
 		})
 	}
 }
+
+// at is a configuration of which only the revision counts.
+type at uint64
+
+func (a at) Version() document.Version                 { return document.Version{Revision: uint64(a)} }
+func (at) Routes() []*snapshot.Route                   { return nil }
+func (at) Service(string) *catalogue.Service           { return nil }
+func (at) Organisation(string) *catalogue.Organisation { return nil }
+func (at) Regions() []string                           { return nil }
+
+func TestLivesAreJudgedApart(t *testing.T) {
+	start := time.Unix(0, 0)
+	sight := func(instance string, life int, after time.Duration, revision at) Sight {
+		return Sight{Instance: instance, Life: life, At: start.Add(after), Config: revision}
+	}
+	together := func(a, b string) bool { return a != b }
+	apart := func(string, string) bool { return false }
+	history := []Sight{sight("a", 1, 0, 7), sight("b", 1, 0, 6), sight("b", 1, 3*time.Second, 6), sight("a", 2, 3*time.Second, 6)}
+	if err := Monotonic(history); err != nil {
+		t.Errorf("a replaced process that found no more than 6: %v", err)
+	}
+	if err := Joined(history, joinTime, together); err != nil {
+		t.Errorf("a replaced process that took what its neighbour had: %v", err)
+	}
+	if Monotonic(append(history, sight("a", 2, 4*time.Second, 5))) == nil {
+		t.Error("a process that went back in its life was not caught")
+	}
+	short := []Sight{sight("b", 1, 0, 6), sight("b", 1, 3*time.Second, 6), sight("a", 2, 3*time.Second, 5)}
+	if Joined(short, joinTime, together) == nil {
+		t.Error("a process that began below its neighbour was not caught")
+	}
+	if err := Joined(short, joinTime, apart); err != nil {
+		t.Errorf("a process without a neighbour: %v", err)
+	}
+}
