--- a/balance/balance.go
+++ b/balance/balance.go
@@ -152,8 +152,9 @@
 type Choice struct {
 	Target *mesh.Target
 	Place  Place
-	// Wait is the expected time until the request starts there.
-	Wait time.Duration
+	// Wait is the expected time until the request starts there, Age the age of the report that it follows from; an Age of 0 and
+	// a Wait of 0 mean that there was none.
+	Wait, Age time.Duration
 }
 
 // Pick returns the target that should answer first, or false if no usable one is left untried.
@@ -168,6 +169,9 @@
 		known := b.target(a.Now, t)
 		place := b.place(t)
 		choice := Choice{Target: t, Place: place, Wait: known.wait(a.Now)}
+		if !known.at.IsZero() {
+			choice.Age = a.Now.Sub(known.at)
+		}
 		if a.Now.Before(known.until) {
 			if spare.Target == nil || known.until.Before(spareUntil) {
 				spare, spareUntil = choice, known.until
--- a/cmd/chervilwelld/serve.go
+++ b/cmd/chervilwelld/serve.go
@@ -4,6 +4,7 @@
 	"context"
 	"flag"
 	"fmt"
+	"math"
 	"os"
 	"os/signal"
 	"runtime"
@@ -13,6 +14,7 @@
 	"github.com/google/subcommands"
 	"github.com/rs/zerolog"
 
+	"github.com/chervilwell/chervilwell/internal/events"
 	"github.com/chervilwell/chervilwell/internal/logging"
 	"github.com/chervilwell/chervilwell/internal/node"
 	"github.com/chervilwell/chervilwell/platform"
@@ -28,32 +30,41 @@
 )
 
 // serveCommand runs the daemon with the settings of the platform that it is deployed on.
-type serveCommand struct{ level string }
+type serveCommand struct {
+	level   string
+	every   uint64
+	metrics uint
+}
 
 func (*serveCommand) Name() string     { return "serve" }
 func (*serveCommand) Synopsis() string { return "run the daemon with the platform's settings" }
 
 func (*serveCommand) Usage() string {
-	return "serve [-log LEVEL]\n  The path of the settings stands in the variable " + platform.SettingsVariable + ".\n"
+	return "serve [-log LEVEL] [-log-every N] [-metrics PORT]\n  The path of the settings stands in the variable " + platform.SettingsVariable + ".\n"
 }
 
 func (c *serveCommand) SetFlags(f *flag.FlagSet) {
 	f.StringVar(&c.level, "log", "info", "least level of the events logged: debug, info, warn or error")
+	f.Uint64Var(&c.every, "log-every", 100, "log one of each N requests that went well; 0 logs none")
+	f.UintVar(&c.metrics, "metrics", 0, "port of the metrics on the machine's address; 0 serves none")
 }
 
 func (c *serveCommand) Execute(_ context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	if f.NArg() > 0 {
-		fmt.Fprintln(os.Stderr, "chervilwelld serve takes no arguments")
+	if f.NArg() > 0 || c.metrics > math.MaxUint16 {
+		fmt.Fprintln(os.Stderr, "chervilwelld serve takes no arguments, and -metrics a port below 65536")
 		return exitUsage
 	}
 	s, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable))
 	if err != nil {
 		return refuse(err)
 	}
-	log, err := logging.New(os.Stdout, c.level, s.Instance)
+	lines := logging.NewAsync(os.Stdout)
+	log, err := logging.New(lines, c.level, s.Instance)
 	if err != nil {
 		return refuse(err)
 	}
+	flushed := write(lines)
+	defer flushed()
 	runtime.GOMAXPROCS(1) // the process has a part of one core; further threads would only wake each other
 	if s.MemoryBytes > 0 {
 		debug.SetMemoryLimit(int64(softMemory * float64(s.MemoryBytes)))
@@ -62,14 +73,25 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	go reload(ctx, log)
-	log.Info().Str("service", s.Service).Str("target", s.Target.String()).Str("domain", s.FailureDomain).Msg("started")
-	if err := node.New(s, log).Run(ctx); err != nil {
-		log.Error().Err(err).Msg("stopped with an error")
-		return exitRefused
+	log.Info().Str("service", s.Service).Str("target", s.Target.String()).Str("domain", s.FailureDomain).Msg(events.Started)
+	options := node.Options{LogEvery: c.every, MetricsPort: uint16(c.metrics), Lost: lines.Lost}
+	if err := node.New(s, options, log).Run(ctx); err != nil {
+		return refuse(err)
 	}
 	return exitDone
 }
 
+// write runs the log's writer and returns a function that ends it when all lines are out.
+func write(lines *logging.Async) func() {
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = lines.Serve(ctx) // ends with its context
+	}()
+	return func() { cancel(); <-done }
+}
+
 // reload checks the settings file at each SIGHUP. Addresses and limits take effect at the next start.
 func reload(ctx context.Context, log zerolog.Logger) {
 	hup := make(chan os.Signal, 1)
@@ -81,9 +103,9 @@
 			return
 		}
 		if _, err := platform.LoadSettings(os.Getenv(platform.SettingsVariable)); err != nil {
-			log.Error().Err(err).Msg("changed settings are refused; those in force stay")
+			log.Error().Err(err).Msg(events.SettingsRefused)
 			continue
 		}
-		log.Info().Msg("settings reloaded")
+		log.Info().Msg(events.Reloaded)
 	}
 }
--- a/follow/exchange.go
+++ b/follow/exchange.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/chervilwell/chervilwell/internal/clock"
+	"github.com/chervilwell/chervilwell/internal/events"
 	"github.com/chervilwell/chervilwell/mesh"
 )
 
@@ -76,13 +77,12 @@
 	f.await(r.Context(), after, min(time.Duration(wait)*time.Millisecond, maxExchangeWait))
 	data, err := json.Marshal(f.tell(after))
 	if err != nil {
-		f.cfg.Log.Error().Err(err).Msg("state can't be told to a peer")
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
 	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
 	if _, err := w.Write(data); err != nil {
-		f.cfg.Log.Debug().Err(err).Msg("peer left before it had the state")
+		f.cfg.Log.Debug().Err(err).Msg(events.PeerCut)
 	}
 }
 
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/chervilwell/chervilwell/internal/clock"
+	"github.com/chervilwell/chervilwell/internal/events"
 	"github.com/chervilwell/chervilwell/mesh"
 	"github.com/chervilwell/chervilwell/rank"
 )
@@ -192,7 +193,11 @@
 	if ctx.Err() != nil {
 		return
 	}
-	f.cfg.Log.Info().Err(err).Str("parent", parent.String()).Msg("parent is silent or knows too little; reading the store")
+	var age time.Duration
+	if known != nil {
+		age = known.age()
+	}
+	f.cfg.Log.Info().Str("parent", parent.String()).Dur("age", age).Err(err).Msg(events.ParentShunned)
 	f.shunned[parent] = clock.Now().Add(shun)
 }
 
@@ -225,6 +230,13 @@
 	f.silentSince = time.Time{}
 }
 
+// Age returns the time since the store's last word, as far as this process knows.
+func (f *Follower) Age() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.age(clock.Now())
+}
+
 // age is the time since the store's last word. The lock is held.
 func (f *Follower) age(now time.Time) time.Duration { return now.Sub(f.heard) }
 
@@ -296,11 +308,36 @@
 	}
 }
 
+// report logs what changed in what the process believes.
 func (f *Follower) report(before, after *mesh.State) {
+	log, revision := &f.cfg.Log, after.Revision
 	if after.Config != nil && (before.Config == nil || before.Config.Version != after.Config.Version) {
-		f.cfg.Log.Info().Uint64("config", after.Config.Version).Int("routes", len(after.Config.Routes)).
-			Uint64("revision", after.Revision).Msg("configuration is in force")
+		log.Info().Uint64("config", after.Config.Version).Int("routes", len(after.Config.Routes)).
+			Uint64("revision", revision).Msg(events.ConfigInForce)
+	}
+	for domain := range after.Out {
+		if !before.Out[domain] {
+			log.Info().Str("domain", domain).Uint64("revision", revision).Msg(events.DomainOut)
+		}
 	}
+	for domain := range before.Out {
+		if !after.Out[domain] {
+			log.Info().Str("domain", domain).Uint64("revision", revision).Msg(events.DomainBack)
+		}
+	}
+	mesh.Compare(before, after, func(old, now *mesh.Target) {
+		switch {
+		case now == nil:
+			log.Info().Str("target", old.ID).Str("service", old.Service).Stringer("addr", old.Addr).Str("domain", old.FailureDomain).
+				Uint64("revision", revision).Msg(events.TargetGone)
+		case now.Leaving:
+			log.Info().Str("target", now.ID).Str("service", now.Service).Stringer("addr", now.Addr).Str("domain", now.FailureDomain).
+				Uint64("revision", revision).Msg(events.TargetLeaving)
+		default:
+			log.Info().Str("target", now.ID).Str("service", now.Service).Stringer("addr", now.Addr).Str("domain", now.FailureDomain).
+				Uint64("revision", revision).Msg(events.TargetListed)
+		}
+	})
 }
 
 // found notes that the store answered.
@@ -313,7 +350,7 @@
 		return
 	}
 	silent := now.Sub(f.silentSince)
-	f.cfg.Log.Info().Dur("silent", silent).Msg("store answers")
+	f.cfg.Log.Info().Dur("silent", silent).Msg(events.StoreAnswers)
 	if f.book.Revision() > 0 && silent >= lapseAfter {
 		f.book.Returned(now)
 	}
@@ -326,7 +363,7 @@
 	defer f.mu.Unlock()
 	if f.silentSince.IsZero() {
 		f.silentSince = clock.Now()
-		f.cfg.Log.Warn().Err(err).Uint64("revision", f.book.Revision()).Msg("store does not answer")
+		f.cfg.Log.Warn().Uint64("revision", f.book.Revision()).Err(err).Msg(events.StoreSilent)
 	}
 }
 
@@ -344,11 +381,16 @@
 		if len(others) == 0 {
 			continue
 		}
-		known, err := f.ask(ctx, f.oneOf(others), 0)
-		if err == nil && known.Revision > before {
-			err = f.learn(known)
-			f.cfg.Log.Info().Err(err).Uint64("revision", known.Revision).Msg("took what a peer knows")
+		peer := f.oneOf(others)
+		known, err := f.ask(ctx, peer, 0)
+		if err != nil || known.Revision <= before {
+			continue // another one is asked next
+		}
+		if err = f.learn(known); err != nil {
+			f.cfg.Log.Warn().Stringer("from", peer).Err(err).Msg(events.PeerMalformed)
+			continue
 		}
+		f.cfg.Log.Info().Stringer("peer", peer).Uint64("revision", known.Revision).Dur("age", known.age()).Msg(events.LearntFromPeer)
 	}
 }
 
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -221,11 +221,13 @@
 	Wait, Interval time.Duration
 	// Mean is the mean running time of all routes.
 	Mean time.Duration
+	// Cold reports whether starts are bounded.
+	Cold bool
 }
 
 // Load returns the present load.
 func (g *Gate) Load(now time.Time) Load {
-	l := Load{Running: g.running, Waiting: len(g.queue), Slots: g.slots, Interval: g.interval(), Mean: g.typical()}
+	l := Load{Running: g.running, Waiting: len(g.queue), Slots: g.slots, Interval: g.interval(), Mean: g.typical(), Cold: g.cold}
 	l.Wait = g.waitBehind(now, len(g.queue))
 	return l
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,12 +12,15 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/rs/zerolog"
 	"github.com/thejerf/suture/v4"
 
 	"github.com/chervilwell/chervilwell/budget"
 	"github.com/chervilwell/chervilwell/follow"
 	"github.com/chervilwell/chervilwell/internal/clock"
+	"github.com/chervilwell/chervilwell/internal/events"
 	"github.com/chervilwell/chervilwell/mesh"
 	"github.com/chervilwell/chervilwell/platform"
 	"github.com/chervilwell/chervilwell/proxy"
@@ -46,6 +49,8 @@
 // Node is one process.
 type Node struct {
 	settings   *platform.Settings
+	options    Options
+	registry   *prometheus.Registry
 	log        zerolog.Logger
 	holder     *mesh.Holder
 	follower   *follow.Follower
@@ -55,28 +60,52 @@
 	servers    []*http.Server
 }
 
+// Options are the daemon's own settings beside the platform's.
+type Options struct {
+	// LogEvery is the number of good requests of which one is logged; 0 logs none.
+	LogEvery uint64
+	// MetricsPort serves the metrics on the machine's address; 0 serves none.
+	MetricsPort uint16
+	// Lost returns the number of log lines lost for want of room.
+	Lost func() uint64
+}
+
 // New builds a process that does not run yet.
-func New(s *platform.Settings, log zerolog.Logger) *Node {
-	n := &Node{settings: s, log: log, holder: &mesh.Holder{}}
+func New(s *platform.Settings, o Options, log zerolog.Logger) *Node {
+	n := &Node{settings: s, options: o, log: log, holder: &mesh.Holder{}, registry: prometheus.NewRegistry()}
+	lines := events.NewBudget(o.LogEvery)
+	n.countLines(lines)
 	rng := func() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
-	names, metrics := platform.Headers(), proxy.NewMetrics(nil)
+	names, metrics := platform.Headers(), proxy.NewMetrics(n.registry)
 	decoder := platform.Decoder{Regions: s.Regions}
 	n.gatekeeper = proxy.NewGatekeeper(proxy.GatekeeperConfig{
-		Addr: s.Target, Service: s.Service, Holder: n.holder, Names: names, Log: log, Metrics: metrics,
+		Addr: s.Target, Service: s.Service, Holder: n.holder, Names: names, Log: log, Lines: lines, Metrics: metrics,
 	})
 	n.frontend = proxy.NewFrontend(proxy.FrontendConfig{
 		Service: s.Service, FailureDomain: s.FailureDomain, Region: s.Region, Holder: n.holder, Gatekeeper: n.gatekeeper,
-		Peers: proxy.NewPeers(s.Peers.Port()), Names: names, Log: log, Metrics: metrics, Rand: rng(),
+		Peers: proxy.NewPeers(s.Peers.Port()), Names: names, Log: log, Lines: lines, Metrics: metrics, Rand: rng(),
+		Age:     func() time.Duration { return n.follower.Age() },
 		Repeats: budget.Terms{Ratio: repeatShare * s.RepeatRatio, Slack: repeatShare * s.RepeatSlack / assumedFleet, Window: s.RepeatWindow},
 	})
 	n.follower = follow.New(follow.Config{
-		Source: platform.NewStore(s.Store, decoder, func(err error) { log.Warn().Err(err).Msg("entry is not used") }),
+		Source: platform.NewStore(s.Store, decoder, func(err error) { log.Warn().Err(err).Msg(events.EntryUnused) }),
 		Peers:  follow.NewPeerClient(s.Peers.Port()), Decode: decoder.Decode, Self: s.Target.Addr(), Region: s.Region,
 		Holder: n.holder, ApplyWithin: s.ApplyWithin, Changed: func(*mesh.State) { n.gatekeeper.Update() }, Log: log, Rand: rng(),
 	})
 	return n
 }
 
+// countLines serves the number of log lines that were not written.
+func (n *Node) countLines(lines *events.Budget) {
+	count := func(name, help string, value func() uint64) {
+		n.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, func() float64 { return float64(value()) }))
+	}
+	count("chervilwell_log_lines_over_bound_total", "Lines about requests beyond the bound.", lines.Dropped)
+	if n.options.Lost != nil {
+		count("chervilwell_log_lines_lost_total", "Lines lost because the reader was too slow.", n.options.Lost)
+	}
+}
+
 // Run serves until ctx ends, then stops within the platform's grace: callers are sent elsewhere, what runs is finished.
 func (n *Node) Run(ctx context.Context) error {
 	run, end := context.WithCancel(context.Background())
@@ -84,7 +113,7 @@
 	if err := n.listen(); err != nil {
 		return err
 	}
-	tree := suture.New("node", suture.Spec{EventHook: func(e suture.Event) { n.log.Error().Str("event", e.String()).Msg("part failed and is started again") }})
+	tree := suture.New("node", suture.Spec{EventHook: func(e suture.Event) { n.log.Error().Str("detail", e.String()).Msg(events.PartFailed) }})
 	tree.Add(n.follower)
 	done := tree.ServeBackground(run)
 	<-ctx.Done()
@@ -101,14 +130,20 @@
 
 // listen opens the listeners and serves on them.
 func (n *Node) listen() error {
-	for _, l := range []struct {
+	type listener struct {
 		addr    netip.AddrPort
 		handler http.Handler
-	}{
+	}
+	listeners := []listener{
 		{n.settings.Callers, n.frontend},
 		{n.settings.Peers, n.peers()},
 		{n.settings.Ready, http.HandlerFunc(n.ready)},
-	} {
+	}
+	if port := n.options.MetricsPort; port != 0 {
+		addr := netip.AddrPortFrom(n.settings.Target.Addr(), port)
+		listeners = append(listeners, listener{addr, promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{})})
+	}
+	for _, l := range listeners {
 		listener, err := net.Listen("tcp4", l.addr.String())
 		if err != nil {
 			return errors.Wrapf(err, "listener %s; free the port or correct the settings", l.addr)
@@ -119,7 +154,7 @@
 		n.servers = append(n.servers, server)
 		go func() {
 			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
-				n.log.Error().Err(err).Str("listener", l.addr.String()).Msg("listener failed")
+				n.log.Error().Str("listener", l.addr.String()).Err(err).Msg(events.ListenerFailed)
 			}
 		}()
 	}
@@ -154,7 +189,7 @@
 // stop sends callers and peers elsewhere and waits until the work is done or the grace ends.
 func (n *Node) stop() {
 	began := clock.Now()
-	n.log.Info().Int64("active", n.work()).Msg("stopping")
+	n.log.Info().Int64("active", n.work()).Msg(events.Stopping)
 	n.leaving.Store(true)
 	n.frontend.Leave()
 	n.gatekeeper.Leave()
@@ -173,7 +208,7 @@
 			n.frontend.Stop()
 		}
 		if past >= callersLeave && now.Sub(quiet) >= quietFor || past >= n.settings.StopGrace-lastWork {
-			n.log.Info().Dur("took", past).Int64("active", n.work()).Msg("stopped")
+			n.log.Info().Dur("took", past).Int64("active", n.work()).Msg(events.Stopped)
 			return
 		}
 	}
--- a/mesh/state.go
+++ b/mesh/state.go
@@ -90,3 +90,26 @@
 
 // Store puts a state in force.
 func (h *Holder) Store(s *State) { h.state.Store(s) }
+
+// Compare calls f with the entries of each target that came, went, or changed between ready and leaving or from one life to
+// another; an entry is nil where there is none.
+func Compare(before, after *State, f func(old, now *Target)) {
+	known := map[string]*Target{}
+	for _, list := range before.byService {
+		for _, t := range list {
+			known[t.ID] = t
+		}
+	}
+	for _, list := range after.byService {
+		for _, t := range list {
+			old := known[t.ID]
+			delete(known, t.ID)
+			if old == nil || old.Leaving != t.Leaving || !t.SameLife(old) {
+				f(old, t)
+			}
+		}
+	}
+	for _, t := range known {
+		f(t, nil)
+	}
+}
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -96,6 +96,10 @@
 	stream io.ReadCloser
 	length int64
 
+	// target names the target of the attempt; err is why there is no answer, for the log.
+	target string
+	err    error
+
 	load    *intake.Load
 	took    time.Duration
 	back    time.Duration
--- a/proxy/frontend.go
+++ b/proxy/frontend.go
@@ -16,6 +16,7 @@
 	"github.com/chervilwell/chervilwell/balance"
 	"github.com/chervilwell/chervilwell/budget"
 	"github.com/chervilwell/chervilwell/internal/clock"
+	"github.com/chervilwell/chervilwell/internal/events"
 	"github.com/chervilwell/chervilwell/internal/headers"
 	"github.com/chervilwell/chervilwell/mesh"
 )
@@ -33,6 +34,10 @@
 	// Repeats bounds the repeats of all processes together; each keeps to its part.
 	Repeats budget.Terms
 	Log     zerolog.Logger
+	// Lines bounds the lines about requests.
+	Lines *events.Budget
+	// Age returns the time since the store's last word.
+	Age     func() time.Duration
 	Metrics *Metrics
 	Rand    *rand.Rand
 }
@@ -130,14 +135,16 @@
 	path, _, _ := strings.Cut(r.RequestURI, "?")
 	req.route = req.state.Config.Match(r.Host, path)
 	if req.route == nil {
-		f.cfg.Log.Debug().Str("request", r.Header.Get(f.cfg.Names.RequestID)).Uint64("config", req.state.Config.Version).
-			Str("host", r.Host).Str("path", path).Msg("no route takes the request")
+		if f.cfg.Lines.Take() {
+			f.cfg.Log.Info().Str("request", r.Header.Get(f.cfg.Names.RequestID)).Str("host", r.Host).Str("path", path).
+				Uint64("config", req.version()).Dur("age", f.cfg.Age()).Msg(events.NoRoute)
+		}
 		http.Error(w, "no route takes this host and path; check them against the configuration", http.StatusNotFound)
 		return
 	}
 	f.plan(req)
 	if err := f.readBody(w, req); err != nil {
-		f.cfg.Log.Debug().Err(err).Str("request", r.Header.Get(f.cfg.Names.RequestID)).Msg("request's body broke off")
+		f.cfg.Log.Debug().Err(err).Str("request", r.Header.Get(f.cfg.Names.RequestID)).Msg(events.BodyBroken)
 		f.refuse(w, req, refused(notRun, reasonGone))
 		return
 	}
@@ -271,7 +278,9 @@
 	} else {
 		o = f.cfg.Peers.do(ctx, choice.Target, c)
 	}
+	o.target = choice.Target.ID
 	f.learn(ctx, req, choice.Target, o)
+	f.noteAttempt(req, choice, o)
 	return o
 }
 
@@ -367,25 +376,26 @@
 	for name, values := range o.header {
 		h[name] = values
 	}
-	f.note(req, o, o.status)
+	f.note(req, o, o.status, 0)
 	if err := writeBody(w, o); err != nil {
-		f.cfg.Log.Debug().Err(err).Str("request", req.in.Header.Get(f.cfg.Names.RequestID)).Msg("answer was not sent whole")
+		f.cfg.Log.Debug().Err(err).Str("request", req.in.Header.Get(f.cfg.Names.RequestID)).Msg(events.AnswerCut)
 		panic(http.ErrAbortHandler) // breaks the connection, so that the part isn't taken for the whole
 	}
 }
 
 // refuse answers for a request that no target answered.
 func (f *Frontend) refuse(w http.ResponseWriter, req *request, o *outcome) {
-	status := http.StatusServiceUnavailable
+	status, back := http.StatusServiceUnavailable, time.Duration(0)
 	if o.run != notRun {
 		status = http.StatusBadGateway
 		if o.reason == reasonTimeout {
 			status = http.StatusGatewayTimeout
 		}
 	} else {
-		w.Header().Set("Retry-After", strconv.FormatFloat(f.comeBack(req, o).Seconds(), 'f', 3, 64))
+		back = f.comeBack(req, o)
+		w.Header().Set("Retry-After", strconv.FormatFloat(back.Seconds(), 'f', 3, 64))
 	}
-	f.note(req, o, status)
+	f.note(req, o, status, back)
 	h := w.Header()
 	h["Content-Length"] = []string{"0"}
 	h["Content-Type"] = nil
@@ -417,26 +427,4 @@
 	leastReturn   = 10 * time.Millisecond
 )
 
-func (f *Frontend) note(req *request, o *outcome, status int) {
-	kind := "none"
-	if req.route != nil {
-		kind = kindNames[req.route.Kind]
-	}
-	reason := o.reason
-	if reason == "" {
-		reason = reasonNone
-	}
-	took := clock.Now().Sub(req.arrived)
-	f.cfg.Metrics.answered(kind, strconv.Itoa(status), reason, took)
-	if status >= http.StatusInternalServerError {
-		route := ""
-		if req.route != nil {
-			route = req.route.Name
-		}
-		f.cfg.Log.Debug().Str("request", req.in.Header.Get(f.cfg.Names.RequestID)).Str("route", route).Str("service", req.service).
-			Int("status", status).Str("reason", reason).Str("tried", strings.Join(req.tried, ",")).Int("arrivals", req.arrivals).Dur("took", took).
-			Dur("left", left(req.end)).Msg("request failed")
-	}
-}
-
 var kindNames = [...]string{mesh.Safe: "safe", mesh.Once: "once", mesh.Upload: "upload"}
--- a/proxy/gatekeeper.go
+++ b/proxy/gatekeeper.go
@@ -17,6 +17,7 @@
 
 	"github.com/chervilwell/chervilwell/intake"
 	"github.com/chervilwell/chervilwell/internal/clock"
+	"github.com/chervilwell/chervilwell/internal/events"
 	"github.com/chervilwell/chervilwell/internal/httppool"
 	"github.com/chervilwell/chervilwell/mesh"
 )
@@ -46,6 +47,8 @@
 	Holder  *mesh.Holder
 	Names   Names
 	Log     zerolog.Logger
+	// Lines bounds the lines about requests.
+	Lines   *events.Budget
 	Metrics *Metrics
 }
 
@@ -118,7 +121,7 @@
 		return
 	}
 	if !t.SameLife(k.life) {
-		k.cfg.Log.Info().Str("target", t.ID).Int64("born", t.Born).Dur("cold", t.ColdFor).Int("slots", t.Slots).Msg("target has a new life")
+		k.cfg.Log.Info().Str("target", t.ID).Int64("born", t.Born).Dur("cold", t.ColdFor).Int("slots", t.Slots).Msg(events.TargetLife)
 		k.suspect("new life")
 		k.gate.SetSlots(clock.Now(), t.Slots)
 	}
@@ -167,6 +170,7 @@
 	k.mu.Unlock()
 	o.load, o.leaving, o.revision = &load, k.leaving.Load(), state.Revision
 	k.cfg.Metrics.gate(o)
+	k.noteCall(c, o)
 	return o
 }
 
@@ -199,12 +203,11 @@
 	started := clock.Now()
 	o := k.run(ctx, c)
 	took := clock.Now().Sub(started)
-	if o.run == ran && o.status < http.StatusInternalServerError {
-		o.took = took
-		k.done(req, took)
-		return o
+	o.took = took
+	if o.run != ran || o.status >= http.StatusInternalServerError {
+		took = -1 // says nothing about how long a good answer takes
 	}
-	k.done(req, -1)
+	k.done(req, took)
 	return o
 }
 
@@ -335,11 +338,13 @@
 		if expired {
 			return refused(notRun, reasonTimeout)
 		}
-		k.broken("connection refused: " + err.Error())
-		return refused(notRun, reasonTargetDown)
+		k.broken(err.Error())
+		o := refused(notRun, reasonTargetDown)
+		o.err = err
+		return o
 	}
 	o := refused(unknown, reasonBroken)
-	o.arrived = true
+	o.arrived, o.err = true, err
 	if expired {
 		o.reason = reasonTimeout
 		return o
--- a/proxy/health.go
+++ b/proxy/health.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/chervilwell/chervilwell/internal/clock"
+	"github.com/chervilwell/chervilwell/internal/events"
 )
 
 // Figures of health checks, which cost the target a slot.
@@ -37,7 +38,7 @@
 func (k *Gatekeeper) suspect(why string) {
 	k.health.suspected++
 	k.gate.SetCold(k.coldRate())
-	k.cfg.Log.Debug().Str("why", why).Msg("target may be cold")
+	k.cfg.Log.Info().Str("why", why).Msg(events.TargetSuspect)
 	k.check(0)
 }
 
@@ -95,16 +96,16 @@
 	k.health.checking = false
 	switch {
 	case err != nil:
-		k.cfg.Log.Debug().Err(err).Msg("health check failed")
+		k.cfg.Log.Info().Err(err).Msg(events.CheckFailed)
 		k.check(healthRetry)
 	case cold > 0:
-		k.cfg.Log.Info().Str("target", id).Dur("cold", cold).Msg("target is cold")
+		k.cfg.Log.Info().Str("target", id).Dur("cold", cold).Msg(events.TargetCold)
 		k.coldFor(cold)
 	case k.health.suspected != signs:
 		k.check(healthPause)
 	case left(k.health.coldUntil) > 0: // its entry says that it is cold; the timer ends that
 	default:
-		k.cfg.Log.Debug().Msg("target is warm")
+		k.cfg.Log.Info().Msg(events.TargetWarm)
 		k.health.warmAt = clock.Now()
 		k.gate.SetWarm(k.health.warmAt)
 	}
--- a/proxy/hop.go
+++ b/proxy/hop.go
@@ -90,13 +90,14 @@
 		} {
 			b = strconv.AppendInt(append(b, ' '), n, 10)
 		}
+		b = strconv.AppendBool(append(b, ' '), l.Cold)
 	}
 	return string(b)
 }
 
 const (
 	outcomeFields     = 7
-	outcomeLoadFields = 13
+	outcomeLoadFields = 14
 )
 
 // parseOutcome reads a hop answer into o.
@@ -117,6 +118,7 @@
 			Wait:     time.Duration(n.parse(f[10])) * time.Microsecond,
 			Interval: time.Duration(n.parse(f[11])) * time.Microsecond,
 			Mean:     time.Duration(n.parse(f[12])) * time.Microsecond,
+			Cold:     f[13] == "true",
 		}
 	}
 	if o.run > unknown {
--- /dev/null
+++ b/proxy/log.go
@@ -0,0 +1,98 @@
+package proxy
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/chervilwell/chervilwell/balance"
+	"github.com/chervilwell/chervilwell/intake"
+	"github.com/chervilwell/chervilwell/internal/clock"
+	"github.com/chervilwell/chervilwell/internal/events"
+)
+
+// note counts a request's end and logs it, with what decided it.
+func (f *Frontend) note(req *request, o *outcome, status int, back time.Duration) {
+	kind, route := "none", ""
+	if req.route != nil {
+		kind, route = kindNames[req.route.Kind], req.route.Name
+	}
+	reason := o.reason
+	if reason == "" {
+		reason = reasonNone
+	}
+	took := clock.Now().Sub(req.arrived)
+	f.cfg.Metrics.answered(kind, strconv.Itoa(status), reason, took)
+	id := req.in.Header.Get(f.cfg.Names.RequestID)
+	f.mu.Lock()
+	tried := strings.Join(req.tried, ",")
+	f.mu.Unlock()
+	log := &f.cfg.Log
+	switch {
+	case o.run == notRun && f.cfg.Lines.Take():
+		log.Warn().Str("request", id).Str("route", route).Str("service", req.service).Int("status", status).Str("reason", reason).
+			Str("tried", tried).Dur("took", took).Dur("left", req.left()).Dur("back", back).Uint64("config", req.version()).
+			Dur("age", f.cfg.Age()).Msg(events.RequestRefused)
+	case o.run != notRun && status >= http.StatusInternalServerError && f.cfg.Lines.Take():
+		log.Warn().Str("request", id).Str("route", route).Str("service", req.service).Str("target", o.target).Int("status", status).
+			Str("reason", reason).Str("tried", tried).Dur("took", took).Dur("left", req.left()).Uint64("config", req.version()).
+			Dur("age", f.cfg.Age()).Msg(events.RequestFailed)
+	case o.run == ran && status < http.StatusInternalServerError && f.cfg.Lines.Sample():
+		log.Info().Str("request", id).Str("route", route).Str("service", req.service).Str("target", o.target).Int("status", status).
+			Str("tried", tried).Dur("took", took).Dur("left", req.left()).Uint64("config", req.version()).
+			Dur("age", f.cfg.Age()).Msg(events.RequestAnswered)
+	}
+}
+
+// left is the time that the request has; 0 if nothing was decided for it.
+func (req *request) left() time.Duration {
+	if req.end.IsZero() {
+		return 0
+	}
+	return left(req.end)
+}
+
+// version is that of the configuration that the request is served by.
+func (req *request) version() uint64 {
+	if req.state == nil || req.state.Config == nil {
+		return 0
+	}
+	return req.state.Config.Version
+}
+
+var runNames = [...]string{ran: "ran", notRun: "not-run", unknown: "unknown"}
+
+// noteAttempt logs an attempt that brought no good answer, with what was believed of its target.
+func (f *Frontend) noteAttempt(req *request, choice balance.Choice, o *outcome) {
+	if o.run == ran && o.status < http.StatusInternalServerError || !f.cfg.Lines.Take() {
+		return
+	}
+	var load intake.Load
+	if o.load != nil {
+		load = *o.load
+	}
+	f.cfg.Log.Info().Str("request", req.in.Header.Get(f.cfg.Names.RequestID)).Str("target", choice.Target.ID).
+		Str("domain", choice.Target.FailureDomain).Str("run", runNames[o.run]).Str("reason", o.reason).Bool("arrived", o.arrived).
+		Dur("wait", choice.Wait).Dur("known", choice.Age).Int("running", load.Running).Int("waiting", load.Waiting).Int("slots", load.Slots).
+		Dur("left", req.left()).Uint64("revision", o.revision).Msg(events.AttemptEnded)
+}
+
+// noteCall logs what the gate refused and what the target failed.
+func (k *Gatekeeper) noteCall(c *call, o *outcome) {
+	if o.run == ran || !k.cfg.Lines.Take() {
+		return
+	}
+	id := ""
+	if values := c.header[k.cfg.Names.RequestID]; len(values) > 0 {
+		id = values[0]
+	}
+	if o.run == unknown || o.err != nil {
+		k.cfg.Log.Warn().Str("request", id).Str("route", c.route).Str("reason", o.reason).Bool("arrived", o.arrived).Dur("took", o.took).
+			Dur("left", left(c.end)).Err(o.err).Msg(events.CallFailed)
+		return
+	}
+	k.cfg.Log.Info().Str("request", id).Str("route", c.route).Int("priority", c.priority).Str("reason", o.reason).
+		Int("running", o.load.Running).Int("waiting", o.load.Waiting).Int("slots", o.load.Slots).Dur("wait", o.load.Wait).
+		Bool("cold", o.load.Cold).Dur("left", left(c.end)).Dur("back", o.back).Uint64("revision", o.revision).Msg(events.CallRefused)
+}
--- a/proxy/peers.go
+++ b/proxy/peers.go
@@ -11,6 +11,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/chervilwell/chervilwell/internal/clock"
+	"github.com/chervilwell/chervilwell/internal/events"
 	"github.com/chervilwell/chervilwell/internal/httppool"
 	"github.com/chervilwell/chervilwell/mesh"
 )
@@ -112,7 +113,7 @@
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := &call{method: r.Method, uri: r.RequestURI, host: r.Host, header: r.Header, length: r.ContentLength}
 		if err := parseCall(r.Header.Get(hopHeader), clock.Now(), c); err != nil {
-			k.cfg.Log.Warn().Err(err).Str("from", r.RemoteAddr).Msg("request from a peer can't be read")
+			k.cfg.Log.Warn().Err(err).Str("from", r.RemoteAddr).Msg(events.PeerMalformed)
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
@@ -122,7 +123,7 @@
 		}
 		o := k.do(r.Context(), c)
 		if err := writeOutcome(w, o); err != nil {
-			k.cfg.Log.Debug().Err(err).Msg("answer to a peer was not sent whole")
+			k.cfg.Log.Debug().Err(err).Msg(events.PeerCut)
 			panic(http.ErrAbortHandler)
 		}
 	})
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -20,6 +20,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/chervilwell/chervilwell/budget"
+	"github.com/chervilwell/chervilwell/internal/events"
 	"github.com/chervilwell/chervilwell/mesh"
 )
 
@@ -167,11 +168,11 @@
 		n := &node{target: startStandin(t, ip)}
 		holder := &mesh.Holder{}
 		n.gatekeeper = NewGatekeeper(GatekeeperConfig{
-			Addr: n.target.addr, Service: testService, Holder: holder, Names: names, Log: zerolog.Nop(), Metrics: NewMetrics(nil),
+			Addr: n.target.addr, Service: testService, Holder: holder, Names: names, Log: zerolog.Nop(), Lines: events.NewBudget(1), Metrics: NewMetrics(nil),
 		})
 		n.frontend = NewFrontend(FrontendConfig{
 			Service: "caller" + strconv.Itoa(i), FailureDomain: "d" + strconv.Itoa(i), Region: "r", Holder: holder, Gatekeeper: n.gatekeeper,
-			Peers: NewPeers(port), Names: names, Log: zerolog.Nop(), Metrics: NewMetrics(nil), Rand: rand.New(rand.NewPCG(1, uint64(i))),
+			Peers: NewPeers(port), Names: names, Log: zerolog.Nop(), Lines: events.NewBudget(1), Age: func() time.Duration { return 0 }, Metrics: NewMetrics(nil), Rand: rand.New(rand.NewPCG(1, uint64(i))),
 			Repeats: budget.Terms{Ratio: 1, Slack: 100, Window: 10 * time.Second},
 		})
 		server := &http.Server{Handler: ServePeers(n.gatekeeper)}
