--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -87,11 +87,12 @@
 const (
 	aboutCatalogues = "catalogues (files only)"
 	aboutDaemons    = "a running daemon"
+	aboutLogs       = "logs (files only)"
 )
 
 func commands(env *environment) []grouped {
 	return []grouped{
 		newValidate(env), newDiff(env), newRender(env), newChart(env),
-		newStatus(env), newAudit(env), newInstances(env), newExplain(env),
+		newStatus(env), newAudit(env), newInstances(env), newExplain(env), newTrail(env),
 	}
 }
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -80,7 +80,6 @@
 	reasonPeerBroken  = "peer-broken"
 	reasonNoTarget    = "no-target"
 	reasonNoConfig    = "no-configuration"
-	reasonBudget      = "budget"
 )
 
 // outcome is what became of a call.
