Pace what crosses the link between regions by the delay that small requests meet there

Change: a pacer for each other region: the rate of large bodies falls while small requests are delayed and rises slowly; what does not fit is refused at once; the choice adds the delay.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -52,8 +52,8 @@
 	maxBackoff   = time.Second
 	// maxTargets bounds the targets remembered; above it those not listed any more are forgotten.
 	maxTargets = 4096
-	// headBytes is what the heads of a request and its answer add to their bodies.
-	headBytes = 1200
+	// HeadBytes is what the heads of a request and its answer add to their bodies.
+	HeadBytes = 1200
 	// lateSteep shapes the risk of a late answer: small while the expected time is a part of the objective, then rising steeply.
 	lateSteep = 3
 	// lateMost bounds the risk, so that among targets that are all late the nearest is still preferred.
@@ -102,6 +102,8 @@
 	Service string
 	Bytes   int
 	Tried   []string
+	// Toll returns the queueing delay of the link to another region now, and whether the request has to keep off it. It may be nil.
+	Toll func(region string) (delay time.Duration, closed bool)
 }
 
 // Self is where the process stands.
@@ -168,6 +170,13 @@
 		}
 		known := b.target(a.Now, t)
 		place := b.place(t)
+		var delay time.Duration
+		if place == OtherRegion && a.Toll != nil {
+			var closed bool
+			if delay, closed = a.Toll(t.Region); closed {
+				continue
+			}
+		}
 		choice := Choice{Target: t, Place: place, Wait: known.wait(a.Now)}
 		if !known.at.IsZero() {
 			choice.Age = a.Now.Sub(known.at)
@@ -178,7 +187,7 @@
 			}
 			continue
 		}
-		score := b.score(a, known, place) * (1 + noise*b.rng.Float64())
+		score := b.score(a, known, place, delay) * (1 + noise*b.rng.Float64())
 		if exploring && b.moved(a, place) < maxExploreCost {
 			score *= b.rng.Float64()
 		}
@@ -214,11 +223,11 @@
 }
 
 // score is the expected cost of a choice, in requests: the risk that the answer is late or fails, and the bytes moved.
-func (b *Balancer) score(a Attempt, t *target, place Place) float64 {
+func (b *Balancer) score(a Attempt, t *target, place Place, delay time.Duration) float64 {
 	route := b.route(a.Route.Name)
 	speed := 1 + (t.speed-1)*decay(a.Now.Sub(t.speedAt), forgetSpeed)
 	faults := t.faults * decay(a.Now.Sub(t.faultAt), forgetFaults)
-	expected := hop[place].Seconds() + t.wait(a.Now).Seconds() + route.run.Seconds()*speed
+	expected := (hop[place] + delay).Seconds() + t.wait(a.Now).Seconds() + route.run.Seconds()*speed
 	objective := a.Route.Objective
 	if objective <= 0 {
 		objective = a.Route.Timeout
@@ -229,7 +238,7 @@
 
 // moved is the cost of moving a request and its answer.
 func (b *Balancer) moved(a Attempt, place Place) float64 {
-	return byteCost[place] * (float64(a.Bytes+headBytes) + b.route(a.Route.Name).answer)
+	return byteCost[place] * (float64(a.Bytes+HeadBytes) + b.route(a.Route.Name).answer)
 }
 
 // wait is the expected wait at a target: what it last reported, grown by this process's requests since.
--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -126,6 +126,7 @@
 	"unreachable":      "the process beside the target could not be reached",
 	"peer-broken":      "the connection to the process beside the target broke after the request was sent, so that nobody knows whether it ran",
 	"no-target":        "no target of the service was listed, in service and in the route's home regions",
+	"link-busy":        "the only targets left are in another region, and the link there is full; small requests still pass",
 	"no-configuration": "the process had just started and knew no configuration",
 }
 
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -82,6 +82,7 @@
 	reasonUnreachable = "unreachable"
 	reasonPeerBroken  = "peer-broken"
 	reasonNoTarget    = "no-target"
+	reasonLinkBusy    = "link-busy"
 	reasonNoConfig    = "no-configuration"
 )
 
@@ -102,10 +103,11 @@
 	target string
 	err    error
 
-	load    *intake.Load
-	took    time.Duration
-	back    time.Duration
-	leaving bool
+	load *intake.Load
+	// took is the running time at the target, held the whole time in the gatekeeper's process.
+	took, held time.Duration
+	back       time.Duration
+	leaving    bool
 	// revision is the store's revision that the gatekeeper knows.
 	revision uint64
 }
--- a/proxy/frontend.go
+++ b/proxy/frontend.go
@@ -54,11 +54,12 @@
 	budgets   map[string]*budget.Budget
 	splits    map[string]*split
 	patiences patiences
+	links     links
 }
 
 // NewFrontend returns a frontend.
 func NewFrontend(cfg FrontendConfig) *Frontend {
-	f := &Frontend{cfg: cfg, budgets: map[string]*budget.Budget{}, splits: map[string]*split{}, patiences: patiences{}}
+	f := &Frontend{cfg: cfg, budgets: map[string]*budget.Budget{}, splits: map[string]*split{}, links: links{}, patiences: patiences{}}
 	f.balancer = balance.New(balance.Self{FailureDomain: cfg.FailureDomain, Region: cfg.Region, Own: f.own}, cfg.Rand)
 	return f
 }
@@ -108,6 +109,8 @@
 	arrivals int
 	refusals int
 	back     time.Duration
+	// linkBack is the time after which a link that was closed to the request lets it pass.
+	linkBack time.Duration
 	// mayHaveRun is set once an attempt ended without the word that it had not run.
 	mayHaveRun bool
 	// failure is a target's answer that was a failure; it stands if no other target gives a better one.
@@ -212,6 +215,9 @@
 	for {
 		choice, ok := f.pick(req)
 		if !ok {
+			if req.linkBack > 0 && last.reason == reasonNoTarget {
+				last.reason, last.back = reasonLinkBusy, req.linkBack
+			}
 			return req.final(last)
 		}
 		last = f.hedged(ctx, req, choice)
@@ -261,9 +267,13 @@
 	defer f.mu.Unlock()
 	choice, ok := f.balancer.Pick(balance.Attempt{
 		Now: clock.Now(), State: f.cfg.Holder.Load(), Route: req.route, Service: req.service, Bytes: len(req.body), Tried: req.tried,
+		Toll: f.toll(req),
 	})
 	if ok {
 		f.balancer.Started(clock.Now(), choice.Target)
+		if choice.Place == balance.OtherRegion {
+			f.links.to(choice.Target.Region).Sent(clock.Now(), len(req.body)+balance.HeadBytes)
+		}
 		req.tried = append(req.tried, choice.Target.ID)
 	}
 	return choice, ok
@@ -272,6 +282,7 @@
 // attempt sends the request to one target and learns from the outcome.
 func (f *Frontend) attempt(ctx context.Context, req *request, choice balance.Choice) *outcome {
 	c := f.call(req, choice.Target)
+	began := clock.Now()
 	var o *outcome
 	if choice.Place == balance.Own {
 		o = f.cfg.Gatekeeper.do(ctx, c)
@@ -279,7 +290,7 @@
 		o = f.cfg.Peers.do(ctx, choice.Target, c)
 	}
 	o.target = choice.Target.ID
-	f.learn(ctx, req, choice.Target, o)
+	f.learn(ctx, req, choice, o, clock.Now().Sub(began))
 	f.noteAttempt(req, choice, o)
 	return o
 }
@@ -300,8 +311,8 @@
 	}
 }
 
-func (f *Frontend) learn(ctx context.Context, req *request, t *mesh.Target, o *outcome) {
-	result := balance.Good
+func (f *Frontend) learn(ctx context.Context, req *request, choice balance.Choice, o *outcome, took time.Duration) {
+	t, result := choice.Target, balance.Good
 	switch {
 	case ctx.Err() != nil:
 		result = balance.Abandoned
@@ -322,6 +333,7 @@
 	if o.back > 0 && (req.back == 0 || o.back < req.back) {
 		req.back = o.back
 	}
+	f.crossed(req, t, choice.Place, o, took)
 	f.balancer.Ended(clock.Now(), t, balance.End{Route: req.route.Name, Result: result, Load: o.load, Ran: o.took, Answer: len(o.body)})
 }
 
--- a/proxy/gatekeeper.go
+++ b/proxy/gatekeeper.go
@@ -158,6 +158,7 @@
 
 // do lets a call in when its turn comes and returns what became of it.
 func (k *Gatekeeper) do(ctx context.Context, c *call) *outcome {
+	began := clock.Now()
 	k.active.Add(1)
 	defer k.active.Add(-1)
 	state := k.cfg.Holder.Load()
@@ -169,6 +170,7 @@
 	load := k.gate.Load(clock.Now())
 	k.mu.Unlock()
 	o.load, o.leaving, o.revision = &load, k.leaving.Load(), state.Revision
+	o.held = clock.Now().Sub(began)
 	k.cfg.Metrics.gate(o)
 	k.noteCall(c, o)
 	return o
--- a/proxy/hop.go
+++ b/proxy/hop.go
@@ -69,7 +69,7 @@
 	return v
 }
 
-// formatOutcome writes the hop answer: run, reason, arrived, leaving, revision, times and, if known, the load.
+// formatOutcome writes the hop answer: run, reason, arrived, leaving, revision, times taken, held and to come back, and the load.
 func formatOutcome(o *outcome) string {
 	b := make([]byte, 0, 96)
 	reason := o.reason
@@ -82,6 +82,7 @@
 	b = append(strconv.AppendBool(b, o.leaving), ' ')
 	b = append(strconv.AppendUint(b, o.revision, 10), ' ')
 	b = append(strconv.AppendInt(b, o.took.Microseconds(), 10), ' ')
+	b = append(strconv.AppendInt(b, o.held.Microseconds(), 10), ' ')
 	b = strconv.AppendInt(b, o.back.Microseconds(), 10)
 	if l := o.load; l != nil {
 		for _, n := range [...]int64{
@@ -96,8 +97,8 @@
 }
 
 const (
-	outcomeFields     = 7
-	outcomeLoadFields = 14
+	outcomeFields     = 8
+	outcomeLoadFields = 15
 )
 
 // parseOutcome reads a hop answer into o.
@@ -111,14 +112,15 @@
 	o.arrived, o.leaving = f[2] == "true", f[3] == "true"
 	o.revision = uint64(n.parse(f[4]))
 	o.took = time.Duration(n.parse(f[5])) * time.Microsecond
-	o.back = time.Duration(n.parse(f[6])) * time.Microsecond
+	o.held = time.Duration(n.parse(f[6])) * time.Microsecond
+	o.back = time.Duration(n.parse(f[7])) * time.Microsecond
 	if len(f) == outcomeLoadFields {
 		o.load = &intake.Load{
-			Running: int(n.parse(f[7])), Waiting: int(n.parse(f[8])), Slots: int(n.parse(f[9])),
-			Wait:     time.Duration(n.parse(f[10])) * time.Microsecond,
-			Interval: time.Duration(n.parse(f[11])) * time.Microsecond,
-			Mean:     time.Duration(n.parse(f[12])) * time.Microsecond,
-			Cold:     f[13] == "true",
+			Running: int(n.parse(f[8])), Waiting: int(n.parse(f[9])), Slots: int(n.parse(f[10])),
+			Wait:     time.Duration(n.parse(f[11])) * time.Microsecond,
+			Interval: time.Duration(n.parse(f[12])) * time.Microsecond,
+			Mean:     time.Duration(n.parse(f[13])) * time.Microsecond,
+			Cold:     f[14] == "true",
 		}
 	}
 	if o.run > unknown {
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -486,7 +486,7 @@
 		}
 	}
 	var o outcome
-	if err := parseOutcome("9 busy false false 0 0 0", &o); err == nil {
+	if err := parseOutcome("9 busy false false 0 0 0 0", &o); err == nil {
 		t.Error("an unknown outcome was read")
 	}
 }
