The exchange is CBOR in S2, its age the same at every depth; repeats keep to a smaller share

Change: a newer word of the store releases waiting children, so that the tree stays together (TestDeepTreeStaysTogether, 61 calls before); three hasty answers shun a parent, not one; the share of repeats is 0.35 of the allowed and the slack is divided by 64.

--- a/follow/exchange.go
+++ b/follow/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"io"
 	"net"
 	"net/http"
@@ -11,6 +10,8 @@
 	"strconv"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+	"github.com/klauspost/compress/s2"
 	"github.com/pkg/errors"
 
 	"github.com/chervilwell/chervilwell/internal/clock"
@@ -33,28 +34,57 @@
 
 // entry is a change as processes exchange it: a new version, a patch to it, or a removal.
 type entry struct {
-	Key      string `json:"k"`
-	Revision uint64 `json:"r"`
-	Raw      []byte `json:"raw,omitempty"`
-	Patch    *patch `json:"p,omitempty"`
-	Removed  bool   `json:"x,omitempty"`
+	Key      string `cbor:"1,keyasint"`
+	Revision uint64 `cbor:"2,keyasint"`
+	Raw      []byte `cbor:"3,keyasint,omitempty"`
+	Patch    *patch `cbor:"4,keyasint,omitempty"`
+	Removed  bool   `cbor:"5,keyasint,omitempty"`
 	// LapseUs is, on a removal that is in doubt, the microseconds until it is believed.
-	LapseUs int64 `json:"l,omitempty"`
+	LapseUs int64 `cbor:"6,keyasint,omitempty"`
 }
 
 // knowledge is what a process tells: the changes after the revision that the asker knows, or everything.
 type knowledge struct {
 	// Form is the version of this layout.
-	Form     int    `json:"v"`
-	Revision uint64 `json:"r"`
+	Form     int    `cbor:"1,keyasint"`
+	Revision uint64 `cbor:"2,keyasint"`
 	// AgeUs is the time since the store's last word, in microseconds.
-	AgeUs   int64   `json:"a"`
-	Whole   bool    `json:"w,omitempty"`
-	Entries []entry `json:"e,omitempty"`
+	AgeUs   int64   `cbor:"3,keyasint"`
+	Whole   bool    `cbor:"4,keyasint,omitempty"`
+	Entries []entry `cbor:"5,keyasint,omitempty"`
 }
 
 // form is the layout of knowledge that this version speaks.
-const form = 1
+const form = 2
+
+// encode writes knowledge as CBOR in an S2 block: configurations are repetitive, and the parent of many on a narrow link sends each
+// of them the same.
+func (k *knowledge) encode() ([]byte, error) {
+	data, err := cbor.Marshal(k)
+	if err != nil {
+		return nil, errors.Wrap(err, "state")
+	}
+	return s2.Encode(nil, data), nil
+}
+
+// decodeKnowledge reads what a peer told. The error wraps ErrForm.
+func decodeKnowledge(data []byte) (*knowledge, error) {
+	if size, err := s2.DecodedLen(data); err != nil || size > maxExchange {
+		return nil, ErrForm
+	}
+	plain, err := s2.Decode(nil, data)
+	if err != nil {
+		return nil, errors.Wrap(ErrForm, err.Error())
+	}
+	var k knowledge
+	if err := cbor.Unmarshal(plain, &k); err != nil {
+		return nil, errors.Wrap(ErrForm, err.Error())
+	}
+	if k.Form != form {
+		return nil, ErrForm
+	}
+	return &k, nil
+}
 
 // ErrForm says that a peer speaks another layout; it is shunned, and the store read instead, until all run the same version.
 var ErrForm = errors.New("peer speaks another version of the exchange; finish the upgrade")
@@ -75,7 +105,7 @@
 		return
 	}
 	f.await(r.Context(), after, min(time.Duration(wait)*time.Millisecond, maxExchangeWait))
-	data, err := json.Marshal(f.tell(after))
+	data, err := f.tell(after).encode()
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
@@ -86,16 +116,21 @@
 	}
 }
 
-// await waits until more than a revision is known, the store's last word is too old to follow, or the time is up.
+// await waits until more than a revision is known, there is a newer word of the store, its last one is too old to follow, or the
+// time is up. So the age of what is known is the same at every depth of the tree.
 func (f *Follower) await(ctx context.Context, after uint64, wait time.Duration) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
+	f.mu.Lock()
+	first := f.heard
+	f.mu.Unlock()
 	for {
 		f.mu.Lock()
 		revision, changed := f.book.Revision(), f.changed
+		news := f.heard.After(first)
 		fresh := f.maxAge() - f.age(clock.Now())
 		f.mu.Unlock()
-		if revision > after || fresh <= 0 {
+		if revision > after || news || fresh <= 0 {
 			return
 		}
 		stale := time.NewTimer(fresh)
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -7,7 +7,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -62,6 +61,8 @@
 	gather = 150 * time.Millisecond
 	// breath is the pause between a parent's news and the next question, in which a quick succession of changes comes together.
 	breath = 50 * time.Millisecond
+	// maxHasty is the number of answers in a row that may come at once without news.
+	maxHasty = 3
 	// firstRetry and maxRetry bound the pauses between calls to a store that does not answer.
 	firstRetry = 100 * time.Millisecond
 	maxRetry   = time.Second
@@ -98,7 +99,7 @@
 
 	mu   sync.Mutex
 	book *mesh.Book
-	// changed is closed and replaced at each change.
+	// changed is closed and replaced at each change, and at each word of the store.
 	changed chan struct{}
 	// heard is when the store's last word was spoken, as far as this process knows.
 	heard time.Time
@@ -107,6 +108,8 @@
 
 	// listed is set once the store or a peer has told everything.
 	listed bool
+	// hasty counts the answers in a row that came at once without news.
+	hasty int
 	// shunned holds the parents that failed, with the end of it.
 	shunned map[netip.Addr]time.Time
 }
@@ -175,7 +178,7 @@
 
 // askParent waits at a parent for changes and shuns it if it fails or knows too little.
 func (f *Follower) askParent(ctx context.Context, parent netip.Addr) {
-	asked, wait, before := clock.Now(), f.share(waitShare), f.Revision()
+	asked, wait, before, word := clock.Now(), f.share(waitShare), f.Revision(), f.Age()
 	known, err := f.ask(ctx, parent, wait)
 	if err == nil && known.age() < f.maxAge() {
 		f.hear(known.age())
@@ -183,8 +186,13 @@
 			pause(ctx, breath)
 			return
 		}
-		if err == nil && clock.Now().Sub(asked) >= wait/2 {
-			return
+		took := clock.Now().Sub(asked)
+		if err == nil && (took >= wait/2 || known.age()+breath < word+took) {
+			f.hasty = 0
+			return // it waited, or has a newer word of the store
+		}
+		if f.hasty++; err == nil && f.hasty < maxHasty {
+			return // the parent may just have heard from the store
 		}
 		if err == nil {
 			err = ErrHasty
@@ -213,11 +221,7 @@
 	if err != nil {
 		return nil, err
 	}
-	var known knowledge
-	if err := json.Unmarshal(data, &known); err != nil || known.Form != form {
-		return nil, ErrForm
-	}
-	return &known, nil
+	return decodeKnowledge(data)
 }
 
 // hear notes that the store's word is no older than age.
@@ -226,10 +230,17 @@
 	defer f.mu.Unlock()
 	if at := clock.Now().Add(-age); at.After(f.heard) {
 		f.heard = at
+		f.wake()
 	}
 	f.silentSince = time.Time{}
 }
 
+// wake lets those go on who wait for news. The lock is held.
+func (f *Follower) wake() {
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
 // Age returns the time since the store's last word, as far as this process knows.
 func (f *Follower) Age() time.Duration {
 	f.mu.Lock()
@@ -299,8 +310,7 @@
 		state = f.book.State()
 		f.report(before, state)
 		f.cfg.Holder.Store(state)
-		close(f.changed)
-		f.changed = make(chan struct{})
+		f.wake()
 	}
 	f.mu.Unlock()
 	if state != nil && f.cfg.Changed != nil {
@@ -346,6 +356,7 @@
 	defer f.mu.Unlock()
 	now := clock.Now()
 	f.heard = now
+	f.wake()
 	if f.silentSince.IsZero() {
 		return
 	}
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -293,6 +293,26 @@
 	})
 }
 
+// A tree of three levels: what a process knows is as old at every depth, so that nobody is shunned on a calm day.
+func TestDeepTreeStaysTogether(t *testing.T) {
+	play(t, 2*fanout+6, func(fl *fleet) {
+		fl.store.mu.Lock()
+		before := fl.store.calls
+		fl.store.mu.Unlock()
+		time.Sleep(10 * time.Second)
+		fl.store.put("out/x", "{}")
+		time.Sleep(applyWithin / 2)
+		if late := fl.behind("x"); len(late) > 0 {
+			t.Errorf("%d processes don't know the change", len(late))
+		}
+		fl.store.mu.Lock()
+		defer fl.store.mu.Unlock()
+		if calls := fl.store.calls - before; calls > 25 {
+			t.Errorf("%d calls in 11 s, one reader makes about 16", calls)
+		}
+	})
+}
+
 func TestLostReaderIsReplacedInTime(t *testing.T) {
 	play(t, 8, func(fl *fleet) {
 		fl.mu.Lock()
@@ -308,11 +328,15 @@
 
 // Once found: processes of two versions, one of which answered at once, asked each other thousands of times a second.
 func TestParentThatAnswersAtOnceIsNotAskedWithoutEnd(t *testing.T) {
-	for name, answer := range map[string]string{"another form": `{"revision":1}`, "nothing new": `{"v":1,"r":1,"a":0}`} {
+	nothing, err := (&knowledge{Form: form, Revision: 1}).encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, answer := range map[string][]byte{"another form": []byte(`{"revision":1}`), "nothing new": nothing} {
 		t.Run(name, func(t *testing.T) {
 			play(t, 2, func(fl *fleet) {
 				fl.mu.Lock()
-				fl.stub[fl.root()] = func() []byte { return []byte(answer) }
+				fl.stub[fl.root()] = func() []byte { return answer }
 				fl.asked = 0
 				fl.mu.Unlock()
 				time.Sleep(10 * time.Second)
--- a/follow/patch.go
+++ b/follow/patch.go
@@ -10,18 +10,18 @@
 // patch turns one version of an entry into the next. Versions mostly differ in few places, so that it is short.
 type patch struct {
 	// Base is the revision of the version that the patch is for.
-	Base uint64 `json:"base"`
+	Base uint64 `cbor:"1,keyasint"`
 	// Ops build the new version from pieces of the base and new bytes.
-	Ops []op `json:"ops"`
+	Ops []op `cbor:"2,keyasint"`
 	// Sum is the xxhash of the result.
-	Sum uint64 `json:"sum"`
+	Sum uint64 `cbor:"3,keyasint"`
 }
 
 // op copies Count pieces of the base from From on, or adds New.
 type op struct {
-	From  int    `json:"f,omitempty"`
-	Count int    `json:"c,omitempty"`
-	New   []byte `json:"n,omitempty"`
+	From  int    `cbor:"1,keyasint,omitempty"`
+	Count int    `cbor:"2,keyasint,omitempty"`
+	New   []byte `cbor:"3,keyasint,omitempty"`
 }
 
 // ErrPatch says that a patch does not fit what is held; the whole entry is asked for.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,10 +32,11 @@
 	headerTimeout  = 10 * time.Second
 	idleTimeout    = 60 * time.Second
 	maxHeaderBytes = 64 << 10
-	// repeatShare is the part of the allowed repeats that is used; the rest covers the calls that repeated requests make.
-	repeatShare = 0.5
-	// assumedFleet is the number of processes among which the slack of repeats is shared until the store has been read.
-	assumedFleet = 16
+	// repeatShare is the part of the allowed repeats that is used; the rest covers the calls that repeated requests make, which are
+	// up to two for each.
+	repeatShare = 0.35
+	// assumedFleet is the number of processes among which the slack of repeats is shared.
+	assumedFleet = 64
 	// callersLeave is the time after the signal to stop in which the platform stops sending callers: it asks every second and
 	// takes two misses for an answer.
 	callersLeave = 2500 * time.Millisecond
