--- a/balance/balance.go
+++ b/balance/balance.go
@@ -188,7 +188,7 @@
 			continue
 		}
 		score := b.score(a, known, place, delay) * (1 + noise*b.rng.Float64())
-		if exploring && b.moved(a, place) < maxExploreCost {
+		if exploring && b.moveCost(a, place) < maxExploreCost {
 			score *= b.rng.Float64()
 		}
 		if score < bestScore {
@@ -233,11 +233,11 @@
 		objective = a.Route.Timeout
 	}
 	x := expected / objective.Seconds()
-	return min(math.Pow(x, lateSteep), lateMost) + hasteCost*x + faultCost*faults + b.moved(a, place)
+	return min(math.Pow(x, lateSteep), lateMost) + hasteCost*x + faultCost*faults + b.moveCost(a, place)
 }
 
-// moved is the cost of moving a request and its answer.
-func (b *Balancer) moved(a Attempt, place Place) float64 {
+// moveCost is the cost of moving a request and its answer.
+func (b *Balancer) moveCost(a Attempt, place Place) float64 {
 	return byteCost[place] * (float64(a.Bytes+HeadBytes) + b.route(a.Route.Name).answer)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -28,9 +28,10 @@
 
 // Figures of the process.
 const (
-	// headerTimeout and idleTimeout lie above the operators' limits for callers, so that a caller within them is never cut.
+	// headerTimeout, idleTimeout and maxHeaderBytes lie above the operators' limits for callers, so that a caller within them is never
+	// cut; operators set seconds to tens of seconds and 16 KB.
 	headerTimeout  = 10 * time.Second
-	idleTimeout    = 60 * time.Second
+	idleTimeout    = 10 * time.Minute
 	maxHeaderBytes = 64 << 10
 	// repeatShare is the part of the allowed repeats that is used; the rest covers the calls that repeated requests make, which are
 	// up to two for each.
--- a/mesh/config.go
+++ b/mesh/config.go
@@ -66,10 +66,10 @@
 	ColdRate float64
 }
 
-// Limits bound what a caller may send and how long it may take.
+// Limits bound what a caller may send.
 type Limits struct {
-	HeaderBytes, BodyBytes     int64
-	HeaderTimeout, IdleTimeout time.Duration
+	// BodyBytes is the longest body; 0 means any.
+	BodyBytes int64
 }
 
 // Config is one version of the operators' configuration, compiled for look-ups. It is never changed after NewConfig.
--- a/proxy/frontend.go
+++ b/proxy/frontend.go
@@ -53,13 +53,13 @@
 	balancer  *balance.Balancer
 	budgets   map[string]*budget.Budget
 	splits    map[string]*split
-	patiences patiences
+	deadlines callerDeadlines
 	links     links
 }
 
 // NewFrontend returns a frontend.
 func NewFrontend(cfg FrontendConfig) *Frontend {
-	f := &Frontend{cfg: cfg, budgets: map[string]*budget.Budget{}, splits: map[string]*split{}, links: links{}, patiences: patiences{}}
+	f := &Frontend{cfg: cfg, budgets: map[string]*budget.Budget{}, splits: map[string]*split{}, links: links{}, deadlines: callerDeadlines{}}
 	f.balancer = balance.New(balance.Self{FailureDomain: cfg.FailureDomain, Region: cfg.Region, Own: f.own}, cfg.Rand)
 	return f
 }
@@ -145,6 +145,10 @@
 		http.Error(w, "no route takes this host and path; check them against the configuration", http.StatusNotFound)
 		return
 	}
+	if limit := req.state.Config.Limits.BodyBytes; limit > 0 && r.ContentLength > limit {
+		http.Error(w, "body is longer than the configuration allows", http.StatusRequestEntityTooLarge)
+		return
+	}
 	f.plan(req)
 	if err := f.readBody(w, req); err != nil {
 		f.cfg.Log.Debug().Err(err).Str("request", r.Header.Get(f.cfg.Names.RequestID)).Msg(events.BodyBroken)
@@ -164,7 +168,7 @@
 	req.end = req.arrived.Add(min(deadline, req.route.Timeout))
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	req.useful = req.arrived.Add(req.route.Objective - f.patiences.spent(req.route.Name, deadline))
+	req.useful = req.arrived.Add(req.route.Objective - f.deadlines.spent(req.route.Name, deadline))
 	if req.route.Objective <= 0 {
 		req.useful = req.end
 	}
--- a/proxy/gatekeeper.go
+++ b/proxy/gatekeeper.go
@@ -63,10 +63,10 @@
 	mu   sync.Mutex
 	gate *intake.Gate
 	life *mesh.Target
-	// evacuated is the last word on the failure domain of the target.
-	evacuated bool
-	wake      *time.Timer
-	health    health
+	// wasOut reports whether the target's failure domain was out of service in the last state.
+	wasOut bool
+	wake   *time.Timer
+	health health
 }
 
 // NewGatekeeper returns a gatekeeper that takes its target to be cold until the target says otherwise.
@@ -130,10 +130,10 @@
 	}
 	k.life = t
 	out := state.Out[t.FailureDomain]
-	if k.evacuated && !out {
+	if k.wasOut && !out {
 		k.suspect("failure domain returned")
 	}
-	k.evacuated = out
+	k.wasOut = out
 	if !state.Usable(t) {
 		k.gate.RefuseWaiting()
 	}
--- a/proxy/hedge.go
+++ b/proxy/hedge.go
@@ -10,13 +10,13 @@
 // hedged sends a request to a target and, if that is silent for long and the request may be repeated, to a second one. The first
 // good answer counts; the attempt that is left over is broken off only then.
 func (f *Frontend) hedged(ctx context.Context, req *request, choice balance.Choice) *outcome {
-	patience, ok := f.patience(req, choice)
+	after, ok := f.hedgeAfter(req, choice)
 	if !ok {
 		return f.attempt(ctx, req, choice)
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	second := make(chan *outcome, 1)
-	timer := time.AfterFunc(patience, func() {
+	timer := time.AfterFunc(after, func() {
 		o := f.second(ctx, req)
 		if o != nil && o.run == ran && !f.failedAnswer(req, o) {
 			second <- o
@@ -48,8 +48,8 @@
 	return o
 }
 
-// patience returns how long to wait for the answer before a second target is asked, or false if none may be.
-func (f *Frontend) patience(req *request, choice balance.Choice) (time.Duration, bool) {
+// hedgeAfter returns how long to wait for the answer before a second target is asked, or false if none may be.
+func (f *Frontend) hedgeAfter(req *request, choice balance.Choice) (time.Duration, bool) {
 	if !req.route.Kind.Repeatable() {
 		return 0, false
 	}
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -458,7 +458,7 @@
 }
 
 func TestReturningCallerHasWaitedAlready(t *testing.T) {
-	p := patiences{}
+	p := callerDeadlines{}
 	p.spent("r", time.Second)
 	if got := p.spent("r", 600*time.Millisecond); got < 390*time.Millisecond || got > 400*time.Millisecond {
 		t.Errorf("got %v", got)
