--- a/intake/intake.go
+++ b/intake/intake.go
@@ -159,7 +159,7 @@
 	return r.Useful
 }
 
-// LastStart is the latest time at which a waiting request is still worth starting: one that ends too late has cost its slot for
+// LastStart is the latest time at which a waiting request may start: one that ends too late has held its slot for
 // nothing.
 func (r *Request) LastStart() time.Time { return r.limit().Add(-r.expect) }
 
--- a/mesh/config.go
+++ b/mesh/config.go
@@ -40,7 +40,7 @@
 type Route struct {
 	Name, Host, Prefix string
 	Kind               Kind
-	// Timeout is the longest time that a request is kept waiting; Objective the time within which its answer is worth most.
+	// Timeout is the longest time that a request is kept waiting; Objective the time within which it should be answered.
 	Timeout, Objective time.Duration
 	// MaxTargets is the largest number of targets that one attempt of a caller may be sent to.
 	MaxTargets int
