One wait that ends with its context; unused pieces of the new path go

Cause: read as a newcomer. follow had the sixth copy of a sleep that ends with its context (linkbudget, standin, demo and twice in bench had the others); proxy set an empty User-Agent as stream.KeepUserAgent does, and wrapped bytes.NewReader; Gate.ExpectedRun was never called; two comments said something else than their code. Change: duty.Sleep serves all, with the standin's return at once for no time; the rest is removed or calls what exists.

--- a/cmd/demo/main.go
+++ b/cmd/demo/main.go
@@ -18,6 +18,7 @@
 
 	"github.com/chervilwell/chervilwell/catalogue"
 	"github.com/chervilwell/chervilwell/examples"
+	"github.com/chervilwell/chervilwell/internal/duty"
 	"github.com/chervilwell/chervilwell/internal/fleet"
 	"github.com/chervilwell/chervilwell/internal/logging"
 )
@@ -132,27 +133,18 @@
 // moveDomain takes the failure domain out of service and back once in every cycle.
 func moveDomain(ctx context.Context, f *fleet.Fleet, cycle time.Duration) {
 	part := func(share float64) time.Duration { return time.Duration(share * float64(cycle)) }
-	for sleep(ctx, part(leaveAt)) {
+	for duty.Sleep(ctx, part(leaveAt)) == nil {
 		setDomain(f, catalogue.Out)
-		if !sleep(ctx, part(returnAt-leaveAt)) {
+		if duty.Sleep(ctx, part(returnAt-leaveAt)) != nil {
 			return
 		}
 		setDomain(f, catalogue.In)
-		if !sleep(ctx, part(1-returnAt)) {
+		if duty.Sleep(ctx, part(1-returnAt)) != nil {
 			return
 		}
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) bool {
-	select {
-	case <-ctx.Done():
-		return false
-	case <-time.After(d):
-		return true
-	}
-}
-
 // setDomain publishes a catalogue with another state of the failure domain under the next revision.
 func setDomain(f *fleet.Fleet, state catalogue.State) {
 	next, err := f.Catalogue().WithDomain(domain, state)
@@ -179,7 +171,7 @@
 
 func printStatus(ctx context.Context, f *fleet.Fleet, load *fleet.Load) {
 	start := time.Now()
-	for sleep(ctx, statusInterval) {
+	for duty.Sleep(ctx, statusInterval) == nil {
 		c := load.Counts()
 		fmt.Printf("%3.0fs revision %d served %d refused %d lost %d resent %d\n",
 			time.Since(start).Seconds(), f.Catalogue().Revision, c.Served, c.Refused, c.Lost, c.Resent)
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -16,6 +16,7 @@
 	"github.com/rs/zerolog"
 
 	"github.com/chervilwell/chervilwell/internal/clock"
+	"github.com/chervilwell/chervilwell/internal/duty"
 	"github.com/chervilwell/chervilwell/internal/events"
 	"github.com/chervilwell/chervilwell/mesh"
 )
@@ -104,7 +105,7 @@
 	// silentSince is when the store stopped answering; zero while it answers or is not asked.
 	silentSince time.Time
 
-	// listed is set once the store or a peer has told everything.
+	// listed is set once the store has told everything, until its history is gone.
 	listed bool
 	// hasty counts the answers in a row that came at once without news.
 	hasty int
@@ -140,7 +141,7 @@
 			continue
 		}
 		f.lost(err)
-		pause(ctx, f.jitter(retry))
+		_ = duty.Sleep(ctx, f.jitter(retry))
 		retry = min(2*retry, maxRetry)
 	}
 	return ctx.Err()
@@ -231,7 +232,7 @@
 	f.found()
 	f.take(func(now time.Time) bool { return f.book.Apply(now, facts, revision) })
 	if len(facts) > 0 {
-		pause(ctx, gather)
+		_ = duty.Sleep(ctx, gather)
 	}
 	return nil
 }
@@ -318,7 +319,7 @@
 // askAnyone asks other processes in turn while the store is silent, however old their knowledge is.
 func (f *Follower) askAnyone(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, askEvery)
+		_ = duty.Sleep(ctx, askEvery)
 		f.mu.Lock()
 		silent, before := f.silentSince, f.book.Revision()
 		f.mu.Unlock()
@@ -354,13 +355,3 @@
 	defer f.mu.Unlock()
 	return list[f.cfg.Rand.IntN(len(list))]
 }
-
-// pause waits for a time or for the end of ctx.
-func pause(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/follow/tree.go
+++ b/follow/tree.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/chervilwell/chervilwell/internal/clock"
+	"github.com/chervilwell/chervilwell/internal/duty"
 	"github.com/chervilwell/chervilwell/internal/events"
 	"github.com/chervilwell/chervilwell/rank"
 )
@@ -46,7 +47,7 @@
 	if err == nil && known.age() < f.maxAge() {
 		f.hear(known.age())
 		if err = f.learn(known); err == nil && f.Revision() > before {
-			pause(ctx, breath)
+			_ = duty.Sleep(ctx, breath)
 			return
 		}
 		took := clock.Now().Sub(asked)
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -233,9 +233,6 @@
 	return l
 }
 
-// ExpectedRun returns the mean running time of a route.
-func (g *Gate) ExpectedRun(route string) time.Duration { return g.expect(route) }
-
 // CalmReturn returns the time after which the present backlog is expected to be gone.
 func (g *Gate) CalmReturn(now time.Time) time.Duration {
 	return g.comeBack(g.waitBehind(now, len(g.queue)))
--- a/internal/bench/exp_departure.go
+++ b/internal/bench/exp_departure.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/chervilwell/chervilwell/catalogue"
+	"github.com/chervilwell/chervilwell/internal/duty"
 	"github.com/chervilwell/chervilwell/internal/standin"
 )
 
@@ -160,7 +161,7 @@
 
 // schedule takes the failure domain out, stops and restarts its processes and targets and takes it back in.
 func (d *departure) schedule(ctx context.Context, m *Mesh, baseline bool) (returned time.Time, err error) {
-	if err := pause(ctx, departAfter); err != nil {
+	if err := duty.Sleep(ctx, departAfter); err != nil {
 		return returned, err
 	}
 	d.left = time.Now()
@@ -171,7 +172,7 @@
 	stop := (*Node).Stop
 	if baseline {
 		stop = func(n *Node, _ context.Context) error { n.Kill(); return nil }
-	} else if err := pause(ctx, stopAfter); err != nil {
+	} else if err := duty.Sleep(ctx, stopAfter); err != nil {
 		return returned, err
 	}
 	if err := m.each(leavingDomain, func(n *Node) error { return stop(n, ctx) }); err != nil {
@@ -181,13 +182,13 @@
 		n.Target.Crash()
 	}
 	m.options.Log.Info().Msg("its processes have stopped")
-	if err := pause(ctx, time.Until(d.left.Add(returnAfter-joinLead))); err != nil {
+	if err := duty.Sleep(ctx, time.Until(d.left.Add(returnAfter-joinLead))); err != nil {
 		return returned, err
 	}
 	if err := m.each(leavingDomain, func(n *Node) error { return n.Start(ctx) }); err != nil {
 		return returned, err
 	}
-	if err := pause(ctx, time.Until(d.left.Add(returnAfter))); err != nil {
+	if err := duty.Sleep(ctx, time.Until(d.left.Add(returnAfter))); err != nil {
 		return returned, err
 	}
 	for _, n := range m.In(leavingDomain) {
--- a/internal/bench/exp_failure.go
+++ b/internal/bench/exp_failure.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/chervilwell/chervilwell/internal/duty"
 	"github.com/chervilwell/chervilwell/internal/standin"
 )
 
@@ -168,7 +169,7 @@
 		wait.Go(func() { load.Run(loadCtx, s, seed+uint64(i)) })
 	}
 	for _, f := range faults {
-		if err := pause(ctx, time.Until(run.started.Add(f.at))); err != nil {
+		if err := duty.Sleep(ctx, time.Until(run.started.Add(f.at))); err != nil {
 			return nil, err
 		}
 		m.options.Log.Info().Str("fault", f.name).Msg("injected")
--- a/internal/bench/exp_footprint.go
+++ b/internal/bench/exp_footprint.go
@@ -7,6 +7,7 @@
 	"os"
 	"time"
 
+	"github.com/chervilwell/chervilwell/internal/duty"
 	"github.com/pkg/errors"
 )
 
@@ -69,7 +70,7 @@
 	defer stop()
 	done := make(chan error, 1)
 	go func() { done <- f.change(changing, rand.New(rand.NewPCG(cfg.Seed, 17))) }()
-	if err := sleepFor(ctx, footprintSettle); err != nil {
+	if err := duty.Sleep(ctx, footprintSettle); err != nil {
 		return nil, err
 	}
 	cfg.Log.Info().Msg("measuring")
@@ -89,15 +90,6 @@
 	}, nil
 }
 
-func sleepFor(ctx context.Context, d time.Duration) error {
-	select {
-	case <-time.After(d):
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // change publishes catalogue changes and list churn until ctx ends.
 func (f *footprint) change(ctx context.Context, rng *rand.Rand) error {
 	rate := func(perSecond float64) time.Duration { return time.Duration(float64(time.Second) / perSecond) }
--- a/internal/bench/exp_homes.go
+++ b/internal/bench/exp_homes.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/chervilwell/chervilwell/catalogue"
+	"github.com/chervilwell/chervilwell/internal/duty"
 	"github.com/chervilwell/chervilwell/internal/frontend"
 	"github.com/chervilwell/chervilwell/internal/headers"
 	"github.com/chervilwell/chervilwell/internal/refusal"
@@ -231,7 +232,7 @@
 	}
 	rng := rand.New(rand.NewPCG(cfg.Seed, 1000))
 	var err error
-	for err == nil && time.Now().Before(end) && pause(h.ctx, homesTurn) == nil {
+	for err == nil && time.Now().Before(end) && duty.Sleep(h.ctx, homesTurn) == nil {
 		err = h.change(rng)
 	}
 	workers.Wait()
--- a/internal/bench/exp_once.go
+++ b/internal/bench/exp_once.go
@@ -11,6 +11,7 @@
 	"github.com/google/uuid"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/chervilwell/chervilwell/internal/duty"
 	"github.com/chervilwell/chervilwell/internal/headers"
 	"github.com/chervilwell/chervilwell/internal/standin"
 )
@@ -120,7 +121,7 @@
 				probe.settle(ctx, s, k, node)
 				if len(k.sends) > 0 && k.sends[len(k.sends)-1].Ending == Good {
 					node++
-				} else if err := pause(ctx, interval); err != nil {
+				} else if err := duty.Sleep(ctx, interval); err != nil {
 					return err
 				}
 			}
@@ -140,7 +141,7 @@
 	next := time.Now()
 	for i := 0; ; i++ {
 		next = next.Add(time.Duration(rng.ExpFloat64() / s.Rate * float64(time.Second)))
-		if pause(ctx, time.Until(next)) != nil {
+		if duty.Sleep(ctx, time.Until(next)) != nil {
 			break
 		}
 		k := &keyed{id: s.Name + "-" + strconv.Itoa(i)}
@@ -222,14 +223,14 @@
 	counts := map[string]int{}
 	var wait sync.WaitGroup
 	defer wait.Wait()
-	for pause(ctx, onceFaultEvery) == nil {
+	for duty.Sleep(ctx, onceFaultEvery) == nil {
 		n := m.Nodes[rng.IntN(len(m.Nodes))]
 		name, begin, end := m.drawFault(rng, n)
 		counts[name]++
 		m.options.Log.Info().Str("fault", name).Str("instance", n.Instance.Name).Msg("injected")
 		begin()
 		wait.Go(func() {
-			_ = pause(ctx, onceFaultTime)
+			_ = duty.Sleep(ctx, onceFaultTime)
 			end()
 		})
 	}
--- a/internal/bench/exp_poison.go
+++ b/internal/bench/exp_poison.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/chervilwell/chervilwell/internal/duty"
 	"github.com/chervilwell/chervilwell/internal/refusal"
 	"github.com/chervilwell/chervilwell/internal/standin"
 )
@@ -92,7 +93,7 @@
 	run := &poisonRun{}
 	var mu sync.Mutex
 	for i := range poisonRequests {
-		if err := pause(ctx, poisonEvery); err != nil {
+		if err := duty.Sleep(ctx, poisonEvery); err != nil {
 			return nil, err
 		}
 		wait.Go(func() {
@@ -135,7 +136,7 @@
 		if differ {
 			s.Path = fmt.Sprintf("%s&resend=%d", path, attempt)
 		}
-		if c := l.Do(ctx, s, poisonID(i), i*poisonResends+attempt); c.Kind == refusal.Quarantined || pause(ctx, poisonDelay) != nil {
+		if c := l.Do(ctx, s, poisonID(i), i*poisonResends+attempt); c.Kind == refusal.Quarantined || duty.Sleep(ctx, poisonDelay) != nil {
 			return attempt + 1
 		}
 	}
--- a/internal/bench/mesh.go
+++ b/internal/bench/mesh.go
@@ -15,6 +15,7 @@
 	"github.com/chervilwell/chervilwell/catalogue"
 	"github.com/chervilwell/chervilwell/examples"
 	"github.com/chervilwell/chervilwell/internal/certs"
+	"github.com/chervilwell/chervilwell/internal/duty"
 	"github.com/chervilwell/chervilwell/internal/frontend"
 	"github.com/chervilwell/chervilwell/internal/standin"
 	"github.com/chervilwell/chervilwell/origin"
@@ -233,7 +234,7 @@
 		if late < 0 {
 			return nil
 		}
-		if err := pause(ctx, 20*time.Millisecond); err != nil {
+		if err := duty.Sleep(ctx, 20*time.Millisecond); err != nil {
 			return errors.Wrapf(err, "instance %q has not joined", m.Nodes[late].Instance.Name)
 		}
 	}
@@ -346,15 +347,3 @@
 		State:         origin.Live,
 	}
 }
-
-// pause waits for d or until ctx ends.
-func pause(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/internal/duty/duty.go
+++ b/internal/duty/duty.go
@@ -1,4 +1,4 @@
-// Package duty runs what a process does at intervals.
+// Package duty runs what a process does at intervals, and waits between.
 package duty
 
 import (
@@ -20,3 +20,18 @@
 		}
 	}
 }
+
+// Sleep waits for d or until ctx ends, and returns the context's error then.
+func Sleep(ctx context.Context, d time.Duration) error {
+	if d <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- a/internal/linkbudget/budget.go
+++ b/internal/linkbudget/budget.go
@@ -111,7 +111,7 @@
 		if ok {
 			return nil
 		}
-		if err := sleep(ctx, waitOf(after)); err != nil {
+		if err := duty.Sleep(ctx, waitOf(after)); err != nil {
 			return errors.Wrapf(ErrSpent, "%d bytes of %q to region %q", bytes, organisation, to)
 		}
 	}
@@ -143,17 +143,6 @@
 	return after
 }
 
-func sleep(ctx context.Context, d time.Duration) error {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
-
 // Serve keeps the parts current, gives away what is not needed and, as the region's first rank, lends it.
 func (b *Budget) Serve(ctx context.Context) error {
 	return duty.Every(ctx, linkshare.Interval, func(time.Time) { b.round(ctx) })
--- a/internal/standin/links.go
+++ b/internal/standin/links.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/chervilwell/chervilwell/internal/duty"
 	"golang.org/x/time/rate"
 )
 
@@ -140,7 +141,7 @@
 	l.mu.Lock()
 	link := l.links[p]
 	l.mu.Unlock()
-	if err := sleep(ctx, 2*link.Delay); err != nil {
+	if err := duty.Sleep(ctx, 2*link.Delay); err != nil {
 		return nil, err
 	}
 	var dialer net.Dialer
--- a/internal/standin/platform.go
+++ b/internal/standin/platform.go
@@ -18,6 +18,7 @@
 
 	"github.com/chervilwell/chervilwell/catalogue"
 	"github.com/chervilwell/chervilwell/document"
+	"github.com/chervilwell/chervilwell/internal/duty"
 	"github.com/chervilwell/chervilwell/origin"
 )
 
@@ -285,7 +286,7 @@
 	if !p.count(time.Now()) {
 		return errors.WithStack(origin.ErrThrottled)
 	}
-	if err := sleep(ctx, p.cfg.Delay); err != nil {
+	if err := duty.Sleep(ctx, p.cfg.Delay); err != nil {
 		return err
 	}
 	for {
@@ -332,18 +333,3 @@
 	p.reads.Throttled++
 	return false
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -6,6 +6,7 @@
 package proxy
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -157,7 +158,7 @@
 	}
 	o.body = data
 	if resp.ContentLength < 0 && len(data) == maxWhole {
-		o.body, o.stream = nil, &prefixed{Reader: io.MultiReader(newReader(data), resp.Body), Closer: resp.Body}
+		o.body, o.stream = nil, &prefixed{Reader: io.MultiReader(bytes.NewReader(data), resp.Body), Closer: resp.Body}
 		return nil
 	}
 	o.length = int64(len(data))
@@ -170,5 +171,5 @@
 	io.Closer
 }
 
-// target returns the life of the target that a call is for.
+// matches reports whether a target is the one that the call is for.
 func (c *call) matches(t *mesh.Target) bool { return t != nil && t.ID == c.targetID }
--- a/proxy/gatekeeper.go
+++ b/proxy/gatekeeper.go
@@ -19,6 +19,7 @@
 	"github.com/chervilwell/chervilwell/internal/clock"
 	"github.com/chervilwell/chervilwell/internal/events"
 	"github.com/chervilwell/chervilwell/internal/httppool"
+	"github.com/chervilwell/chervilwell/internal/stream"
 	"github.com/chervilwell/chervilwell/mesh"
 )
 
@@ -364,9 +365,7 @@
 		Method: c.method, URL: &url.URL{Scheme: "http", Host: addr, Opaque: path, RawQuery: query, ForceQuery: forced && query == ""},
 		Host: c.host, Header: c.header, ContentLength: c.length, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
-	if _, ok := c.header["User-Agent"]; !ok {
-		c.header["User-Agent"] = []string{""} // keeps the library from naming itself
-	}
+	stream.KeepUserAgent(c.header)
 	setBody(req, c)
 	return req.WithContext(ctx)
 }
--- a/proxy/hop.go
+++ b/proxy/hop.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"bytes"
 	"io"
 	"net/http"
 	"strconv"
@@ -25,8 +24,6 @@
 // ErrHop says that a message between processes is not of the form that this version speaks.
 var ErrHop = errors.New("message between processes is malformed; run the same version everywhere")
 
-func newReader(b []byte) io.Reader { return bytes.NewReader(b) }
-
 // formatCall writes the hop header of a call.
 func formatCall(c *call, now time.Time) string {
 	b := make([]byte, 0, 96)
