A joining process waits for a neighbour's offer; the deadline's reason is the caller's own

Cause: a round of a join asks three random peers, and none of them need be of the own failure domain, whose members alone are in touch whatever is cut. Change: once the catalogue and the members are held, a live neighbour is asked at once, and the join ends only with its offer or after the existing grace. TestReplacedProcessAsksItsNeighbours failed first (one of four replaced processes served revision 1 while its neighbours had 2); a second test holds that dead neighbours don't keep a process from serving.

Cause: the caller's connection is closed when its deadline passes; closing TLS tells the peer before the reading side ends, so the peer's answer 'caller went away' can still be read and was passed on as 499. Change: the caller answers such a word by its own reason, and keeps the peer's word on whether the request ran.

--- a/distribution/faults_test.go
+++ b/distribution/faults_test.go
@@ -271,3 +271,53 @@
 	}
 	t.Logf("%v after %v", f.readKinds, f.now.Sub(time.Unix(1_000_000, 0)))
 }
+
+// TestReplacedProcessAsksItsNeighbours replaces processes of a failure domain that is ahead of the seeds elsewhere: none serves with
+// less than its neighbours hold.
+func TestReplacedProcessAsksItsNeighbours(t *testing.T) {
+	const ahead = "nbb-pa"
+	f := started(t, 8)
+	rest := []string{"obb-muc", "obb-ro", "nbb-la"}
+	f.sever([]string{ahead}, rest, true)
+	for _, fd := range rest {
+		f.cutStore[fd] = true
+	}
+	f.publish(2)
+	f.run(6 * time.Second)
+	f.sever([]string{ahead}, rest, false)
+	f.cutStore[ahead] = true
+	replaced := []string{ahead + "-1", ahead + "-2", ahead + "-3", ahead + "-4"}
+	for _, name := range replaced {
+		f.start(name)
+	}
+	began := map[string]bool{}
+	for range 200 {
+		f.run(10 * time.Millisecond)
+		for _, name := range replaced {
+			n := f.nodes[name]
+			if began[name] || n.Phase() != Joined {
+				continue
+			}
+			began[name] = true
+			if got := n.Version(catalogueName).Revision; got != 2 {
+				t.Errorf("%s serves revision %d, its neighbours 2", name, got)
+			}
+		}
+	}
+	if len(began) != len(replaced) {
+		t.Errorf("only %v joined within two seconds", began)
+	}
+}
+
+// TestReplacedProcessServesWithoutNeighbours replaces a process whose neighbours are listed but dead: it serves what the others hold.
+func TestReplacedProcessServesWithoutNeighbours(t *testing.T) {
+	f := started(t, 4)
+	for _, name := range []string{"nbb-pa-0", "nbb-pa-1", "nbb-pa-2"} {
+		f.stop(name)
+	}
+	f.start("nbb-pa-3")
+	f.run(5 * time.Second)
+	if n := f.nodes["nbb-pa-3"]; n.Phase() != Joined || n.Version(catalogueName).Revision != 1 {
+		t.Errorf("after the replacement: %+v", n.Status(f.now))
+	}
+}
--- a/distribution/join.go
+++ b/distribution/join.go
@@ -19,7 +19,7 @@
 	joinPeers = 64
 	// joinBackoffMax bounds the delay between rounds.
 	joinBackoffMax = 4 * time.Second
-	// joinGrace is how long a process waits for the lists of instances once it holds the catalogue.
+	// joinGrace is how long a process that holds the catalogue waits for the lists of instances and for a neighbour's offer.
 	joinGrace = 1500 * time.Millisecond
 )
 
@@ -43,6 +43,9 @@
 	pulledAt time.Time
 	// compared says that the versions held were compared with those of peers that answered.
 	compared bool
+	// neighbour says that a peer of the own failure domain has made an offer, and askedNeighbours that they were asked ahead of the
+	// next round.
+	neighbour, askedNeighbours bool
 	// askers are the peers that asked while nothing was held; they get an offer as soon as something is.
 	askers []Address
 	// alone counts rounds in which no peer held a catalogue.
@@ -75,6 +78,9 @@
 		if len(j.offers) >= j.asked || now.Sub(j.askedAt) >= c.cfg.Timing.Ask {
 			c.decide(now)
 		}
+	case !j.askedNeighbours && c.lacksNeighbour(now):
+		j.askedNeighbours = true
+		c.askRound(now)
 	case !now.Before(j.nextAsk):
 		c.askRound(now)
 	}
@@ -107,22 +113,51 @@
 	j.peers[c.rng.IntN(len(j.peers))] = a
 }
 
-// askRound asks a few candidates what they hold: half of them seeds, since in a fleet that starts as a whole the seeds hold
-// something first, and the others at random.
+// lacksNeighbour reports whether a catalogue is held that was not compared with a neighbour's though one is known to live. The other
+// peers may be behind the own failure domain after a cut.
+func (c *Core) lacksNeighbour(now time.Time) bool {
+	return !c.join.neighbour && c.store.get(catalogueName) != nil && c.liveNeighbours(now) > 0
+}
+
+// liveNeighbours counts the usable members of the own failure domain besides this process, up to the number asked in a round.
+func (c *Core) liveNeighbours(now time.Time) int {
+	n := 0
+	for _, m := range c.members.First(now, c.cfg.Self.FailureDomain, joinAsks+1) {
+		if m.Name != c.cfg.Self.Name {
+			n++
+		}
+	}
+	return n
+}
+
+// isNeighbour reports whether a peer is known to be of the own failure domain.
+func (c *Core) isNeighbour(peer string) bool {
+	m := c.members.Get(peer)
+	return m != nil && m.FailureDomain == c.cfg.Self.FailureDomain
+}
+
+// askRound asks a few candidates what they hold: neighbours first while none has answered, then half of them seeds, since in a fleet
+// that starts as a whole the seeds hold something first, and the others at random.
 func (c *Core) askRound(now time.Time) {
 	j := &c.join
 	j.offers, j.asked, j.askedAt = nil, 0, now
 	j.round++
-	var seeds, others []Address
+	if c.lacksNeighbour(now) {
+		c.addMemberPeers(now)
+	}
+	var neighbours, seeds, others []Address
 	for _, i := range c.rng.Perm(len(j.peers)) {
-		if slices.Contains(c.cfg.Seeds, j.peers[i].Addr) {
+		switch {
+		case !j.neighbour && c.isNeighbour(j.peers[i].Name):
+			neighbours = append(neighbours, j.peers[i])
+		case slices.Contains(c.cfg.Seeds, j.peers[i].Addr):
 			seeds = append(seeds, j.peers[i])
-		} else {
+		default:
 			others = append(others, j.peers[i])
 		}
 	}
 	half := min(len(seeds), (joinAsks+1)/2)
-	list := slices.Concat(seeds[:half], others, seeds[half:])
+	list := slices.Concat(neighbours, seeds[:half], others, seeds[half:])
 	for _, a := range list[:min(len(list), joinAsks)] {
 		j.asked++
 		c.send(a, Message{Ask: &Ask{}, Sender: c.self()})
@@ -174,13 +209,15 @@
 		c.addPeer(a)
 	}
 	if j.askedAt.IsZero() {
-		if !o.Holding || c.store.get(catalogueName) != nil {
+		awaited := c.store.get(catalogueName) == nil || (!j.neighbour && c.isNeighbour(from.Name))
+		if !o.Holding || !awaited {
 			return
 		}
 		// A peer that was asked earlier holds something now: others are given a moment to say so too.
 		j.offers, j.asked, j.askedAt = nil, joinAsks, now
 	}
 	j.offers = append(j.offers, offer{from: from, offer: o, sent: now.Sub(j.askedAt)})
+	j.neighbour = j.neighbour || (o.Holding && c.isNeighbour(from.Name))
 }
 
 // decide picks the offer with the highest revision; among equals the nearest.
@@ -235,7 +272,7 @@
 }
 
 func (c *Core) nearness(o offer) int {
-	if m := c.members.Get(o.from.Name); m != nil && m.FailureDomain == c.cfg.Self.FailureDomain {
+	if c.isNeighbour(o.from.Name) {
 		return 2
 	}
 	if o.offer.Region != "" && o.offer.Region == c.region() {
@@ -328,7 +365,8 @@
 	if j.heldAt.IsZero() {
 		j.heldAt = now
 	}
-	return c.listsHeld() || now.Sub(j.heldAt) >= joinGrace
+	complete := c.listsHeld() && j.askedAt.IsZero() && !c.lacksNeighbour(now)
+	return complete || now.Sub(j.heldAt) >= joinGrace
 }
 
 // listsHeld reports whether a list of instances is held for each failure domain of the catalogue.
--- a/internal/frontend/carrier.go
+++ b/internal/frontend/carrier.go
@@ -154,11 +154,23 @@
 	}
 	s.readLoad(resp.Header)
 	if refused := refusal.FromResponse(resp); refused != nil {
-		return nil, refused
+		return nil, s.ownReason(refused)
 	}
 	return resp, nil
 }
 
+// ownReason replaces a peer's answer that its caller went away by the reason for which this process, the caller, gave up. Such an
+// answer can still arrive, since closing a TLS connection tells the peer before the reading side ends.
+func (s *Shipment) ownReason(refused *refusal.Refusal) *refusal.Refusal {
+	gaveUp := s.Request.Context().Err()
+	if refused.Kind != refusal.Cancelled || gaveUp == nil {
+		return refused
+	}
+	own := s.failure(gaveUp)
+	own.Run = refused.Run
+	return own
+}
+
 func (s *Shipment) prepare() *http.Request {
 	out := s.Request
 	out.URL = &url.URL{
--- /dev/null
+++ b/internal/frontend/carrier_test.go
@@ -0,0 +1,42 @@
+package frontend
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/chervilwell/chervilwell/internal/headers"
+	"github.com/chervilwell/chervilwell/internal/refusal"
+	"github.com/chervilwell/chervilwell/origin"
+)
+
+// TestOwnReasonGoesBeforeThePeersWord checks what a caller is told when the peer noticed first that this process gave up.
+func TestOwnReasonGoesBeforeThePeersWord(t *testing.T) {
+	expired, cancel := context.WithDeadline(context.Background(), time.Now().Add(-time.Millisecond))
+	defer cancel()
+	left, leave := context.WithCancel(context.Background())
+	leave()
+	for _, c := range []struct {
+		name string
+		ctx  context.Context
+		peer *refusal.Refusal
+		want refusal.Kind
+		run  headers.RunState
+	}{
+		{"deadline passed", expired, refusal.Unknown(refusal.Cancelled, "gone"), refusal.Timeout, headers.Unknown},
+		{"deadline passed in the queue", expired, refusal.New(refusal.Cancelled, "gone"), refusal.Timeout, headers.NotRun},
+		{"caller left", left, refusal.Unknown(refusal.Cancelled, "gone"), refusal.Cancelled, headers.Unknown},
+		{"nobody gave up", context.Background(), refusal.Unknown(refusal.Cancelled, "gone"), refusal.Cancelled, headers.Unknown},
+		{"another reason", expired, refusal.New(refusal.TargetDown, "down"), refusal.TargetDown, headers.NotRun},
+	} {
+		request, err := http.NewRequestWithContext(c.ctx, http.MethodPost, "/order/x", nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s := &Shipment{Target: origin.Instance{Name: "nbb-la-1"}, Request: request}
+		if got := s.ownReason(c.peer); got.Kind != c.want || got.Run != c.run {
+			t.Errorf("%s: %s, run %s; want %s, run %s", c.name, got.Kind, got.Run, c.want, c.run)
+		}
+	}
+}
