Answers that are due and don't come speak against their target

Reports of load also lapse after a second, so that silence looked like an idle target. Change: each attempt has a time at which its answer is due; a target that has been silent since is expected to wait at least that long, an attempt that ends overdue counts as a fault, and the time on the way (answer time less the time held there) is learnt per target. Tests of package balance: grey failure (silent before any attempt ends; time runs out), slow tail, callers that leave early, link saturation at one machine.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -1,7 +1,7 @@
 // Package balance chooses the target for a request by the time at which each could answer it.
 //
-// What it knows of a target is what came back with earlier answers: the wait there, the running times, faults. Knowledge ages:
-// a slow or faulty target is tried again after some seconds.
+// What it knows of a target is what came back with earlier answers: the wait there, the running times, the time on the way, faults;
+// and what has not come back although it is due. Knowledge ages: a slow or faulty target is tried again after some seconds.
 //
 // The package is pure: the caller passes the time and a source of random numbers.
 package balance
@@ -9,6 +9,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/chervilwell/chervilwell/intake"
@@ -38,6 +39,14 @@
 	forgetSpeed = 4 * time.Second
 	// speedRate is the weight of one running time in a target's speed.
 	speedRate = 0.15
+	// transitRate is the weight of one observation in a target's time on the way, and forgetTransit the time in which it halves;
+	// queues on a machine's link come and go within seconds.
+	transitRate   = 0.3
+	forgetTransit = 2 * time.Second
+	// overdue is the number of mean running times after which an answer is due; one in some fifty requests runs longer. dueSlack
+	// is what scheduling may add.
+	overdue  = 3
+	dueSlack = 50 * time.Millisecond
 	// trustLoad is the time over which a target's report of its load counts less and less.
 	trustLoad = time.Second
 	// noise is the part of its score that a target may randomly seem slower, so that equal targets share the work.
@@ -89,7 +98,7 @@
 	Unreachable
 	// Leaving: the target's process takes nothing new for now.
 	Leaving
-	// Abandoned: the caller left, or its time ran out.
+	// Abandoned: the caller left, or its time ran out. It speaks against the target if the answer was due.
 	Abandoned
 )
 
@@ -120,6 +129,12 @@
 	mine, reported int
 	load           intake.Load
 	at             time.Time
+	// due holds when the answer to each of this process's requests there is due; heard is when the target's process last answered.
+	due   []time.Time
+	heard time.Time
+	// transit is the time on the way there and back beside the time that the target's process held the request.
+	transit   time.Duration
+	transitAt time.Time
 	// speed is the running time there in proportion to the common one.
 	speed   float64
 	speedAt time.Time
@@ -157,6 +172,8 @@
 	// Wait is the expected time until the request starts there, Age the age of the report that it follows from; an Age of 0 and
 	// a Wait of 0 mean that there was none.
 	Wait, Age time.Duration
+	// Due is when the answer should be there.
+	Due time.Time
 }
 
 // Pick returns the target that should answer first, or false if no usable one is left untried.
@@ -198,7 +215,11 @@
 	if best.Target == nil {
 		best = spare
 	}
-	return best, best.Target != nil
+	if best.Target == nil {
+		return best, false
+	}
+	best.Due = a.Now.Add(hop[best.Place] + best.Wait + overdue*b.route(a.Route.Name).run + dueSlack)
+	return best, true
 }
 
 func tried(list []string, id string) bool {
@@ -227,7 +248,8 @@
 	route := b.route(a.Route.Name)
 	speed := 1 + (t.speed-1)*decay(a.Now.Sub(t.speedAt), forgetSpeed)
 	faults := t.faults * decay(a.Now.Sub(t.faultAt), forgetFaults)
-	expected := (hop[place] + delay).Seconds() + t.wait(a.Now).Seconds() + route.run.Seconds()*speed
+	way := max(hop[place]+delay, t.way(a.Now))
+	expected := way.Seconds() + t.wait(a.Now).Seconds() + route.run.Seconds()*speed
 	objective := a.Route.Objective
 	if objective <= 0 {
 		objective = a.Route.Timeout
@@ -241,8 +263,33 @@
 	return byteCost[place] * (float64(a.Bytes+HeadBytes) + b.route(a.Route.Name).answer)
 }
 
-// wait is the expected wait at a target: what it last reported, grown by this process's requests since.
-func (t *target) wait(now time.Time) time.Duration {
+// way is the expected time on the way to a target and back, as its last answers showed it.
+func (t *target) way(now time.Time) time.Duration {
+	return time.Duration(float64(t.transit) * decay(now.Sub(t.transitAt), forgetTransit))
+}
+
+// silent returns for how long an answer has been due from a target that has not answered anything since.
+func (t *target) silent(now time.Time) time.Duration {
+	if len(t.due) == 0 {
+		return 0
+	}
+	since := t.due[0]
+	for _, due := range t.due[1:] {
+		if due.Before(since) {
+			since = due
+		}
+	}
+	if t.heard.After(since) {
+		since = t.heard
+	}
+	return max(now.Sub(since), 0)
+}
+
+// wait is the expected wait at a target: what it last reported, grown by this process's requests since, and at least as long as it
+// has been silent.
+func (t *target) wait(now time.Time) time.Duration { return max(t.reportedWait(now), t.silent(now)) }
+
+func (t *target) reportedWait(now time.Time) time.Duration {
 	if t.at.IsZero() {
 		return 0
 	}
@@ -285,8 +332,17 @@
 	return known
 }
 
-// Started notes that a request goes to a target.
-func (b *Balancer) Started(now time.Time, t *mesh.Target) { b.target(now, t).mine++ }
+// maxDue bounds the requests at one target whose answers are awaited by time; more say nothing new.
+const maxDue = 64
+
+// Started notes that a request goes to the target of a choice.
+func (b *Balancer) Started(now time.Time, c Choice) {
+	known := b.target(now, c.Target)
+	known.mine++
+	if len(known.due) < maxDue {
+		known.due = append(known.due, c.Due)
+	}
+}
 
 // End describes how an attempt ended.
 type End struct {
@@ -297,14 +353,19 @@
 	// Ran is the running time at the target, or 0 if it is not known; Answer the length of the answer's body.
 	Ran    time.Duration
 	Answer int
+	// Transit is the time on the way there and back; it counts only where there is a Load.
+	Transit time.Duration
 }
 
 // Ended notes how an attempt ended.
-func (b *Balancer) Ended(now time.Time, t *mesh.Target, e End) {
-	known := b.target(now, t)
+func (b *Balancer) Ended(now time.Time, c Choice, e End) {
+	known := b.target(now, c.Target)
 	known.mine = max(known.mine-1, 0)
+	known.settle(c.Due)
 	if e.Load != nil {
 		known.load, known.at, known.reported = *e.Load, now, known.mine
+		known.heard = now
+		known.travelled(now, e.Transit)
 	}
 	switch e.Result {
 	case Good:
@@ -319,9 +380,27 @@
 		known.backoff = min(max(2*known.backoff, firstBackoff), maxBackoff)
 		known.until = now.Add(time.Duration(float64(known.backoff) * (0.75 + 0.5*b.rng.Float64())))
 	case Abandoned:
+		if late := now.Sub(c.Due); late > 0 {
+			known.fault(now, 1)
+			known.travelled(now, max(late, known.way(now)))
+		}
 	}
 }
 
+// settle takes one awaited answer off the list.
+func (t *target) settle(due time.Time) {
+	if i := slices.IndexFunc(t.due, due.Equal); i >= 0 {
+		t.due = slices.Delete(t.due, i, i+1)
+	}
+}
+
+// travelled notes what a message took on the way.
+func (t *target) travelled(now time.Time, took time.Duration) {
+	way := t.way(now)
+	t.transit = way + time.Duration(transitRate*float64(took-way))
+	t.transitAt = now
+}
+
 func (t *target) fault(now time.Time, x float64) {
 	t.faults *= decay(now.Sub(t.faultAt), forgetFaults)
 	t.faults += faultRate * (x - t.faults)
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -55,11 +55,12 @@
 }
 
 func ended(b *Balancer, at time.Time, t *mesh.Target, e End) {
-	b.Started(at, t)
+	c := Choice{Target: t, Due: at.Add(time.Second)}
+	b.Started(at, c)
 	if e.Route == "" {
 		e.Route = "r"
 	}
-	b.Ended(at, t, e)
+	b.Ended(at, c, e)
 }
 
 func byID(s *mesh.State, id string) *mesh.Target {
@@ -175,3 +176,90 @@
 	fmt.Println(choice.Target.ID, choice.Place == SameDomain)
 	// Output: n1 true
 }
+
+// Load pattern: grey failure. A machine takes requests and gives no sign of life; no attempt has ended yet.
+func TestSilentTargetGetsNoMore(t *testing.T) {
+	s, b := state("n1", "n2"), newBalancer()
+	for _, d := range []string{"n1", "n2"} {
+		ended(b, epoch, byID(s, d), End{Result: Good, Ran: 50 * time.Millisecond, Load: &intake.Load{Slots: 18}})
+	}
+	b.Started(epoch, Choice{Target: byID(s, "n1"), Due: epoch.Add(200 * time.Millisecond)})
+	for _, c := range []struct {
+		after       time.Duration
+		least, most int
+	}{
+		{100 * time.Millisecond, 900, 1000},
+		{600 * time.Millisecond, 0, 50},
+		{5 * time.Second, 0, 50},
+	} {
+		a := attempt(s, 0)
+		a.Now = epoch.Add(c.after)
+		if got := shares(t, b, a)["n1"]; got < c.least || got > c.most {
+			t.Errorf("%v after the request, the target got %d of 1000", c.after, got)
+		}
+	}
+}
+
+// Load pattern: a slow tail. One request runs long at a target that answers others meanwhile.
+func TestLongRequestIsNoSilence(t *testing.T) {
+	s, b := state("n1", "n2"), newBalancer()
+	target := byID(s, "n1")
+	b.Started(epoch, Choice{Target: target, Due: epoch.Add(200 * time.Millisecond)})
+	now := epoch.Add(2 * time.Second)
+	ended(b, now, target, End{Result: Good, Ran: 50 * time.Millisecond, Load: &intake.Load{Slots: 18, Running: 1}})
+	a := attempt(s, 0)
+	a.Now = now
+	if got := shares(t, b, a); got["n1"] < 900 {
+		t.Errorf("got %v", got)
+	}
+}
+
+// Load pattern: grey failure. Requests run out of time at a silent machine; it is tried again some seconds later.
+func TestTimeRunOutSpeaksAgainstTheTarget(t *testing.T) {
+	s, b := state("n1", "n2"), newBalancer()
+	target := byID(s, "n1")
+	for i := range 4 {
+		at := epoch.Add(time.Duration(i) * 50 * time.Millisecond)
+		c := Choice{Target: target, Due: at.Add(200 * time.Millisecond)}
+		b.Started(at, c)
+		b.Ended(at.Add(600*time.Millisecond), c, End{Route: "r", Result: Abandoned})
+	}
+	a := attempt(s, 0)
+	a.Now = epoch.Add(time.Second)
+	if got := shares(t, b, a); got["n1"] > 50 {
+		t.Errorf("just after: got %v", got)
+	}
+	a.Now = epoch.Add(40 * time.Second)
+	if got := shares(t, b, a); got["n1"] < 500 {
+		t.Errorf("much later: got %v", got)
+	}
+}
+
+// Load pattern: callers that leave early. That says nothing about the target.
+func TestEarlyLeaveSpeaksAgainstNobody(t *testing.T) {
+	s, b := state("n1", "n2"), newBalancer()
+	for range 20 {
+		ended(b, epoch, byID(s, "n1"), End{Result: Abandoned})
+	}
+	if got := shares(t, b, attempt(s, 0)); got["n1"] < 900 {
+		t.Errorf("got %v", got)
+	}
+}
+
+// Load pattern: link saturation at one machine. Its target is idle, but messages to it queue for longer than the objective.
+func TestQueueOnTheWayIsWaitedFor(t *testing.T) {
+	s, b := state("n1", "n2"), newBalancer()
+	for range 10 {
+		ended(b, epoch, byID(s, "n1"), End{
+			Result: Good, Ran: 50 * time.Millisecond, Load: &intake.Load{Slots: 18}, Transit: 600 * time.Millisecond,
+		})
+	}
+	if got := shares(t, b, attempt(s, 0)); got["n1"] > 50 {
+		t.Errorf("while the link queues: got %v", got)
+	}
+	a := attempt(s, 0)
+	a.Now = epoch.Add(20 * time.Second)
+	if got := shares(t, b, a); got["n1"] < 800 {
+		t.Errorf("much later: got %v", got)
+	}
+}
--- a/proxy/frontend.go
+++ b/proxy/frontend.go
@@ -174,7 +174,7 @@
 		Toll: f.toll(req),
 	})
 	if ok {
-		f.balancer.Started(clock.Now(), choice.Target)
+		f.balancer.Started(clock.Now(), choice)
 		if choice.Place == balance.OtherRegion {
 			f.links.to(choice.Target.Region).Sent(clock.Now(), len(req.body)+balance.HeadBytes)
 		}
@@ -222,7 +222,9 @@
 		req.back = o.back
 	}
 	f.crossed(req, t, choice.Place, o, took)
-	f.balancer.Ended(clock.Now(), t, balance.End{Route: req.route.Name, Result: result, Load: o.load, Ran: o.took, Answer: len(o.body)})
+	f.balancer.Ended(clock.Now(), choice, balance.End{
+		Route: req.route.Name, Result: result, Load: o.load, Ran: o.took, Answer: len(o.body), Transit: took - o.held,
+	})
 }
 
 // again decides on another attempt.
