Large bodies ask before they are sent over a narrow link

Change: the gatekeeper knows its link's rate and plans large bodies over it one after the other (pacer.Inlet); it says so with each answer, senders then hold the body back (Expect: 100-continue) until it is asked for. What can't come in in time is refused before a byte of the body has moved, with the link's own time to come back; the balancer adds the wait for the link. Where links are wide nothing changes. Load.Mean, which nobody read, goes.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -14,6 +14,7 @@
 
 	"github.com/chervilwell/chervilwell/intake"
 	"github.com/chervilwell/chervilwell/mesh"
+	"github.com/chervilwell/chervilwell/pacer"
 )
 
 // Place says how far away a target is.
@@ -174,6 +175,8 @@
 	Wait, Age time.Duration
 	// Due is when the answer should be there.
 	Due time.Time
+	// Ask is set if the body has to ask before it is sent over the link of the target's machine.
+	Ask bool
 }
 
 // Pick returns the target that should answer first, or false if no usable one is left untried.
@@ -218,6 +221,7 @@
 	if best.Target == nil {
 		return best, false
 	}
+	best.Ask = a.Bytes >= pacer.Large && best.Place != Own && b.target(a.Now, best.Target).load.Narrow
 	best.Due = a.Now.Add(hop[best.Place] + best.Wait + overdue*b.route(a.Route.Name).run + dueSlack)
 	return best, true
 }
@@ -249,7 +253,11 @@
 	speed := 1 + (t.speed-1)*decay(a.Now.Sub(t.speedAt), forgetSpeed)
 	faults := t.faults * decay(a.Now.Sub(t.faultAt), forgetFaults)
 	way := max(hop[place]+delay, t.way(a.Now))
-	expected := way.Seconds() + t.wait(a.Now).Seconds() + route.run.Seconds()*speed
+	wait := t.wait(a.Now)
+	if a.Bytes >= pacer.Large && place != Own {
+		wait += t.inbound(a.Now)
+	}
+	expected := way.Seconds() + wait.Seconds() + route.run.Seconds()*speed
 	objective := a.Route.Objective
 	if objective <= 0 {
 		objective = a.Route.Timeout
@@ -290,10 +298,7 @@
 func (t *target) wait(now time.Time) time.Duration { return max(t.reportedWait(now), t.silent(now)) }
 
 func (t *target) reportedWait(now time.Time) time.Duration {
-	if t.at.IsZero() {
-		return 0
-	}
-	trust := 1 - float64(now.Sub(t.at))/float64(trustLoad)
+	trust := t.trust(now)
 	if trust <= 0 {
 		return 0
 	}
@@ -306,6 +311,19 @@
 	return time.Duration(trust * float64(max(wait, 0)))
 }
 
+// inbound is the expected wait of a large body for the link of the target's machine.
+func (t *target) inbound(now time.Time) time.Duration {
+	return time.Duration(t.trust(now) * float64(t.load.Inbound))
+}
+
+// trust is what the last report counts now, from 1 down to 0.
+func (t *target) trust(now time.Time) float64 {
+	if t.at.IsZero() {
+		return 0
+	}
+	return max(1-float64(now.Sub(t.at))/float64(trustLoad), 0)
+}
+
 func decay(age, half time.Duration) float64 {
 	return math.Exp2(-float64(age) / float64(half))
 }
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -115,16 +115,14 @@
 
 // Offer decides on a request. With Refuse it also says after what time to come back.
 func (g *Gate) Offer(now time.Time, r *Request) (Verdict, time.Duration) {
-	r.expect = g.expect(r.Route)
+	g.judge(now, r)
 	if len(g.queue) == 0 && g.free(now) {
 		g.start(now)
 		return Run, 0
 	}
-	r.late = now.Add(r.allow()).After(r.Useful)
-	wait := g.waitFor(now, r)
-	if !g.worthwhile(now, r, wait) {
+	if fits, back := g.fits(now, r); !fits {
 		g.noteRefusal(now, r)
-		return Refuse, g.comeBack(wait)
+		return Refuse, back
 	}
 	g.arrivals++
 	r.arrival, r.waiting = g.arrivals, true
@@ -133,6 +131,26 @@
 	return Wait, 0
 }
 
+// Fits reports whether Offer would refuse a request now, and if so after what time to come back. Nothing is noted.
+func (g *Gate) Fits(now time.Time, r *Request) (bool, time.Duration) {
+	g.judge(now, r)
+	if len(g.queue) == 0 && g.free(now) {
+		return true, 0
+	}
+	return g.fits(now, r)
+}
+
+// judge sets what is expected of a request.
+func (g *Gate) judge(now time.Time, r *Request) {
+	r.expect = g.expect(r.Route)
+	r.late = now.Add(r.allow()).After(r.Useful)
+}
+
+func (g *Gate) fits(now time.Time, r *Request) (bool, time.Duration) {
+	wait := g.waitFor(now, r)
+	return g.worthwhile(now, r, wait), g.comeBack(wait)
+}
+
 // worthwhile reports whether a request that starts after wait is answered in time.
 func (g *Gate) worthwhile(now time.Time, r *Request, wait time.Duration) bool {
 	if r.late && r.Priority > 0 && now.Sub(g.refusedAt) < saturated {
@@ -220,15 +238,16 @@
 	// Wait is the time that a request of the least urgent kind would wait now; Interval the time by which each further request
 	// lengthens the wait.
 	Wait, Interval time.Duration
-	// Mean is the mean running time of all routes.
-	Mean time.Duration
 	// Cold reports whether starts are bounded.
 	Cold bool
+	// Narrow reports whether large bodies have to ask before they are sent over the machine's link, Inbound how long one waits there.
+	Narrow  bool
+	Inbound time.Duration
 }
 
 // Load returns the present load.
 func (g *Gate) Load(now time.Time) Load {
-	l := Load{Running: g.running, Waiting: len(g.queue), Slots: g.slots, Interval: g.interval(), Mean: g.typical(), Cold: g.cold}
+	l := Load{Running: g.running, Waiting: len(g.queue), Slots: g.slots, Interval: g.interval(), Cold: g.cold}
 	l.Wait = g.waitBehind(now, len(g.queue))
 	return l
 }
--- a/internal/httppool/conn.go
+++ b/internal/httppool/conn.go
@@ -93,6 +93,37 @@
 	// written takes the error of writing the request's body; it is nil if there is no body.
 	written chan error
 	once    sync.Once
+	// proceed is closed when a server that was asked wants the body, decline when it won't be sent.
+	proceed, decline chan struct{}
+}
+
+// ExpectContinue is the value of the Expect header that holds a request's body back until the server asks for it.
+const ExpectContinue = "100-continue"
+
+// errDeclined says that a server answered without asking for the body.
+var errDeclined = errors.New("server did not ask for the request's body")
+
+// awaitedBody holds a body back until the server asks for it.
+type awaitedBody struct {
+	io.ReadCloser
+	exchange *exchange
+	asked    bool
+}
+
+// Read implements io.Reader. The head of the request is sent with the first call.
+func (b *awaitedBody) Read(p []byte) (int, error) {
+	if !b.asked {
+		if err := b.exchange.out.Flush(); err != nil {
+			return 0, err
+		}
+		select {
+		case <-b.exchange.proceed:
+			b.asked = true
+		case <-b.exchange.decline:
+			return 0, errDeclined
+		}
+	}
+	return b.ReadCloser.Read(p)
 }
 
 func (c *conn) do(req *http.Request) (*http.Response, error) {
@@ -103,6 +134,9 @@
 		return nil, x.fail(err)
 	}
 	resp, err := x.receive(req)
+	if x.decline != nil {
+		close(x.decline)
+	}
 	if err != nil {
 		return nil, x.fail(err)
 	}
@@ -118,6 +152,10 @@
 	x.source = &sourceBody{ReadCloser: req.Body}
 	out := *req
 	out.Body = x.source
+	if req.Header.Get("Expect") == ExpectContinue {
+		x.proceed, x.decline = make(chan struct{}), make(chan struct{})
+		out.Body = &awaitedBody{ReadCloser: x.source, exchange: x}
+	}
 	x.written = make(chan error, 1)
 	go func() {
 		err := x.write(&out)
@@ -139,12 +177,17 @@
 // receive reads the head of the final answer.
 func (x *exchange) receive(req *http.Request) (*http.Response, error) {
 	x.limit.N = x.pool.config.MaxHeaderBytes
+	asked := false
 	for {
 		resp, err := http.ReadResponse(x.in, req)
 		if err != nil {
 			return nil, err
 		}
 		switch {
+		case resp.StatusCode == http.StatusContinue && x.proceed != nil && !asked:
+			asked = true
+			close(x.proceed)
+			continue
 		case resp.StatusCode == http.StatusSwitchingProtocols:
 			return nil, ErrUpgrade
 		case resp.StatusCode < http.StatusOK:
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -46,6 +46,8 @@
 	body   []byte
 	rest   io.Reader
 	length int64
+	// ask makes the body wait for the peer's word that its link has room.
+	ask bool
 
 	targetID    string
 	born        int64
--- a/proxy/frontend.go
+++ b/proxy/frontend.go
@@ -186,6 +186,7 @@
 // attempt sends the request to one target and learns from the outcome.
 func (f *Frontend) attempt(ctx context.Context, req *request, choice balance.Choice) *outcome {
 	c := f.call(req, choice.Target)
+	c.ask = choice.Ask
 	began := clock.Now()
 	var o *outcome
 	if choice.Place == balance.Own {
--- a/proxy/gatekeeper.go
+++ b/proxy/gatekeeper.go
@@ -21,6 +21,7 @@
 	"github.com/chervilwell/chervilwell/internal/httppool"
 	"github.com/chervilwell/chervilwell/internal/stream"
 	"github.com/chervilwell/chervilwell/mesh"
+	"github.com/chervilwell/chervilwell/pacer"
 )
 
 // Figures of the gatekeeper.
@@ -45,9 +46,11 @@
 	Addr netip.AddrPort
 	// Service is the service that the target belongs to.
 	Service string
-	Holder  *mesh.Holder
-	Names   Names
-	Log     zerolog.Logger
+	// LinkRate is what the machine's link carries, in bytes a second; 0 if it is not known.
+	LinkRate float64
+	Holder   *mesh.Holder
+	Names    Names
+	Log      zerolog.Logger
 	// Lines bounds the lines about requests.
 	Lines   *events.Budget
 	Metrics *Metrics
@@ -61,9 +64,10 @@
 	leaving atomic.Bool
 	active  atomic.Int64
 
-	mu   sync.Mutex
-	gate *intake.Gate
-	life *mesh.Target
+	mu    sync.Mutex
+	gate  *intake.Gate
+	inlet *pacer.Inlet
+	life  *mesh.Target
 	// wasOut reports whether the target's failure domain was out of service in the last state.
 	wasOut bool
 	wake   *time.Timer
@@ -72,7 +76,7 @@
 
 // NewGatekeeper returns a gatekeeper that takes its target to be cold until the target says otherwise.
 func NewGatekeeper(cfg GatekeeperConfig) *Gatekeeper {
-	k := &Gatekeeper{cfg: cfg, gate: intake.New(assumedSlots)}
+	k := &Gatekeeper{cfg: cfg, gate: intake.New(assumedSlots), inlet: pacer.NewInlet(cfg.LinkRate)}
 	k.pool = httppool.New(httppool.Config{
 		Dial:           func(ctx context.Context) (net.Conn, error) { return dial(ctx, cfg.Addr.String(), targetDialTimeout) },
 		MaxConns:       maxTargetConns,
@@ -164,12 +168,13 @@
 	defer k.active.Add(-1)
 	state := k.cfg.Holder.Load()
 	o := k.refusal(state, c)
+	if o == nil {
+		o = k.receive(ctx, c)
+	}
 	if o == nil {
 		o = k.admit(ctx, c)
 	}
-	k.mu.Lock()
-	load := k.gate.Load(clock.Now())
-	k.mu.Unlock()
+	load := k.load()
 	o.load, o.leaving, o.revision = &load, k.leaving.Load(), state.Revision
 	o.held = clock.Now().Sub(began)
 	k.cfg.Metrics.gate(o)
@@ -177,13 +182,26 @@
 	return o
 }
 
+// load returns what other processes are told of the target.
+func (k *Gatekeeper) load() intake.Load {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	now := clock.Now()
+	l := k.gate.Load(now)
+	l.Narrow, l.Inbound = k.inlet.Bounded(), k.inlet.Wait(now)
+	return l
+}
+
+// demand describes a call to the gate.
+func demand(c *call) *intake.Request {
+	return &intake.Request{Route: c.route, Priority: c.priority, Useful: c.useful, Deadline: c.end}
+}
+
 // admit waits for a place and runs the call.
 func (k *Gatekeeper) admit(ctx context.Context, c *call) *outcome {
 	turn := make(chan bool, 1)
-	req := &intake.Request{
-		Route: c.route, Priority: c.priority, Useful: c.useful, Deadline: c.end,
-		Start: func(run bool) { turn <- run },
-	}
+	req := demand(c)
+	req.Start = func(run bool) { turn <- run }
 	k.mu.Lock()
 	verdict, back := k.gate.Offer(clock.Now(), req)
 	k.schedule()
--- a/proxy/hop.go
+++ b/proxy/hop.go
@@ -84,18 +84,19 @@
 	if l := o.load; l != nil {
 		for _, n := range [...]int64{
 			int64(l.Running), int64(l.Waiting), int64(l.Slots),
-			l.Wait.Microseconds(), l.Interval.Microseconds(), l.Mean.Microseconds(),
+			l.Wait.Microseconds(), l.Interval.Microseconds(), l.Inbound.Microseconds(),
 		} {
 			b = strconv.AppendInt(append(b, ' '), n, 10)
 		}
 		b = strconv.AppendBool(append(b, ' '), l.Cold)
+		b = strconv.AppendBool(append(b, ' '), l.Narrow)
 	}
 	return string(b)
 }
 
 const (
 	outcomeFields     = 8
-	outcomeLoadFields = 15
+	outcomeLoadFields = 16
 )
 
 // parseOutcome reads a hop answer into o.
@@ -116,8 +117,9 @@
 			Running: int(n.parse(f[8])), Waiting: int(n.parse(f[9])), Slots: int(n.parse(f[10])),
 			Wait:     time.Duration(n.parse(f[11])) * time.Microsecond,
 			Interval: time.Duration(n.parse(f[12])) * time.Microsecond,
-			Mean:     time.Duration(n.parse(f[13])) * time.Microsecond,
+			Inbound:  time.Duration(n.parse(f[13])) * time.Microsecond,
 			Cold:     f[14] == "true",
+			Narrow:   f[15] == "true",
 		}
 	}
 	if o.run > unknown {
--- a/proxy/peers.go
+++ b/proxy/peers.go
@@ -69,6 +69,9 @@
 // do sends a call to the gatekeeper beside a target.
 func (p *Peers) do(ctx context.Context, t *mesh.Target, c *call) *outcome {
 	c.header[hopHeader] = []string{formatCall(c, clock.Now())}
+	if c.ask {
+		c.header["Expect"] = []string{httppool.ExpectContinue}
+	}
 	resp, err := p.pool(t.Addr.Addr()).Do(newRequest(ctx, c, netip.AddrPortFrom(t.Addr.Addr(), p.port).String()))
 	if err != nil {
 		return lost(ctx, err)
@@ -112,6 +115,7 @@
 			return
 		}
 		delete(r.Header, hopHeader)
+		delete(r.Header, "Expect")
 		if r.ContentLength != 0 {
 			c.rest = r.Body
 		}
