A region's deputy reads the store when its reader is silent; an attempt's time is split in the metrics

The others asked it once more for 1.35 s, then 43 processes read the store at once, some versions of a long configuration each, over the 60 Mbit/s between regions and their own 10 Mbit/s: reads took over 1.5 s, and versions came later than 3 s. Change: the first in the region's order that stands in another failure domain is the reader's deputy. When the store's word is late, processes wait there for news instead of reading the store; a parent that was shunned is asked for an answer at once first, so that a dead one costs 0.3 s and not 1.35; a late watch asks the store not to wait. TestLostReaderCausesNoStorm failed first (48 of 54 processes read the store; at most 3 now).

--- a/follow/exchange.go
+++ b/follow/exchange.go
@@ -89,13 +89,10 @@
 // ErrForm says that a peer speaks another layout; it is shunned, and the store read instead, until all run the same version.
 var ErrForm = errors.New("peer speaks another version of the exchange; finish the upgrade")
 
-// ErrHasty says that a peer answered at once without anything new, which would be asked for again without end.
-var ErrHasty = errors.New("peer answers without waiting and has nothing new; check its version")
-
 func (k *knowledge) age() time.Duration { return time.Duration(k.AgeUs) * time.Microsecond }
 
 // ServeHTTP tells another process what this one knows. The query holds the revision after which changes are wanted and the
-// milliseconds to wait for one.
+// milliseconds to wait for one, and whether to wait even if what is known is too old to be followed.
 func (f *Follower) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
@@ -104,7 +101,9 @@
 		http.Error(w, "question is malformed; run the same version everywhere", http.StatusBadRequest)
 		return
 	}
-	f.await(r.Context(), after, min(time.Duration(wait)*time.Millisecond, maxExchangeWait))
+	f.await(r.Context(), Question{
+		After: after, Wait: min(time.Duration(wait)*time.Millisecond, maxExchangeWait), Patient: query.Get("patient") == "true",
+	})
 	data, err := f.tell(after).encode()
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
@@ -118,8 +117,8 @@
 
 // await waits until more than a revision is known, there is a newer word of the store, its last one is too old to follow, or the
 // time is up. So the age of what is known is the same at every depth of the tree.
-func (f *Follower) await(ctx context.Context, after uint64, wait time.Duration) {
-	timer := time.NewTimer(wait)
+func (f *Follower) await(ctx context.Context, q Question) {
+	timer := time.NewTimer(q.Wait)
 	defer timer.Stop()
 	f.mu.Lock()
 	first := f.heard
@@ -130,7 +129,10 @@
 		news := f.heard.After(first)
 		fresh := f.maxAge() - f.age(clock.Now())
 		f.mu.Unlock()
-		if revision > after || news || fresh <= 0 {
+		if q.Patient {
+			fresh = q.Wait
+		}
+		if revision > q.After || news || fresh <= 0 {
 			return
 		}
 		stale := time.NewTimer(fresh)
@@ -190,10 +192,13 @@
 }
 
 // Ask implements Peers.
-func (p *PeerClient) Ask(ctx context.Context, addr netip.Addr, after uint64, wait time.Duration) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+exchangeSlack)
+func (p *PeerClient) Ask(ctx context.Context, addr netip.Addr, q Question) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, q.Wait+exchangeSlack)
 	defer cancel()
-	query := url.Values{"after": {strconv.FormatUint(after, 10)}, "wait": {strconv.FormatInt(wait.Milliseconds(), 10)}}
+	query := url.Values{"after": {strconv.FormatUint(q.After, 10)}, "wait": {strconv.FormatInt(q.Wait.Milliseconds(), 10)}}
+	if q.Patient {
+		query.Set("patient", "true")
+	}
 	url := "http://" + netip.AddrPortFrom(addr, p.port).String() + StatePath + "?" + query.Encode()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -1,8 +1,10 @@
 // Package follow keeps a process's state up to date with what is published.
 //
 // In each region the processes form a tree in rendezvous order, the same for all who hold the same list. Its root watches the
-// store; the others wait at their parent for changes, which it passes on as patches. A process whose parents are silent, or know
-// less than the store could tell by now, reads the store itself; where the store doesn't answer, it takes what any process knows.
+// store; the others wait at their parent for changes, which it passes on as patches. If the root is silent, its deputy, the first
+// in that order from another failure domain, reads the store, and the others wait there. A process whose parents are silent, or
+// know less than the store could tell by now, reads the store itself; where the store doesn't answer, it takes what any process
+// knows.
 package follow
 
 import (
@@ -39,8 +41,17 @@
 
 // Peers asks other processes.
 type Peers interface {
-	// Ask returns what the process at addr tells of what changed after a revision, once something did or the wait is over.
-	Ask(ctx context.Context, addr netip.Addr, after uint64, wait time.Duration) ([]byte, error)
+	// Ask returns what the process at addr tells.
+	Ask(ctx context.Context, addr netip.Addr, q Question) ([]byte, error)
+}
+
+// Question asks a process for what changed after a revision.
+type Question struct {
+	After uint64
+	// Wait is how long the process may wait for news.
+	Wait time.Duration
+	// Patient makes it wait for news even if its own knowledge is too old to be followed: it may be about to read the store.
+	Patient bool
 }
 
 // Figures of the follower.
@@ -51,6 +62,11 @@
 	// ageShare is the part of that time for which a parent's knowledge is good without a new word of the store. It leaves time to
 	// read the store instead, and lies above waitShare, so that a quiet store does not make it old.
 	ageShare = 0.55
+	// lateShare is the part of that time from which on the store's next word is late: a watch has ended and its news been passed on.
+	lateShare = 0.4
+	// rescueShare is the part of that time for which a process whose parent has no word of the store waits at one that may be
+	// reading it: some versions of a long configuration over a narrow link. The rest suffices for a read of its own.
+	rescueShare = 0.33
 	// shun is the time for which a parent that failed is not asked.
 	shun = 3 * time.Second
 	// fanout is the number of processes that wait at one parent: each costs it a question every waitShare.
@@ -154,8 +170,9 @@
 	return f.book.Revision()
 }
 
-func (f *Follower) ask(ctx context.Context, addr netip.Addr, wait time.Duration) (*knowledge, error) {
-	data, err := f.cfg.Peers.Ask(ctx, addr, f.Revision(), wait)
+func (f *Follower) ask(ctx context.Context, addr netip.Addr, q Question) (*knowledge, error) {
+	q.After = f.Revision()
+	data, err := f.cfg.Peers.Ask(ctx, addr, q)
 	if err != nil {
 		return nil, err
 	}
@@ -221,6 +238,9 @@
 func (f *Follower) watch(ctx context.Context) error {
 	f.mu.Lock()
 	after, wait := f.book.Revision(), f.share(waitShare)
+	if f.age(clock.Now()) >= f.share(lateShare) {
+		wait = 0 // others may wait here for the store's word
+	}
 	if next := f.book.NextExpiry(); !next.IsZero() {
 		wait = min(wait, max(next.Sub(clock.Now()), 0)+time.Millisecond)
 	}
@@ -331,7 +351,7 @@
 			continue
 		}
 		peer := f.oneOf(others)
-		known, err := f.ask(ctx, peer, 0)
+		known, err := f.ask(ctx, peer, Question{})
 		if err != nil || known.Revision <= before {
 			continue // another one is asked next
 		}
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -33,7 +33,9 @@
 	down     bool
 	deaf     bool
 	calls    int
-	changed  chan struct{}
+	// readers counts the calls by machine.
+	readers map[netip.Addr]int
+	changed chan struct{}
 }
 
 func newStore() *store { return &store{entries: map[string]mesh.Fact{}, changed: make(chan struct{})} }
@@ -149,6 +151,7 @@
 	if l.isAway() {
 		return nil, 0, ErrAway
 	}
+	l.store.reads(l.self)
 	return l.store.List(ctx)
 }
 
@@ -157,16 +160,26 @@
 		time.Sleep(wait)
 		return nil, 0, ErrAway
 	}
+	l.store.reads(l.self)
 	return l.store.Watch(ctx, after, wait)
 }
 
+func (s *store) reads(reader netip.Addr) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.readers == nil {
+		s.readers = map[netip.Addr]int{}
+	}
+	s.readers[reader]++
+}
+
 func (l linked) isAway() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.away[l.self]
 }
 
-func (l linked) Ask(ctx context.Context, addr netip.Addr, after uint64, wait time.Duration) ([]byte, error) {
+func (l linked) Ask(ctx context.Context, addr netip.Addr, q Question) ([]byte, error) {
 	l.mu.Lock()
 	l.asked++
 	lost, f, stub := l.lost[addr] || l.lost[l.self], l.followers[addr], l.stub[addr]
@@ -175,11 +188,11 @@
 		return stub(), nil
 	}
 	if lost || f == nil {
-		time.Sleep(wait + exchangeSlack)
+		time.Sleep(q.Wait + exchangeSlack)
 		return nil, context.DeadlineExceeded
 	}
 	w := httptest.NewRecorder()
-	r := httptest.NewRequest(http.MethodGet, fmt.Sprintf("%s?after=%d&wait=%d", StatePath, after, wait.Milliseconds()), nil).WithContext(ctx)
+	r := httptest.NewRequest(http.MethodGet, fmt.Sprintf("%s?after=%d&wait=%d&patient=%t", StatePath, q.After, q.Wait.Milliseconds(), q.Patient), nil).WithContext(ctx)
 	f.ServeHTTP(w, r)
 	return io.ReadAll(w.Body)
 }
@@ -326,6 +339,35 @@
 	})
 }
 
+// Load pattern: the reader of a region turns silent, and its link to the store is narrow. The others wait at its deputy instead of
+// reading the store all at once.
+func TestLostReaderCausesNoStorm(t *testing.T) {
+	for _, size := range []int{12, fanout + 1, 2*fanout + 6} {
+		t.Run(fmt.Sprintf("%d processes", size), func(t *testing.T) {
+			play(t, size, func(fl *fleet) {
+				fl.store.mu.Lock()
+				clear(fl.store.readers)
+				fl.store.mu.Unlock()
+				fl.mu.Lock()
+				fl.lost[fl.root()], fl.away[fl.root()] = true, true
+				fl.mu.Unlock()
+				for _, domain := range []string{"x", "y", "z"} {
+					fl.store.put("out/"+domain, "{}")
+					time.Sleep(applyWithin)
+					if late := fl.behind(domain); len(late) > 1 {
+						t.Errorf("%d processes don't know of %s", len(late)-1, domain)
+					}
+				}
+				fl.store.mu.Lock()
+				defer fl.store.mu.Unlock()
+				if n := len(fl.store.readers); n > 3 {
+					t.Errorf("%d processes read the store", n)
+				}
+			})
+		})
+	}
+}
+
 // Once found: processes of two versions, one of which answered at once, asked each other thousands of times a second.
 func TestParentThatAnswersAtOnceIsNotAskedWithoutEnd(t *testing.T) {
 	nothing, err := (&knowledge{Form: form, Revision: 1}).encode()
--- a/mesh/state.go
+++ b/mesh/state.go
@@ -63,6 +63,16 @@
 	return slices.Compact(out)
 }
 
+// FailureDomainOf returns the failure domain of a machine, or "" if it carries no target.
+func (s *State) FailureDomainOf(machine netip.Addr) string {
+	for addr, t := range s.byAddr {
+		if addr.Addr() == machine {
+			return t.FailureDomain
+		}
+	}
+	return ""
+}
+
 func newState(revision uint64, config *Config, targets map[string]*Target, out map[string]bool) *State {
 	s := &State{Revision: revision, Config: config, Out: out, byService: map[string][]*Target{}, byAddr: map[netip.AddrPort]*Target{}}
 	for _, t := range targets {
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -87,6 +87,8 @@
 	reasonNoTarget    = "no-target"
 	reasonLinkBusy    = "link-busy"
 	reasonNoConfig    = "no-configuration"
+	reasonNoRoute     = "no-route"
+	reasonTooLong     = "body-too-long"
 )
 
 // outcome is what became of a call.
--- a/proxy/frontend.go
+++ b/proxy/frontend.go
@@ -117,10 +117,12 @@
 			f.cfg.Log.Info().Str("request", r.Header.Get(f.cfg.Names.RequestID)).Str("host", r.Host).Str("path", path).
 				Uint64("config", req.version()).Dur("age", f.cfg.Age()).Msg(events.NoRoute)
 		}
+		f.cfg.Metrics.answered(kindNone, "404", reasonNoRoute, clock.Now().Sub(req.arrived))
 		http.Error(w, "no route takes this host and path; check them against the configuration", http.StatusNotFound)
 		return
 	}
 	if limit := req.state.Config.Limits.BodyBytes; limit > 0 && r.ContentLength > limit {
+		f.cfg.Metrics.answered(kindNames[req.route.Kind], "413", reasonTooLong, clock.Now().Sub(req.arrived))
 		http.Error(w, "body is longer than the configuration allows", http.StatusRequestEntityTooLarge)
 		return
 	}
@@ -195,7 +197,9 @@
 		o = f.cfg.Peers.do(ctx, choice.Target, c)
 	}
 	o.target = choice.Target.ID
-	f.learn(ctx, req, choice, o, clock.Now().Sub(began))
+	took := clock.Now().Sub(began)
+	f.cfg.Metrics.attempt(req.route.Kind, o, took)
+	f.learn(ctx, req, choice, o, took)
 	f.noteAttempt(req, choice, o)
 	return o
 }
@@ -331,3 +335,6 @@
 )
 
 var kindNames = [...]string{mesh.Safe: "safe", mesh.Once: "once", mesh.Upload: "upload"}
+
+// kindNone is the kind of requests that no route takes.
+const kindNone = "none"
--- a/proxy/log.go
+++ b/proxy/log.go
@@ -14,7 +14,7 @@
 
 // note counts a request's end and logs it, with what decided it.
 func (f *Frontend) note(req *request, o *outcome, status int, back time.Duration) {
-	kind, route := "none", ""
+	kind, route := kindNone, ""
 	if req.route != nil {
 		kind, route = kindNames[req.route.Kind], req.route.Name
 	}
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/chervilwell/chervilwell/mesh"
 )
 
 // Metrics are the counters and histograms of requests. Labels are bounded: kinds, outcomes and reasons are fixed sets.
@@ -13,8 +15,33 @@
 	gates    *prometheus.CounterVec
 	repeats  prometheus.Counter
 	probes   prometheus.Counter
+	// hop, queue and service split the time of an attempt: on the way there and back, waiting at the target's gate, and at the target.
+	hop, queue, service stage
+}
+
+// stage is the histogram of one part of an attempt's time, by kind of route and outcome.
+type stage struct {
+	vec       *prometheus.HistogramVec
+	observers [len(kindNames)][len(runNames)]prometheus.Observer
 }
 
+func newStage(name, help string) stage {
+	s := stage{vec: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: name, Help: help, Buckets: stageBuckets}, []string{"kind", "outcome"})}
+	for kind, kindName := range kindNames {
+		for r, runName := range runNames {
+			s.observers[kind][r] = s.vec.WithLabelValues(kindName, runName)
+		}
+	}
+	return s
+}
+
+func (s *stage) observe(kind mesh.Kind, r run, took time.Duration) {
+	s.observers[kind][r].Observe(max(took, 0).Seconds())
+}
+
+// stageBuckets reach from a hop on the same machine to the longest objectives.
+var stageBuckets = []float64{.0005, .001, .0025, .005, .01, .025, .05, .1, .25, .5, 1, 2.5}
+
 // latencyBuckets lie around the objectives of some tens of milliseconds to a few seconds.
 var latencyBuckets = []float64{.005, .01, .025, .05, .1, .15, .25, .4, .6, 1, 1.5, 2.5, 5}
 
@@ -37,12 +64,27 @@
 			Name: "chervilwell_health_checks_total", Help: "Health checks of the own target.",
 		}),
 	}
+	m.hop = newStage("chervilwell_hop_seconds", "Time of an attempt on the way to the target's process and back.")
+	m.queue = newStage("chervilwell_queue_seconds", "Time of an attempt at the target's gate before it ran or was refused.")
+	m.service = newStage("chervilwell_service_seconds", "Time of an attempt at the target.")
 	if registerer != nil {
-		registerer.MustRegister(m.requests, m.latency, m.gates, m.repeats, m.probes)
+		registerer.MustRegister(m.requests, m.latency, m.gates, m.repeats, m.probes, m.hop.vec, m.queue.vec, m.service.vec)
 	}
 	return m
 }
 
+// attempt splits the time of an attempt whose gate answered.
+func (m *Metrics) attempt(kind mesh.Kind, o *outcome, took time.Duration) {
+	if o.load == nil {
+		return
+	}
+	m.hop.observe(kind, o.run, took-o.held)
+	m.queue.observe(kind, o.run, o.held-o.took)
+	if o.arrived {
+		m.service.observe(kind, o.run, o.took)
+	}
+}
+
 func (m *Metrics) gate(o *outcome) {
 	reason := o.reason
 	if reason == "" {
