An earlier life at an address gets no requests once a later one is listed

Change: a service's targets are those that hold their address; At already said so. A tie of birth goes by name, so that two processes decide alike. TestLatestLifeHoldsTheAddress asks for it and failed first. TestSinceTellsChangesAndRemovals put two targets at one address by convenience and counted both; they now have one each, the count stays.

--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -112,8 +112,10 @@
 
 func TestSinceTellsChangesAndRemovals(t *testing.T) {
 	b := NewBook()
+	elsewhere := target("c", false)
+	elsewhere.Addr = netip.MustParseAddrPort("10.0.0.2:80")
 	b.Apply(epoch, []Fact{{Key: "a", Revision: 1, Target: target("a", false), Raw: []byte("a")}, {Key: "b", Revision: 2, Target: target("b", false), Raw: []byte("b")}}, 2)
-	b.Apply(epoch, []Fact{{Key: "a", Revision: 3}, {Key: "c", Revision: 4, Target: target("c", false), Raw: []byte("c")}}, 4)
+	b.Apply(epoch, []Fact{{Key: "a", Revision: 3}, {Key: "c", Revision: 4, Target: elsewhere, Raw: []byte("c")}}, 4)
 	changes, whole := b.Since(epoch, 2)
 	if whole || len(changes) != 2 {
 		t.Fatalf("got %v, whole %v", changes, whole)
@@ -138,7 +140,12 @@
 	old.Born, now.Born = 1, 2
 	b := NewBook()
 	b.Apply(epoch, []Fact{{Key: "n", Revision: 1, Target: now}, {Key: "o", Revision: 2, Target: old}}, 2)
-	if got := b.State().At(now.Addr); got.ID != "new" {
+	state := b.State()
+	if got := state.At(now.Addr); got.ID != "new" {
 		t.Errorf("got %s", got.ID)
 	}
+	// Load pattern: cold start of all. Entries of the lives before it have not lapsed yet, and nothing is sent to them.
+	if got := state.Targets("s"); len(got) != 1 || got[0].ID != "new" {
+		t.Errorf("targets of the service: %v", got)
+	}
 }
--- a/mesh/state.go
+++ b/mesh/state.go
@@ -73,14 +73,28 @@
 	return ""
 }
 
+// replaces reports whether t is the life that holds the address of both.
+func replaces(t, other *Target) bool {
+	switch {
+	case t.Born != other.Born:
+		return t.Born > other.Born
+	case t.Leaving != other.Leaving:
+		return other.Leaving
+	}
+	return t.ID > other.ID
+}
+
 func newState(revision uint64, config *Config, targets map[string]*Target, out map[string]bool) *State {
 	s := &State{Revision: revision, Config: config, Out: out, byService: map[string][]*Target{}, byAddr: map[netip.AddrPort]*Target{}}
 	for _, t := range targets {
-		s.byService[t.Service] = append(s.byService[t.Service], t)
-		if other := s.byAddr[t.Addr]; other == nil || other.Born < t.Born || other.Born == t.Born && other.Leaving {
+		if other := s.byAddr[t.Addr]; other == nil || replaces(t, other) {
 			s.byAddr[t.Addr] = t
 		}
 	}
+	// An earlier life at an address can't be reached any more, though its entry may take seconds to lapse.
+	for _, t := range s.byAddr {
+		s.byService[t.Service] = append(s.byService[t.Service], t)
+	}
 	for _, list := range s.byService {
 		slices.SortFunc(list, func(a, b *Target) int { return strings.Compare(a.ID, b.ID) })
 	}
