--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -126,8 +126,10 @@
 	"unreachable":      "the process beside the target could not be reached",
 	"peer-broken":      "the connection to the process beside the target broke after the request was sent, so that nobody knows whether it ran",
 	"no-target":        "no target of the service was listed, in service and in the route's home regions",
-	"link-busy":        "the only targets left are in another region, and the link there is full; small requests still pass",
+	"link-busy":        "a link that its body had to cross is full, that of the target's machine or the one to the only region with targets; small requests still pass",
 	"no-configuration": "the process had just started and knew no configuration",
+	"no-route":         "the configuration in force had no route for its host and path; compare its version with the one in force elsewhere",
+	"body-too-long":    "its body was longer than the configuration allows",
 }
 
 // Cause says in one sentence why a request ended as it did.
