--- a/once/model_test.go
+++ b/once/model_test.go
@@ -318,6 +318,18 @@
 	})
 }
 
+// Once found: the list that one instance sees went back to a version before two others, and stayed there for longer than DropAfter. It
+// bound a key alone that another life had bound by a majority.
+func TestOldListDropsNoLivingSeat(t *testing.T) {
+	w := newWorld(0x120c, 3)
+	for i := range 6000 {
+		w.step(0.034310036982425844, 0.00467680444856775)
+		if w.problem != "" {
+			t.Fatalf("step %d: %s", i, w.problem)
+		}
+	}
+}
+
 // Executors that don't wait for a majority are caught by the same check.
 func TestForgedMajorityIsCaught(t *testing.T) {
 	for seed := range uint64(20) {
