--- a/once/execute.go
+++ b/once/execute.go
@@ -113,7 +113,6 @@
 // Votes on a key that is not being polled for change nothing and give Wait.
 func (t *Table) Count(now time.Time, k Key, v Vote, regions map[string]bool) Verdict {
 	now = t.advance(now)
-	t.heard(now, v.From)
 	r := t.records[k]
 	if r == nil || r.phase != polling {
 		return Verdict{Kind: Wait}
@@ -194,7 +193,6 @@
 // Vote answers the Ask of another seat. Regions are those that the route allows by this instance's own snapshot.
 func (t *Table) Vote(now time.Time, a Ask, regions map[string]bool) Vote {
 	now = t.advance(now)
-	t.heard(now, a.Executor)
 	electorate := t.electorate(a.Key.madeAt(now), regions)
 	t.learnAll(a.Seats)
 	if lacks(a.Seats, electorate) {
--- a/once/model_test.go
+++ b/once/model_test.go
@@ -318,8 +318,8 @@
 	})
 }
 
-// Once found: the list that one instance sees went back to a version before two others, and stayed there for longer than DropAfter. It
-// bound a key alone that another life had bound by a majority.
+// The list that one instance sees goes back to a version before two others, and stays there for longer than DropAfter. It
+// must not bind a key alone that another life has bound by a majority.
 func TestOldListDropsNoLivingSeat(t *testing.T) {
 	w := newWorld(0x120c, 3)
 	for i := range 6000 {
--- a/once/table.go
+++ b/once/table.go
@@ -53,22 +53,16 @@
 	Seat
 	// droppedAt is when the list dropped the seat; zero while it is listed.
 	droppedAt time.Time
-	// heardAt is when a life of the seat was last heard itself; zero if it never was.
-	heardAt time.Time
 	// leftAt is when the seat left by its own word; zero if it has not.
 	leftAt time.Time
 }
 
-// goneAt returns the time after which the seat binds nothing; zero if it may. A list that lacks a seat which is still heard is an old
-// one.
+// goneAt returns the time after which the seat binds nothing; zero if it may.
 func (s *seat) goneAt() time.Time {
 	switch {
 	case !s.leftAt.IsZero():
 		return s.leftAt
 	case !s.droppedAt.IsZero():
-		if s.heardAt.After(s.droppedAt) {
-			return s.heardAt.Add(DropAfter)
-		}
 		return s.droppedAt.Add(DropAfter)
 	}
 	return time.Time{}
@@ -178,13 +172,6 @@
 	t.unlisted = !listed[t.self.Instance]
 }
 
-// heard notes that a life has spoken.
-func (t *Table) heard(now time.Time, l Life) {
-	if s := t.seats[l.Instance]; s != nil {
-		s.heardAt = now
-	}
-}
-
 func (t *Table) learn(s Seat) {
 	if t.seats[s.Instance] == nil {
 		t.seats[s.Instance] = &seat{Seat: s}
@@ -242,7 +229,6 @@
 func (t *Table) Greeted(now time.Time, h Hello) Welcome {
 	now = t.advance(now)
 	t.learnAll(h.Seats)
-	t.heard(now, h.From)
 	if s := t.seats[h.From.Instance]; s != nil {
 		s.leftAt = time.Time{}
 	}
@@ -253,7 +239,6 @@
 func (t *Table) Welcomed(now time.Time, w Welcome) {
 	now = t.advance(now)
 	t.learnAll(w.Seats)
-	t.heard(now, w.From)
 	t.welcomes[w.From.Instance] = w.Mature
 	t.Mature(now)
 }
