--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -142,22 +142,17 @@
 		case events.NoRoute:
 			return fmt.Sprintf("configuration %s has no route for %s%s", l.Get("config"), l.Get("host"), l.Get("path"))
 		case events.RequestRefused, events.RequestFailed:
-			return fmt.Sprintf("%s with status %s (%s): %s", l.Event, l.Get("status"), l.Get("reason"), because(l, lines))
+			return fmt.Sprintf("%s with status %s (%s): %s", l.Event, l.Get("status"), l.Get("reason"), because(l))
 		}
 	}
 	return "the logs don't tell how it ended; give the log of the instance that the caller asked"
 }
 
-// because explains the reason of the last line, from the attempts where it names none of its own.
-func because(last Line, lines []Line) string {
+// because explains the reason of the last line. Without one, the target of the last attempt answered so itself.
+func because(last Line) string {
 	if text := causes[last.Get("reason")]; text != "" {
 		return text
 	}
-	for i := len(lines) - 1; i >= 0; i-- {
-		if text := causes[lines[i].Get("reason")]; lines[i].Event == events.AttemptEnded && text != "" {
-			return text
-		}
-	}
 	return "target " + last.Get("target") + " answered so itself"
 }
 
--- a/internal/trail/trail_test.go
+++ b/internal/trail/trail_test.go
@@ -54,6 +54,24 @@
 	}
 }
 
+// Once found: a target's own failure was put down to what an earlier attempt had met.
+func TestTargetsOwnAnswerIsItsOwnCause(t *testing.T) {
+	var lines []Line
+	for _, text := range []string{
+		`time=2026-03-31T07:10:37.000Z level=info msg="attempt ended" request=r target=i-1 reason=busy`,
+		`time=2026-03-31T07:10:37.100Z level=warn msg="request failed" request=r status=504 reason=- target=i-2`,
+	} {
+		l, err := Parse(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		lines = append(lines, l)
+	}
+	if got := Cause(lines); !strings.Contains(got, "target i-2 answered so itself") {
+		t.Errorf("got %q", got)
+	}
+}
+
 func TestEveryReasonHasACause(t *testing.T) {
 	text, err := os.ReadFile("../../proxy/call.go")
 	if err != nil {
