A route is looked up once a choice, and one function ranks a region's machines

Read-through of the whole change; behaviour stays as it is. Change: the route is passed to score and moveCost; order takes the machines and serves both; the root's domain is taken once.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -184,8 +184,9 @@
 	best, bestScore := Choice{}, math.Inf(1)
 	spare, spareUntil := Choice{}, time.Time{}
 	exploring := b.rng.Float64() < explore
+	route := b.route(a.Route.Name)
 	for _, t := range a.State.Targets(a.Service) {
-		if !a.State.Usable(t) || !a.Route.Allows(t.Region) || tried(a.Tried, t.ID) {
+		if !a.State.Usable(t) || !a.Route.Allows(t.Region) || slices.Contains(a.Tried, t.ID) {
 			continue
 		}
 		known := b.target(a.Now, t)
@@ -207,8 +208,8 @@
 			}
 			continue
 		}
-		score := b.score(a, known, place, delay) * (1 + noise*b.rng.Float64())
-		if exploring && b.moveCost(a, place) < maxExploreCost {
+		score := score(a, route, known, place, delay) * (1 + noise*b.rng.Float64())
+		if exploring && moveCost(a, route, place) < maxExploreCost {
 			score *= b.rng.Float64()
 		}
 		if score < bestScore {
@@ -222,19 +223,10 @@
 		return best, false
 	}
 	best.Ask = a.Bytes >= pacer.Large && best.Place != Own && b.target(a.Now, best.Target).load.Narrow
-	best.Due = a.Now.Add(hop[best.Place] + best.Wait + overdue*b.route(a.Route.Name).run + dueSlack)
+	best.Due = a.Now.Add(hop[best.Place] + best.Wait + overdue*route.run + dueSlack)
 	return best, true
 }
 
-func tried(list []string, id string) bool {
-	for _, other := range list {
-		if other == id {
-			return true
-		}
-	}
-	return false
-}
-
 func (b *Balancer) place(t *mesh.Target) Place {
 	switch {
 	case b.self.Own(t):
@@ -248,8 +240,7 @@
 }
 
 // score is the expected cost of a choice, in requests: the risk that the answer is late or fails, and the bytes moved.
-func (b *Balancer) score(a Attempt, t *target, place Place, delay time.Duration) float64 {
-	route := b.route(a.Route.Name)
+func score(a Attempt, r route, t *target, place Place, delay time.Duration) float64 {
 	speed := 1 + (t.speed-1)*decay(a.Now.Sub(t.speedAt), forgetSpeed)
 	faults := t.faults * decay(a.Now.Sub(t.faultAt), forgetFaults)
 	way := max(hop[place]+delay, t.way(a.Now))
@@ -257,18 +248,18 @@
 	if a.Bytes >= pacer.Large && place != Own {
 		wait += t.inbound(a.Now)
 	}
-	expected := way.Seconds() + wait.Seconds() + route.run.Seconds()*speed
+	expected := way.Seconds() + wait.Seconds() + r.run.Seconds()*speed
 	objective := a.Route.Objective
 	if objective <= 0 {
 		objective = a.Route.Timeout
 	}
 	x := expected / objective.Seconds()
-	return min(math.Pow(x, lateSteep), lateMost) + hasteCost*x + faultCost*faults + b.moveCost(a, place)
+	return min(math.Pow(x, lateSteep), lateMost) + hasteCost*x + faultCost*faults + moveCost(a, r, place)
 }
 
 // moveCost is the cost of moving a request and its answer.
-func (b *Balancer) moveCost(a Attempt, place Place) float64 {
-	return byteCost[place] * (float64(a.Bytes+HeadBytes) + b.route(a.Route.Name).answer)
+func moveCost(a Attempt, r route, place Place) float64 {
+	return byteCost[place] * (float64(a.Bytes+HeadBytes) + r.answer)
 }
 
 // way is the expected time on the way to a target and back, as its last answers showed it.
--- a/follow/join.go
+++ b/follow/join.go
@@ -31,13 +31,13 @@
 	if err != nil || !f.cfg.Source.Far() {
 		return false // the store is read as a whole, and tells what is wrong
 	}
-	names := []string{f.cfg.Self.String()}
+	var machines []netip.Addr
 	for _, t := range targets {
-		if t.Target != nil && t.Target.Region == f.cfg.Region && t.Target.Addr.Addr() != f.cfg.Self {
-			names = append(names, t.Target.Addr.Addr().String())
+		if t.Target != nil && t.Target.Region == f.cfg.Region {
+			machines = append(machines, t.Target.Addr.Addr())
 		}
 	}
-	order := slices.Compact(rank.Sort(f.cfg.Region, names))
+	order := slices.Compact(f.order(machines)) // a machine may carry entries of several lives
 	for _, above := range rank.Ancestors(slices.Index(order, f.cfg.Self.String()), joinFanout) {
 		addr, err := netip.ParseAddr(order[above])
 		if err == nil && f.joinFrom(ctx, addr) {
--- a/follow/tree.go
+++ b/follow/tree.go
@@ -25,8 +25,9 @@
 		}
 		return state.FailureDomainOf(addr)
 	}
+	root := domain(order[0])
 	for place := 1; place < len(order); place++ {
-		if domain(order[place]) != domain(order[0]) {
+		if domain(order[place]) != root {
 			return place
 		}
 	}
@@ -38,7 +39,7 @@
 	if f.cfg.Peers == nil || !f.listed {
 		return netip.Addr{}, false
 	}
-	order := rank.Sort(f.cfg.Region, f.names())
+	order := f.order(f.cfg.Holder.Load().Machines(f.cfg.Region))
 	place := slices.Index(order, f.cfg.Self.String())
 	now := clock.Now()
 	chain := rank.Ancestors(place, fanout)
@@ -54,15 +55,15 @@
 	return netip.Addr{}, false
 }
 
-// names returns the machines of the region, this one too.
-func (f *Follower) names() []string {
+// order ranks machines of the region and this one, which may be among them.
+func (f *Follower) order(machines []netip.Addr) []string {
 	names := []string{f.cfg.Self.String()}
-	for _, addr := range f.cfg.Holder.Load().Machines(f.cfg.Region) {
+	for _, addr := range machines {
 		if addr != f.cfg.Self {
 			names = append(names, addr.String())
 		}
 	}
-	return names
+	return rank.Sort(f.cfg.Region, names)
 }
 
 // question returns what to ask a parent: where the store's word is late, for news that may come any moment, and one that was shunned
