follow: log slow replies, failed store calls and the source of a configuration

The logs could not tell a peer that does not respond from one whose reply takes longer than the time allowed: calls that succeed late were not logged, and a failed call showed no duration. A reply now carries the time for which the peer held the request, so that the requester knows the time on the way. New events: slow reply, store call failed. New fields: source of 'configuration is in force', took of 'parent is not followed'. New metric: chervilwell_state_age_seconds.

No change of behaviour.

--- a/follow/exchange.go
+++ b/follow/exchange.go
@@ -55,6 +55,9 @@
 	AgeUs   int64       `cbor:"3,keyasint"`
 	Full    bool        `cbor:"4,keyasint,omitempty"`
 	Entries []wireEntry `cbor:"5,keyasint,omitempty"`
+	// HeldUs is the time in microseconds for which the request was held open. The requester's time beyond it was spent on the
+	// way.
+	HeldUs int64 `cbor:"6,keyasint,omitempty"`
 }
 
 // format is the layout version of stateUpdate that this code reads and writes.
@@ -95,6 +98,9 @@
 
 func (u *stateUpdate) age() time.Duration { return time.Duration(u.AgeUs) * time.Microsecond }
 
+// held returns the time for which the peer held the request open.
+func (u *stateUpdate) held() time.Duration { return time.Duration(u.HeldUs) * time.Microsecond }
+
 // ServeHTTP returns the changes of this process's state as an encoded stateUpdate. The query parameters are those of
 // PollRequest: after, the revision; wait, in milliseconds; and patient, which is "true" to wait even if the state is too old
 // to be followed.
@@ -106,10 +112,13 @@
 		http.Error(w, "question is malformed; run the same version everywhere", http.StatusBadRequest)
 		return
 	}
+	received := clock.Now()
 	f.waitForChange(r.Context(), PollRequest{
 		After: after, Wait: min(time.Duration(wait)*time.Millisecond, maxExchangeWait), WaitIfStale: query.Get("patient") == "true",
 	})
-	data, err := f.updateSince(after).encode()
+	update := f.updateSince(after)
+	update.HeldUs = clock.Now().Sub(received).Microseconds()
+	data, err := update.encode()
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
@@ -228,7 +237,7 @@
 }
 
 // applyUpdate applies the update of a peer. It fails with ErrPatch if a patch does not match, without changing the state.
-func (f *Follower) applyUpdate(update *stateUpdate) error {
+func (f *Follower) applyUpdate(peer netip.Addr, update *stateUpdate) error {
 	entries := make([]mesh.Entry, 0, len(update.Entries))
 	for _, e := range update.Entries {
 		entry, err := f.entry(e)
@@ -237,7 +246,7 @@
 		}
 		entries = append(entries, entry)
 	}
-	f.commit(func(now time.Time) bool {
+	f.commit(peer.String(), func(now time.Time) bool {
 		if update.Full {
 			return f.replica.Replace(now, entries, update.Revision)
 		}
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -96,8 +96,13 @@
 	// minExpiryOutage is the length of a store outage from which on entries of live targets may have expired. Entries outlive
 	// shorter outages.
 	minExpiryOutage = 2 * time.Second
+	// slowReply is the time on the way from which on a reply is logged as slow.
+	slowReply = 200 * time.Millisecond
 )
 
+// storeName is the name of the store as a source of the state in logs.
+const storeName = "store"
+
 // Config holds the dependencies and settings of a Follower.
 type Config struct {
 	Source Source
@@ -188,12 +193,24 @@
 
 // fetch returns the changes that the process at addr has after the revision of this one.
 func (f *Follower) fetch(ctx context.Context, addr netip.Addr, q PollRequest) (*stateUpdate, error) {
+	start := clock.Now()
 	q.After = f.Revision()
 	data, err := f.cfg.Peers.Fetch(ctx, addr, q)
 	if err != nil {
 		return nil, err
 	}
-	return decodeStateUpdate(data)
+	update, err := decodeStateUpdate(data)
+	if err == nil {
+		f.logSlowReply(addr.String(), clock.Now().Sub(start), update.held(), update.Revision)
+	}
+	return update, err
+}
+
+// logSlowReply logs a reply that took much longer than the peer, or the store, held the request.
+func (f *Follower) logSlowReply(from string, took, held time.Duration, revision uint64) {
+	if took-held >= slowReply {
+		f.cfg.Log.Info().Str("from", from).Dur("took", took).Dur("held", held).Uint64("revision", revision).Msg(events.SlowReply)
+	}
 }
 
 // noteContact records a contact of a peer with the store that lies age in the past, and ends an outage: a process that follows
@@ -245,12 +262,14 @@
 
 // list replaces the state by a full listing of the store.
 func (f *Follower) list(ctx context.Context) error {
+	start := clock.Now()
 	entries, revision, err := f.cfg.Source.List(ctx)
 	if err != nil {
-		return err
+		return f.logFailedCall(start, err)
 	}
+	f.logSlowReply(storeName, clock.Now().Sub(start), 0, revision)
 	f.storeResponded()
-	f.commit(func(now time.Time) bool { return f.replica.Replace(now, entries, revision) })
+	f.commit(storeName, func(now time.Time) bool { return f.replica.Replace(now, entries, revision) })
 	f.synced = true
 	return nil
 }
@@ -266,20 +285,29 @@
 		wait = min(wait, max(next.Sub(clock.Now()), 0)+time.Millisecond)
 	}
 	f.mu.Unlock()
+	start := clock.Now()
 	entries, revision, err := f.cfg.Source.Watch(ctx, after, wait)
 	if err != nil {
-		return err
+		return f.logFailedCall(start, err)
 	}
+	f.logSlowReply(storeName, clock.Now().Sub(start), wait, revision)
 	f.storeResponded()
-	f.commit(func(now time.Time) bool { return f.replica.Apply(now, entries, revision) })
+	f.commit(storeName, func(now time.Time) bool { return f.replica.Apply(now, entries, revision) })
 	if len(entries) > 0 {
 		_ = periodic.Sleep(ctx, watchPause)
 	}
 	return nil
 }
 
-// commit applies change to the replica and puts the resulting state in force.
-func (f *Follower) commit(change func(now time.Time) bool) {
+// logFailedCall logs a call to the store that did not succeed and returns its error.
+func (f *Follower) logFailedCall(start time.Time, err error) error {
+	f.cfg.Log.Info().Dur("took", clock.Now().Sub(start)).Dur("age", f.Age()).Err(err).Msg(events.StoreCallFailed)
+	return err
+}
+
+// commit applies change to the replica and puts the resulting state in force. The source is the peer that supplied the change,
+// or the store.
+func (f *Follower) commit(source string, change func(now time.Time) bool) {
 	f.mu.Lock()
 	now := clock.Now()
 	changed := change(now)
@@ -287,7 +315,7 @@
 	var state *mesh.State
 	if before := f.cfg.Holder.Load(); changed || before.Revision < f.replica.Revision() {
 		state = f.replica.State()
-		f.logChanges(before, state)
+		f.logChanges(source, before, state)
 		f.cfg.Holder.Store(state)
 		f.notify()
 	}
@@ -297,12 +325,12 @@
 	}
 }
 
-// logChanges logs the differences between two states.
-func (f *Follower) logChanges(before, after *mesh.State) {
+// logChanges logs the differences between two states, of which the later one came from source.
+func (f *Follower) logChanges(source string, before, after *mesh.State) {
 	log, revision := &f.cfg.Log, after.Revision
 	if after.Config != nil && (before.Config == nil || before.Config.Version != after.Config.Version) {
 		log.Info().Uint64("config", after.Config.Version).Int("routes", len(after.Config.Routes)).
-			Uint64("revision", revision).Msg(events.ConfigInForce)
+			Uint64("revision", revision).Str("source", source).Msg(events.ConfigInForce)
 	}
 	for domain := range after.OutOfService {
 		if !before.OutOfService[domain] {
@@ -376,7 +404,7 @@
 		if err != nil || update.Revision <= before {
 			continue // the next iteration picks another peer
 		}
-		if err = f.applyUpdate(update); err != nil {
+		if err = f.applyUpdate(peer, update); err != nil {
 			f.cfg.Log.Warn().Stringer("from", peer).Err(err).Msg(events.PeerMalformed)
 			continue
 		}
--- a/follow/join.go
+++ b/follow/join.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/chervilwell/chervilwell/internal/clock"
 	"github.com/chervilwell/chervilwell/internal/events"
 	"github.com/chervilwell/chervilwell/rank"
 )
@@ -50,15 +51,16 @@
 
 // joinFrom waits until the process at addr has the full state and applies it. It reports whether it succeeded.
 func (f *Follower) joinFrom(ctx context.Context, addr netip.Addr) bool {
+	start := clock.Now()
 	update, err := f.fetch(ctx, addr, PollRequest{Wait: joinWait, WaitIfStale: true})
 	if err == nil && (update.Revision == 0 || update.age() >= f.maxAge()) {
 		err = ErrStale
 	}
 	if err == nil {
-		err = f.applyUpdate(update)
+		err = f.applyUpdate(addr, update)
 	}
 	if err != nil {
-		f.cfg.Log.Info().Stringer("parent", addr).Dur("age", 0).Err(err).Msg(events.ParentNotUsed)
+		f.cfg.Log.Info().Stringer("parent", addr).Dur("age", 0).Dur("took", clock.Now().Sub(start)).Err(err).Msg(events.ParentNotUsed)
 		return false
 	}
 	f.noteContact(update.age())
--- a/follow/tree.go
+++ b/follow/tree.go
@@ -95,7 +95,7 @@
 	if err == nil || ctx.Err() != nil {
 		return
 	}
-	f.cfg.Log.Info().Str("parent", parent.String()).Dur("age", age).Err(err).Msg(events.ParentNotUsed)
+	f.cfg.Log.Info().Stringer("parent", parent).Dur("age", age).Dur("took", clock.Now().Sub(start)).Err(err).Msg(events.ParentNotUsed)
 	f.ejected[parent] = clock.Now().Add(ejectionTime)
 }
 
@@ -119,7 +119,7 @@
 	}
 	f.noteContact(update.age())
 	before := f.Revision()
-	if err := f.applyUpdate(update); err != nil {
+	if err := f.applyUpdate(parent, update); err != nil {
 		return err
 	}
 	switch {
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -30,6 +30,8 @@
 	StateReadFromPeer  = "learnt from a peer"
 	PeerMalformed      = "peer sent what can't be read"
 	PeerDisconnected   = "peer left before its answer"
+	StoreCallFailed    = "store call failed"
+	SlowReply          = "slow reply"
 
 	TargetRestarted   = "target began a new life"
 	TargetMaybeCold   = "target may be cold"
@@ -66,17 +68,19 @@
 
 	{StoreRecovered, "the store responds again; silent is the time for which it did not", []string{"silent"}},
 	{StoreNotResponding, "the store does not respond; the present state stays in use", []string{"revision", "error"}},
+	{StoreCallFailed, "a call to the store did not succeed; took is its duration, age the time since the last known contact with the store", []string{"took", "age", "error"}},
 	{EntryIgnored, "an entry of the store is invalid and is ignored", []string{"error"}},
-	{ConfigInForce, "a configuration is now in force", []string{"config", "routes", "revision"}},
+	{ConfigInForce, "a configuration is now in force; source is the peer that supplied it, or store", []string{"config", "routes", "revision", "source"}},
 	{DomainOut, "an operator took a failure domain out of service", []string{"domain", "revision"}},
 	{DomainBack, "an operator put a failure domain back into service", []string{"domain", "revision"}},
 	{TargetListed, "a target was added to the list and may receive requests", []string{"target", "service", "addr", "domain", "revision"}},
 	{TargetLeaving, "a target is stopping and receives no new requests", []string{"target", "service", "addr", "domain", "revision"}},
 	{TargetGone, "a target was removed from the list", []string{"target", "service", "addr", "domain", "revision"}},
-	{ParentNotUsed, "the parent does not respond or its state is too old; the process reads from the store instead", []string{"parent", "age", "error"}},
+	{ParentNotUsed, "the parent does not respond or its state is too old; the process reads from the store instead", []string{"parent", "age", "took", "error"}},
 	{StateReadFromPeer, "newer state was read from a peer instead of the store", []string{"peer", "revision", "age"}},
 	{PeerMalformed, "a message from a peer cannot be decoded", []string{"from", "error"}},
 	{PeerDisconnected, "a peer disconnected before the response was sent", []string{"error"}},
+	{SlowReply, "a peer, or the store, responded long after the time for which it held the request; took is the duration of the call, held the time reported by the peer, or the wait asked of the store", []string{"from", "took", "held", "revision"}},
 
 	{TargetRestarted, "the local target has restarted or was replaced", []string{"target", "born", "cold", "slots"}},
 	{TargetMaybeCold, "the local target may be cold; the start rate of requests is limited until the target reports that it is warm", []string{"why"}},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -94,6 +94,9 @@
 		Peers:  follow.NewPeerClient(s.Peers.Port()), Decode: decoder.Decode, Self: s.Target.Addr(), Region: s.Region,
 		Holder: n.holder, ApplyWithin: s.ApplyWithin, Changed: func(*mesh.State) { n.gatekeeper.Update() }, Log: log, Rand: rng(),
 	})
+	n.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "chervilwell_state_age_seconds", Help: "Time since the last known contact with the store, of this process or the peers that it follows.",
+	}, func() float64 { return n.follower.Age().Seconds() }))
 	return n
 }
 
