--- a/follow/exchange.go
+++ b/follow/exchange.go
@@ -31,6 +31,8 @@
 	// narrow link.
 	fullSlack   = 1500 * time.Millisecond
 	maxExchange = 16 << 20
+	// peerConnectTimeout is the time allowed for a connection to a peer.
+	peerConnectTimeout = exchangeSlack
 	// maxExchangeWait bounds the wait that a peer may request.
 	maxExchangeWait = 5 * time.Second
 )
@@ -201,19 +203,23 @@
 
 // NewPeerClient returns a client for processes that listen on the given port of their instances.
 func NewPeerClient(port uint16) *PeerClient {
-	dialer := &net.Dialer{Timeout: exchangeSlack}
+	dialer := &net.Dialer{Timeout: peerConnectTimeout}
 	return &PeerClient{port: port, client: &http.Client{Transport: &http.Transport{
 		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, DisableCompression: true,
 	}}}
 }
 
-// Fetch implements Peers.
-func (p *PeerClient) Fetch(ctx context.Context, addr netip.Addr, q PollRequest) ([]byte, error) {
-	slack := exchangeSlack
+// timeout returns the time after which the call is given up.
+func (q PollRequest) timeout() time.Duration {
 	if q.After == 0 {
-		slack = fullSlack
+		return q.Wait + fullSlack
 	}
-	ctx, cancel := context.WithTimeout(ctx, q.Wait+slack)
+	return q.Wait + exchangeSlack
+}
+
+// Fetch implements Peers.
+func (p *PeerClient) Fetch(ctx context.Context, addr netip.Addr, q PollRequest) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, q.timeout())
 	defer cancel()
 	query := url.Values{"after": {strconv.FormatUint(q.After, 10)}, "wait": {strconv.FormatInt(q.Wait.Milliseconds(), 10)}}
 	if q.WaitIfStale {
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -18,6 +18,7 @@
 	"github.com/rs/zerolog"
 	"pgregory.net/rapid"
 
+	"github.com/chervilwell/chervilwell/internal/periodic"
 	"github.com/chervilwell/chervilwell/mesh"
 	"github.com/chervilwell/chervilwell/rank"
 )
@@ -165,7 +166,21 @@
 	polls                int
 	// stub returns the replies of an instance in place of its follower.
 	stub map[netip.Addr]func() []byte
-}
+	// cut holds the instances whose packets are all lost, to and from peers and the store.
+	cut map[netip.Addr]bool
+	// roundTrip holds the round trip time of instances with a full link.
+	roundTrip map[netip.Addr]time.Duration
+	// open holds the idle connections by caller and callee; the store's address is the zero Addr.
+	open map[[2]netip.Addr]int
+	// applyWithin is Config.ApplyWithin of the followers.
+	applyWithin time.Duration
+}
+
+// Time-outs of the platform's store client, with which the followers run.
+const (
+	storeConnectTimeout  = 500 * time.Millisecond
+	storeResponseTimeout = 1500 * time.Millisecond
+)
 
 type endpoint struct {
 	*fleet
@@ -194,8 +209,94 @@
 		time.Sleep(wait)
 		return nil, 0, ErrUnavailable
 	}
+	ctx, cancel := withTimeout(ctx, wait+storeResponseTimeout)
+	defer cancel()
 	l.store.countRead(l.self)
-	return l.store.Watch(ctx, after, wait)
+	var entries []mesh.Entry
+	var revision uint64
+	err := l.exchange(ctx, netip.Addr{}, storeConnectTimeout, func() (err error) {
+		entries, revision, err = l.store.Watch(ctx, after, wait)
+		return err
+	})
+	if err != nil {
+		return nil, 0, ErrUnavailable
+	}
+	return entries, revision, nil
+}
+
+// exchange models a request over an idle connection to the callee, or a new one. A packet that is lost is not sent again, and
+// a connection on which a request was given up is closed.
+func (l endpoint) exchange(ctx context.Context, callee netip.Addr, connectTimeout time.Duration, serve func() error) error {
+	key := [2]netip.Addr{l.self, callee}
+	isCut := func() bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return l.cut[l.self] || l.cut[callee]
+	}
+	lost := isCut()
+	l.mu.Lock()
+	roundTrip := max(l.roundTrip[l.self], l.roundTrip[callee])
+	idle := l.open[key] > 0
+	if idle {
+		l.open[key]--
+	}
+	l.mu.Unlock()
+	if !idle {
+		connected := make(chan bool, 1)
+		go func() { // goes on after the request is given up
+			if lost || roundTrip > connectTimeout {
+				time.Sleep(connectTimeout)
+				connected <- false
+				return
+			}
+			time.Sleep(roundTrip)
+			l.mu.Lock()
+			defer l.mu.Unlock()
+			if ctx.Err() != nil {
+				l.open[key]++
+			}
+			connected <- true
+		}()
+		select {
+		case ok := <-connected:
+			if !ok {
+				return context.DeadlineExceeded
+			}
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	if lost {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	if err := periodic.Sleep(ctx, roundTrip/2); err != nil {
+		return err
+	}
+	if err := serve(); err != nil {
+		return err
+	}
+	if isCut() {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	if err := periodic.Sleep(ctx, roundTrip/2); err != nil {
+		return err
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.open[key]++
+	return nil
+}
+
+// withTimeout is context.WithTimeout without time.AfterFunc, at which the race detector of Go 1.26 crashes in a synctest bubble.
+func withTimeout(ctx context.Context, d time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(ctx)
+	go func() {
+		_ = periodic.Sleep(ctx, d)
+		cancel()
+	}()
+	return ctx, cancel
 }
 
 func (s *store) countRead(reader netip.Addr) {
@@ -228,32 +329,42 @@
 		time.Sleep(exchangeSlack)
 		return nil, context.DeadlineExceeded
 	}
+	ctx, cancel := withTimeout(ctx, q.timeout())
+	defer cancel()
 	w := httptest.NewRecorder()
-	r := httptest.NewRequest(http.MethodGet, fmt.Sprintf("%s?after=%d&wait=%d&patient=%t", StatePath, q.After, q.Wait.Milliseconds(), q.WaitIfStale), nil).WithContext(ctx)
-	f.ServeHTTP(w, r)
+	err := l.exchange(ctx, addr, peerConnectTimeout, func() error {
+		r := httptest.NewRequest(http.MethodGet, fmt.Sprintf("%s?after=%d&wait=%d&patient=%t", StatePath, q.After, q.Wait.Milliseconds(), q.WaitIfStale), nil).WithContext(ctx)
+		f.ServeHTTP(w, r)
+		return nil
+	})
+	if err != nil {
+		return nil, err
+	}
 	return io.ReadAll(w.Body)
 }
 
 func newFleet(ctx context.Context, size int, setUp ...func(*fleet)) *fleet {
 	fl := &fleet{
 		store: newStore(), followers: map[netip.Addr]*Follower{}, noStore: map[netip.Addr]bool{}, unreachable: map[netip.Addr]bool{},
-		stub: map[netip.Addr]func() []byte{},
+		stub: map[netip.Addr]func() []byte{}, cut: map[netip.Addr]bool{}, roundTrip: map[netip.Addr]time.Duration{},
+		open: map[[2]netip.Addr]int{}, applyWithin: applyWithin,
 	}
 	for i := range size {
 		addr := instanceAddr(i)
 		fl.store.put(addr.String(), "first")
+		fl.followers[addr] = nil
+	}
+	for _, f := range setUp {
+		f(fl)
 	}
 	for i := range size {
 		addr := instanceAddr(i)
 		link := endpoint{fl, addr}
 		fl.followers[addr] = New(Config{
-			Source: link, Peers: link, Holder: &mesh.Holder{}, Decode: decode, Self: addr, Region: "r", ApplyWithin: applyWithin,
+			Source: link, Peers: link, Holder: &mesh.Holder{}, Decode: decode, Self: addr, Region: "r", ApplyWithin: fl.applyWithin,
 			Log: zerolog.Nop(), Rand: rand.New(rand.NewPCG(1, uint64(i))),
 		})
 	}
-	for _, f := range setUp {
-		f(fl)
-	}
 	for _, f := range fl.followers {
 		go func() { _ = f.Serve(ctx) }()
 	}
