follow: record a contact with the store together with its changes

A response of the store was recorded in two steps: first the contact, which woke the waiting polls, then the changes. A poll woken in between was told of a contact just now with the state from before it. At a start of all processes, some children of the root took the reply (revision 0, age 0) for a failed join and all listed the store; else a child took its state for fresh without the change that the contact had brought, and so did those below it. The update of a peer had the same order.

Evidence: TestColdStartReadsRemoteStoreOnce failed now and then ('5 full listings of the store, want at most 1', '7, want at most 6'); a trace of a failing run shows the replies with revision 0 and age 0.

Both are now recorded in one critical section, and waiting polls are woken after it.

--- a/follow/exchange.go
+++ b/follow/exchange.go
@@ -242,7 +242,7 @@
 	return data, errors.Wrapf(err, "peer %s", addr)
 }
 
-// applyUpdate applies the update of a peer. It fails with ErrPatch if a patch does not match, without changing the state.
+// applyUpdate applies the update of a peer and records the peer's contact with the store. It fails with ErrPatch if a patch does not match, without changing the state.
 func (f *Follower) applyUpdate(peer netip.Addr, update *stateUpdate) error {
 	entries := make([]mesh.Entry, 0, len(update.Entries))
 	for _, e := range update.Entries {
@@ -253,6 +253,9 @@
 		entries = append(entries, entry)
 	}
 	f.commit(peer.String(), func(now time.Time) bool {
+		if update.age() < f.maxAge() {
+			f.noteContact(now, update.age())
+		}
 		if update.Full {
 			return f.replica.Replace(now, entries, update.Revision)
 		}
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -214,13 +214,10 @@
 }
 
 // noteContact records a contact of a peer with the store that lies age in the past, and ends an outage: a process that follows
-// a peer does not call the store.
-func (f *Follower) noteContact(age time.Duration) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if at := clock.Now().Add(-age); at.After(f.lastContact) {
+// a peer does not call the store. It must be called with f.mu held.
+func (f *Follower) noteContact(now time.Time, age time.Duration) {
+	if at := now.Add(-age); at.After(f.lastContact) {
 		f.lastContact = at
-		f.notify()
 	}
 	f.unavailableSince = time.Time{}
 }
@@ -268,8 +265,10 @@
 		return f.logFailedCall(start, err)
 	}
 	f.logSlowReply(storeName, clock.Now().Sub(start), 0, revision)
-	f.storeResponded()
-	f.commit(storeName, func(now time.Time) bool { return f.replica.Replace(now, entries, revision) })
+	f.commit(storeName, func(now time.Time) bool {
+		f.storeResponded(now)
+		return f.replica.Replace(now, entries, revision)
+	})
 	f.synced = true
 	return nil
 }
@@ -291,8 +290,10 @@
 		return f.logFailedCall(start, err)
 	}
 	f.logSlowReply(storeName, clock.Now().Sub(start), wait, revision)
-	f.storeResponded()
-	f.commit(storeName, func(now time.Time) bool { return f.replica.Apply(now, entries, revision) })
+	f.commit(storeName, func(now time.Time) bool {
+		f.storeResponded(now)
+		return f.replica.Apply(now, entries, revision)
+	})
 	if len(entries) > 0 {
 		_ = periodic.Sleep(ctx, watchPause)
 	}
@@ -306,10 +307,11 @@
 }
 
 // commit applies change to the replica and puts the resulting state in force. The source is the peer that supplied the change,
-// or the store.
+// or the store. The change also records the contact with the store, so that no peer is told of a contact without the changes that
+// came with it.
 func (f *Follower) commit(source string, change func(now time.Time) bool) {
 	f.mu.Lock()
-	now := clock.Now()
+	now, contactBefore := clock.Now(), f.lastContact
 	changed := change(now)
 	changed = f.replica.Expire(now) || changed
 	var state *mesh.State
@@ -317,6 +319,8 @@
 		state = f.replica.State()
 		f.logChanges(source, before, state)
 		f.cfg.Holder.Store(state)
+	}
+	if state != nil || f.lastContact.After(contactBefore) {
 		f.notify()
 	}
 	f.mu.Unlock()
@@ -357,13 +361,9 @@
 	})
 }
 
-// storeResponded records a response of the store and ends an outage.
-func (f *Follower) storeResponded() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	now := clock.Now()
+// storeResponded records a response of the store and ends an outage. It must be called with f.mu held.
+func (f *Follower) storeResponded(now time.Time) {
 	f.lastContact = now
-	f.notify()
 	if f.unavailableSince.IsZero() {
 		return
 	}
--- a/follow/tree.go
+++ b/follow/tree.go
@@ -117,7 +117,6 @@
 		delete(f.ejected, parent)
 		f.emptyReplies = maxEmptyReplies - 1 // the next reply without waiting ejects it again
 	}
-	f.noteContact(update.age())
 	before := f.Revision()
 	if err := f.applyUpdate(parent, update); err != nil {
 		return err
