mesh: ignore changes up to the replica's revision

An update that arrived after a later one could restore an entry that the later one had removed: the replica keeps no revision for entries that are gone. Callers would see a target that has left, or a failure domain out of service again after its return.

TestLateUpdateDoesNotRestoreRemovedEntry fails before ('the update of revision 2 restored an entry that was removed at revision 3') and passes now. A replica is complete up to its revision, so that a change at or before it is included already.

--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -135,6 +135,21 @@
 	}
 }
 
+// Guards against a removed target, or a failure domain back in service, that returns with an update from before its removal: with
+// several sources an update may arrive after a later one.
+func TestLateUpdateDoesNotRestoreRemovedEntry(t *testing.T) {
+	r := NewReplica()
+	listed := []Entry{{Key: "out/d", Revision: 2, OutOfService: "d"}}
+	r.Apply(epoch, listed, 2)
+	r.Apply(epoch, []Entry{{Key: "out/d", Revision: 3}}, 3)
+	if r.Apply(epoch, listed, 2); r.State().OutOfService["d"] {
+		t.Error("the update of revision 2 restored an entry that was removed at revision 3")
+	}
+	if r.Revision() != 3 {
+		t.Errorf("revision %d, want 3", r.Revision())
+	}
+}
+
 func TestLatestIncarnationOwnsAddress(t *testing.T) {
 	old, now := target("old", false), target("new", false)
 	old.StartedMs, now.StartedMs = 1, 2
--- a/mesh/replica.go
+++ b/mesh/replica.go
@@ -27,8 +27,9 @@
 
 // Replica is a local replica of the store's entries and builds states from them. It is not safe for concurrent use.
 //
-// Invariants: the version of the configuration never decreases; an entry never returns to an earlier revision; a target whose
-// entry expired during an outage of the store is kept until ExpiryGrace after its end.
+// Invariants: the version of the configuration never decreases; an entry never returns to an earlier revision, nor from its
+// removal to a revision before it; a target whose entry expired during an outage of the store is kept until ExpiryGrace after
+// its end. Changes may thus come from several sources at once and arrive in any order.
 type Replica struct {
 	revision uint64
 	entries  map[string]Entry
@@ -103,8 +104,8 @@
 
 func (r *Replica) apply(now time.Time, e Entry) bool {
 	current, ok := r.entries[e.Key]
-	if ok && e.Revision <= current.Revision {
-		return false
+	if e.Revision <= r.revision || ok && e.Revision <= current.Revision {
+		return false // included already, since the replica is complete up to its revision
 	}
 	if !ok && !e.present() {
 		return false
