follow: do not wait at a parent that has a newer contact with the store

A poll waits as long as the root's watch, so that it may return just before the parent's next contact. The next poll then waited for the contact after that one: the state became 0.7 of ApplyWithin old without any failure, and a relay that failed then left too little time.

A poll now carries the age of the requester's last known contact, and the peer replies at once if it knows of a newer one. The parameter is optional, so that processes of both versions work together.

TestStateIsFreshWithoutFailures: 'state of age 1.4s without failures; a process with a state of age 1.1s is not followed' before, passes now.

--- a/follow/exchange.go
+++ b/follow/exchange.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"net"
@@ -104,19 +105,21 @@
 func (u *stateUpdate) held() time.Duration { return time.Duration(u.HeldUs) * time.Microsecond }
 
 // ServeHTTP returns the changes of this process's state as an encoded stateUpdate. The query parameters are those of
-// PollRequest: after, the revision; wait, in milliseconds; and patient, which is "true" to wait even if the state is too old
-// to be followed.
+// PollRequest: after, the revision; wait and age, in milliseconds; and patient, which is "true" to wait even if the state is too
+// old to be followed.
 func (f *Follower) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
 	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
 	wait, waitErr := strconv.Atoi(query.Get("wait"))
-	if r.URL.Path != StatePath || err != nil || waitErr != nil {
+	age, ageErr := strconv.Atoi(cmp.Or(query.Get("age"), "0"))
+	if r.URL.Path != StatePath || err != nil || waitErr != nil || ageErr != nil {
 		http.Error(w, "question is malformed; run the same version everywhere", http.StatusBadRequest)
 		return
 	}
 	received := clock.Now()
 	f.waitForChange(r.Context(), PollRequest{
 		After: after, Wait: min(time.Duration(wait)*time.Millisecond, maxExchangeWait), WaitIfStale: query.Get("patient") == "true",
+		Age: time.Duration(age) * time.Millisecond,
 	})
 	update := f.updateSince(after)
 	update.HeldUs = clock.Now().Sub(received).Microseconds()
@@ -131,14 +134,17 @@
 	}
 }
 
-// waitForChange waits until the revision exceeds q.After, there is a newer contact with the store, the state becomes too old
-// to be followed, or q.Wait has passed. Returning at each contact keeps the age of the state the same at every depth of the
-// tree.
+// waitForChange waits until the revision exceeds q.After, there is a contact with the store that is newer than the requester's,
+// the state becomes too old to be followed, or q.Wait has passed. Returning at each contact keeps the age of the state the same
+// at every depth of the tree.
 func (f *Follower) waitForChange(ctx context.Context, q PollRequest) {
 	timer := time.NewTimer(q.Wait)
 	defer timer.Stop()
 	f.mu.Lock()
 	contactBefore := f.lastContact
+	if requester := clock.Now().Add(-q.Age); requester.Add(pollPause).Before(contactBefore) {
+		contactBefore = requester
+	}
 	f.mu.Unlock()
 	for {
 		f.mu.Lock()
@@ -217,15 +223,23 @@
 	return q.Wait + exchangeSlack
 }
 
+// target returns the request target of the call, as read by ServeHTTP.
+func (q PollRequest) target() string {
+	query := url.Values{
+		"after": {strconv.FormatUint(q.After, 10)}, "wait": {strconv.FormatInt(q.Wait.Milliseconds(), 10)},
+		"age": {strconv.FormatInt(q.Age.Milliseconds(), 10)},
+	}
+	if q.WaitIfStale {
+		query.Set("patient", "true")
+	}
+	return StatePath + "?" + query.Encode()
+}
+
 // Fetch implements Peers.
 func (p *PeerClient) Fetch(ctx context.Context, addr netip.Addr, q PollRequest) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, q.timeout())
 	defer cancel()
-	query := url.Values{"after": {strconv.FormatUint(q.After, 10)}, "wait": {strconv.FormatInt(q.Wait.Milliseconds(), 10)}}
-	if q.WaitIfStale {
-		query.Set("patient", "true")
-	}
-	url := "http://" + netip.AddrPortFrom(addr, p.port).String() + StatePath + "?" + query.Encode()
+	url := "http://" + netip.AddrPortFrom(addr, p.port).String() + q.target()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
 	if err != nil {
 		return nil, errors.Wrap(err, "create request to a peer")
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -59,6 +59,9 @@
 	Wait time.Duration
 	// WaitIfStale makes the peer wait even if its state is too old to be followed, since it may be about to read the store.
 	WaitIfStale bool
+	// Age is the time since the last contact with the store that the requester knows of. The peer does not wait if it knows of a
+	// newer one.
+	Age time.Duration
 }
 
 // Limits and intervals of the follower. The shares are fractions of Config.ApplyWithin.
@@ -194,7 +197,7 @@
 // fetch returns the changes that the process at addr has after the revision of this one.
 func (f *Follower) fetch(ctx context.Context, addr netip.Addr, q PollRequest) (*stateUpdate, error) {
 	start := clock.Now()
-	q.After = f.Revision()
+	q.After, q.Age = f.Revision(), f.Age()
 	data, err := f.cfg.Peers.Fetch(ctx, addr, q)
 	if err != nil {
 		return nil, err
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -333,7 +333,7 @@
 	defer cancel()
 	w := httptest.NewRecorder()
 	err := l.exchange(ctx, addr, peerConnectTimeout, func() error {
-		r := httptest.NewRequest(http.MethodGet, fmt.Sprintf("%s?after=%d&wait=%d&patient=%t", StatePath, q.After, q.Wait.Milliseconds(), q.WaitIfStale), nil).WithContext(ctx)
+		r := httptest.NewRequest(http.MethodGet, q.target(), nil).WithContext(ctx)
 		f.ServeHTTP(w, r)
 		return nil
 	})
@@ -478,6 +478,23 @@
 	})
 }
 
+// Guards against a process that waits at a parent for its next contact with the store although the parent has had one since the
+// process's own last one, so that a contact is missed and the state becomes as old as that of a process whose parent has failed.
+func TestStateIsFreshWithoutFailures(t *testing.T) {
+	runFleet(t, 2*fanout+6, func(fl *fleet) {
+		var oldest time.Duration
+		for range 1000 {
+			time.Sleep(10 * time.Millisecond)
+			for _, f := range fl.followers {
+				oldest = max(oldest, f.Age())
+			}
+		}
+		if limit := fl.followers[fl.root()].maxAge(); oldest >= limit {
+			t.Errorf("state of age %v without failures; a process with a state of age %v is not followed", oldest, limit)
+		}
+	})
+}
+
 func TestUnreachableReaderIsReplacedInTime(t *testing.T) {
 	runFleet(t, 8, func(fl *fleet) {
 		fl.mu.Lock()
