follow: bound the age of the state instead of the sum of time-outs

Cause: a process read its ancestors, the standby, the store and random peers one after the other, each with its own time-out. No deadline covered the sum: two silent relays and a silent store call take 5.2 s where 3 s are allowed. Random peers came last, and only 0.4 s after a store call had failed.

Contacts that peers report end an outage as those of the store do, with the same grace period for expired targets.

--- a/follow/exchange.go
+++ b/follow/exchange.go
@@ -258,8 +258,11 @@
 
 // applyUpdate applies the update of a peer and records the peer's contact with the store. It fails with ErrPatch if a patch does not match, without changing the state.
 func (f *Follower) applyUpdate(peer netip.Addr, update *stateUpdate) error {
-	entries := make([]mesh.Entry, 0, len(update.Entries))
+	entries, revision := make([]mesh.Entry, 0, len(update.Entries)), f.Revision()
 	for _, e := range update.Entries {
+		if e.Revision <= revision && !update.Full {
+			continue // from another source since the request
+		}
 		entry, err := f.entry(e)
 		if err != nil {
 			return err
@@ -267,9 +270,7 @@
 		entries = append(entries, entry)
 	}
 	f.commit(peer.String(), func(now time.Time) bool {
-		if update.age() < f.maxAge() {
-			f.noteContact(now, update.age())
-		}
+		defer f.noteContact(now, update.age()) // the peer has delayed the removals that may be expiries
 		if update.Full {
 			return f.replica.Replace(now, entries, update.Revision)
 		}
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -4,7 +4,11 @@
 // instances. The root of the tree watches the store. The others long-poll their parent, which sends changes as patches. If the
 // root does not respond, its standby, the first process in that order from another failure domain, reads the store, and the
 // others poll the standby. A process reads the store itself if none of its ancestors nor the standby responds, or if their
-// state is too old. While the store is unavailable, a process takes the state of any process that has a higher revision.
+// state is too old.
+//
+// These steps are taken one after the other, each with a time-out of its own. The time within which a change arrives does not
+// depend on their sum: once the last known contact with the store is too old, a process also reads the store and random peers, at
+// the same time and without waiting for earlier calls, until one of them has a newer contact.
 package follow
 
 import (
@@ -12,6 +16,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -92,10 +97,6 @@
 	// minBackoff and maxBackoff bound the pauses between calls to an unavailable store.
 	minBackoff = 100 * time.Millisecond
 	maxBackoff = time.Second
-	// peerFetchAfter is the length of a store outage after which other processes are polled, peerFetchInterval the pause
-	// between such requests.
-	peerFetchAfter    = 400 * time.Millisecond
-	peerFetchInterval = 500 * time.Millisecond
 	// minExpiryOutage is the length of a store outage from which on entries of live targets may have expired. Entries outlive
 	// shorter outages.
 	minExpiryOutage = 2 * time.Second
@@ -141,7 +142,7 @@
 
 	// synced is set once the state is complete as of some revision, and cleared if the store has compacted the history after
 	// it.
-	synced bool
+	synced atomic.Bool
 	// joinTried is set once this process has tried to take the full state from a peer instead of the store.
 	joinTried bool
 	// emptyReplies counts consecutive replies of the parent without waiting and without changes.
@@ -159,14 +160,14 @@
 
 // Serve updates the state until ctx ends and returns the context's error. It implements suture.Service.
 func (f *Follower) Serve(ctx context.Context) error {
-	go f.fetchFromPeers(ctx)
+	go f.refresh(ctx)
 	backoff := minBackoff
 	for ctx.Err() == nil {
 		if parent, ok := f.parent(); ok {
 			f.pollParent(ctx, parent)
 			continue
 		}
-		if !f.synced && f.join(ctx) {
+		if !f.synced.Load() && f.join(ctx) {
 			continue
 		}
 		err := f.readStore(ctx)
@@ -177,7 +178,7 @@
 		case ctx.Err() != nil:
 			return ctx.Err()
 		case errors.Is(err, ErrCompacted):
-			f.synced = false
+			f.synced.Store(false)
 			continue
 		}
 		f.storeFailed(err)
@@ -216,13 +217,29 @@
 	}
 }
 
-// noteContact records a contact of a peer with the store that lies age in the past, and ends an outage: a process that follows
-// a peer does not call the store. It must be called with f.mu held.
+// noteContact records a contact of a peer with the store that lies age in the past. A recent one ends an outage. It must be
+// called with f.mu held.
 func (f *Follower) noteContact(now time.Time, age time.Duration) {
 	if at := now.Add(-age); at.After(f.lastContact) {
 		f.lastContact = at
 	}
+	if age < f.maxAge() {
+		f.endOutage(now)
+	}
+}
+
+// endOutage ends the current store outage, if any, and returns its length. After a long one, removals that the store reports may
+// be expiries. It must be called with f.mu held.
+func (f *Follower) endOutage(now time.Time) time.Duration {
+	if f.unavailableSince.IsZero() {
+		return 0
+	}
+	outage := now.Sub(f.unavailableSince)
 	f.unavailableSince = time.Time{}
+	if f.replica.Revision() > 0 && outage >= minExpiryOutage {
+		f.replica.StoreRecovered(now)
+	}
+	return outage
 }
 
 // notify wakes the requests that wait for a change. It must be called with f.mu held.
@@ -251,7 +268,7 @@
 
 // readStore lists the store if the state is not synced, and otherwise watches it once.
 func (f *Follower) readStore(ctx context.Context) error {
-	if !f.synced {
+	if !f.synced.Load() {
 		return f.list(ctx)
 	}
 	return f.watch(ctx)
@@ -272,7 +289,7 @@
 		f.storeResponded(now)
 		return f.replica.Replace(now, entries, revision)
 	})
-	f.synced = true
+	f.synced.Store(true)
 	return nil
 }
 
@@ -367,15 +384,9 @@
 // storeResponded records a response of the store and ends an outage. It must be called with f.mu held.
 func (f *Follower) storeResponded(now time.Time) {
 	f.lastContact = now
-	if f.unavailableSince.IsZero() {
-		return
+	if outage := f.endOutage(now); outage > 0 {
+		f.cfg.Log.Info().Dur("silent", outage).Msg(events.StoreRecovered)
 	}
-	outage := now.Sub(f.unavailableSince)
-	f.cfg.Log.Info().Dur("silent", outage).Msg(events.StoreRecovered)
-	if f.replica.Revision() > 0 && outage >= minExpiryOutage {
-		f.replica.StoreRecovered(now)
-	}
-	f.unavailableSince = time.Time{}
 }
 
 // storeFailed records a failed call to the store and starts an outage.
@@ -388,33 +399,6 @@
 	}
 }
 
-// fetchFromPeers polls random peers for changes during a store outage, no matter how old their state is.
-func (f *Follower) fetchFromPeers(ctx context.Context) {
-	for ctx.Err() == nil {
-		_ = periodic.Sleep(ctx, peerFetchInterval)
-		f.mu.Lock()
-		since, before := f.unavailableSince, f.replica.Revision()
-		f.mu.Unlock()
-		if f.cfg.Peers == nil || since.IsZero() || clock.Now().Sub(since) < peerFetchAfter {
-			continue
-		}
-		addrs := f.cfg.Holder.Load().InstanceAddrs("")
-		if len(addrs) == 0 {
-			continue
-		}
-		peer := f.randomAddr(addrs)
-		update, err := f.fetch(ctx, peer, PollRequest{})
-		if err != nil || update.Revision <= before {
-			continue // the next iteration picks another peer
-		}
-		if err = f.applyUpdate(peer, update); err != nil {
-			f.cfg.Log.Warn().Stringer("from", peer).Err(err).Msg(events.PeerMalformed)
-			continue
-		}
-		f.cfg.Log.Info().Stringer("peer", peer).Uint64("revision", update.Revision).Dur("age", update.age()).Msg(events.StateReadFromPeer)
-	}
-}
-
 // jitter returns a random duration between half and one and a half times d, so that processes do not call at the same time.
 func (f *Follower) jitter(d time.Duration) time.Duration {
 	f.mu.Lock()
--- a/follow/join.go
+++ b/follow/join.go
@@ -63,7 +63,7 @@
 		f.cfg.Log.Info().Stringer("parent", addr).Dur("age", 0).Dur("took", clock.Now().Sub(start)).Err(err).Msg(events.ParentNotUsed)
 		return false
 	}
-	f.synced = true
+	f.synced.Store(true)
 	f.cfg.Log.Info().Stringer("peer", addr).Uint64("revision", update.Revision).Dur("age", update.age()).Msg(events.StateReadFromPeer)
 	return true
 }
--- a/follow/tree.go
+++ b/follow/tree.go
@@ -37,7 +37,7 @@
 // parent returns the nearest ancestor in the relay tree of the region that is not ejected, or else the root's standby. It
 // returns false if this process has to read the store.
 func (f *Follower) parent() (netip.Addr, bool) {
-	if f.cfg.Peers == nil || !f.synced {
+	if f.cfg.Peers == nil || !f.synced.Load() {
 		return netip.Addr{}, false
 	}
 	order := f.order(f.cfg.Holder.Load().InstanceAddrs(f.cfg.Region))
