follow: use replies that arrive late instead of giving up the call

Processes on machines with a full link (10 Mbit/s, beside targets of uploads) were the last ones with each configuration, seconds behind all others, and at times refused requests for routes that had been added.

Cause: a connection had to be made within 0.3 s and a reply to arrive within 0.3 s beyond the wait, less than a round trip over a full link takes. Each call was given up and its connection closed while the reply was on its way; the next one began with a new connection and ended in the same way, until the link was free again.

A poll that is late still makes the process poll the next candidate after 0.3 s, but the call goes on for up to 1.5 s beyond its wait; its update is applied when it arrives and its connection stays open.

--- a/follow/exchange.go
+++ b/follow/exchange.go
@@ -25,15 +25,15 @@
 
 // Limits of the exchange between peers.
 const (
-	// exchangeSlack is the time allowed for a reply beyond the requested wait: two round trips between regions and a
-	// scheduling delay.
+	// exchangeSlack is the time beyond the requested wait after which the next candidate is polled as well: two round trips
+	// between regions and a scheduling delay.
 	exchangeSlack = 300 * time.Millisecond
-	// fullSlack replaces exchangeSlack for a full state, which is some hundred kilobytes, sent to several processes over a
-	// narrow link.
-	fullSlack   = 1500 * time.Millisecond
-	maxExchange = 16 << 20
+	// exchangeTimeout is the time beyond the requested wait after which a call is given up. It covers round trips over full links
+	// and a full state, which is some hundred kilobytes, sent to several processes over a narrow link.
+	exchangeTimeout = 1500 * time.Millisecond
 	// peerConnectTimeout is the time allowed for a connection to a peer.
-	peerConnectTimeout = exchangeSlack
+	peerConnectTimeout = time.Second
+	maxExchange = 16 << 20
 	// maxExchangeWait bounds the wait that a peer may request.
 	maxExchangeWait = 5 * time.Second
 )
@@ -216,12 +216,7 @@
 }
 
 // timeout returns the time after which the call is given up.
-func (q PollRequest) timeout() time.Duration {
-	if q.After == 0 {
-		return q.Wait + fullSlack
-	}
-	return q.Wait + exchangeSlack
-}
+func (q PollRequest) timeout() time.Duration { return q.Wait + exchangeTimeout }
 
 // target returns the request target of the call, as read by ServeHTTP.
 func (q PollRequest) target() string {
--- a/follow/tree.go
+++ b/follow/tree.go
@@ -82,10 +82,10 @@
 // pollParent polls a parent for changes and ejects it if the call fails or its update is not accepted.
 func (f *Follower) pollParent(ctx context.Context, parent netip.Addr) {
 	start, q, contactAge := clock.Now(), f.pollRequest(parent), f.Age()
-	update, err := f.fetch(ctx, parent, q)
+	update, err := f.fetchInTime(ctx, parent, q)
 	if err == nil && !q.WaitIfStale && update.age() >= f.maxAge() {
 		q = PollRequest{Wait: f.share(stalePollShare), WaitIfStale: true}
-		update, err = f.fetch(ctx, parent, q)
+		update, err = f.fetchInTime(ctx, parent, q)
 	}
 	var age time.Duration
 	if err == nil {
@@ -99,8 +99,42 @@
 	f.ejected[parent] = clock.Now().Add(ejectionTime)
 }
 
+// fetchInTime returns the update of a peer, or ErrLate if none has arrived within exchangeSlack beyond the requested wait. The call
+// then goes on, and its update is applied when it arrives: over a full link, a later call would take as long.
+func (f *Follower) fetchInTime(ctx context.Context, peer netip.Addr, q PollRequest) (*stateUpdate, error) {
+	type reply struct {
+		update *stateUpdate
+		err    error
+	}
+	replies, late := make(chan reply), make(chan struct{})
+	go func() {
+		update, err := f.fetch(ctx, peer, q)
+		select {
+		case replies <- reply{update, err}:
+		case <-late:
+			if err == nil {
+				f.useUpdate(peer, update)
+			}
+		case <-ctx.Done():
+		}
+	}()
+	timer := time.NewTimer(q.Wait + exchangeSlack)
+	defer timer.Stop()
+	select {
+	case r := <-replies:
+		return r.update, r.err
+	case <-timer.C:
+		close(late)
+		return nil, ErrLate
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
 // Errors for which a parent is ejected.
 var (
+	// ErrLate is returned if a peer has not replied in time. Its reply is still used when it arrives.
+	ErrLate = errors.New("peer has not replied in time; polling another peer or reading the store as well")
 	// ErrNoWait is returned if a peer repeatedly replies at once without changes, which would be polled in a tight loop.
 	ErrNoWait = errors.New("peer replies without waiting and has no changes; check its version")
 	// ErrStale is returned if a peer has had no contact with the store for longer than maxAge.
