follow: count the time on the way towards the age of the state

A process took the arrival of a response for its contact with the store. Over a full link, a response that had been sent 1.4 s earlier made the state look fresh, so that the process refreshed it that much too late; callers saw a route refused that had been added.

The contact is now the latest time at which the response may have shown the store: the start of the call, or the end of the requested wait if there was no change; for a peer, the time on the way (duration less the time that the peer held the request) is added to its age. The next watch is shortened accordingly, so that children get a contact in time.

TestAgeCoversTimeOnTheWay: 'lacks the change of 130ms ago, and its age is 9.000001ms' before, passes now.

--- a/follow/bound_test.go
+++ b/follow/bound_test.go
@@ -142,6 +142,34 @@
 	}
 }
 
+// Guards against an age that leaves out the time for which a response was on its way, so that a process with a full link refreshes its
+// state too late. A process that lacks a change has had no contact with the store since, and its age must say so.
+func TestAgeCoversTimeOnTheWay(t *testing.T) {
+	runBound(t, 2*fanout+6, func(fl *fleet) {
+		full := fl.ranked()[40:44]
+		fl.mu.Lock()
+		for i, addr := range full {
+			fl.roundTrip[addr] = time.Duration(i+1) * 300 * time.Millisecond
+		}
+		clear(fl.open)
+		fl.mu.Unlock()
+		for i := range 20 {
+			domain, put := fmt.Sprintf("x%d", i), time.Now()
+			fl.store.put("out/"+domain, "{}")
+			for range 60 {
+				time.Sleep(10 * time.Millisecond)
+				for _, addr := range full {
+					age, since := fl.followers[addr].Age(), time.Since(put)
+					if !fl.has(addr, domain) && age < since {
+						t.Fatalf("%v lacks the change of %v ago, and its age is %v", addr, since, age)
+					}
+				}
+			}
+			time.Sleep(time.Duration(i) * 37 * time.Millisecond)
+		}
+	})
+}
+
 // Guards against a combination of failures that exceeds the bound, whichever it is: cuts of random groups that overlap, full links
 // and changes, in a random order. A process has each change within the bound, counted from the change or from the end of the
 // last cut that it was behind.
--- a/follow/exchange.go
+++ b/follow/exchange.go
@@ -33,7 +33,7 @@
 	exchangeTimeout = 1500 * time.Millisecond
 	// peerConnectTimeout is the time allowed for a connection to a peer.
 	peerConnectTimeout = time.Second
-	maxExchange = 16 << 20
+	maxExchange        = 16 << 20
 	// maxExchangeWait bounds the wait that a peer may request.
 	maxExchangeWait = 5 * time.Second
 )
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -135,7 +135,8 @@
 	replica *mesh.Replica
 	// changed is closed and replaced at each change of the state and each contact with the store.
 	changed chan struct{}
-	// lastContact is the time of the last known contact with the store, of this process or the peers that it follows.
+	// lastContact is the time of the last known contact with the store, of this process or the peers that it follows: the state is
+	// complete as of that time. It is never later than the response was sent, however long that was on its way.
 	lastContact time.Time
 	// unavailableSince is the start of the current store outage, at first the time of New; zero if the store responds or is not called.
 	unavailableSince time.Time
@@ -195,7 +196,8 @@
 	return f.replica.Revision()
 }
 
-// fetch returns the changes that the process at addr has after the revision of this one.
+// fetch returns the changes that the process at addr has after the revision of this one. The time on the way counts towards the
+// age of the update.
 func (f *Follower) fetch(ctx context.Context, addr netip.Addr, q PollRequest) (*stateUpdate, error) {
 	start := clock.Now()
 	q.After, q.Age = f.Revision(), f.Age()
@@ -204,10 +206,13 @@
 		return nil, err
 	}
 	update, err := decodeStateUpdate(data)
-	if err == nil {
-		f.logSlowReply(addr.String(), clock.Now().Sub(start), update.held(), update.Revision)
+	if err != nil {
+		return nil, err
 	}
-	return update, err
+	took := clock.Now().Sub(start)
+	f.logSlowReply(addr.String(), took, update.held(), update.Revision)
+	update.AgeUs += max(took-update.held(), 0).Microseconds()
+	return update, nil
 }
 
 // logSlowReply logs a reply that took much longer than the peer, or the store, held the request.
@@ -220,14 +225,19 @@
 // noteContact records a contact of a peer with the store that lies age in the past. A recent one ends an outage. It must be
 // called with f.mu held.
 func (f *Follower) noteContact(now time.Time, age time.Duration) {
-	if at := now.Add(-age); at.After(f.lastContact) {
-		f.lastContact = at
-	}
+	f.advanceContact(now.Add(-age))
 	if age < f.maxAge() {
 		f.endOutage(now)
 	}
 }
 
+// advanceContact records a contact with the store at a time. It must be called with f.mu held.
+func (f *Follower) advanceContact(at time.Time) {
+	if at.After(f.lastContact) {
+		f.lastContact = at
+	}
+}
+
 // endOutage ends the current store outage, if any, and returns its length. After a long one, removals that the store reports may
 // be expiries. It must be called with f.mu held.
 func (f *Follower) endOutage(now time.Time) time.Duration {
@@ -286,7 +296,7 @@
 	}
 	f.logSlowReply(storeName, clock.Now().Sub(start), 0, revision)
 	f.commit(storeName, func(now time.Time) bool {
-		f.storeResponded(now)
+		f.storeResponded(now, start)
 		return f.replica.Replace(now, entries, revision)
 	})
 	f.synced.Store(true)
@@ -296,10 +306,9 @@
 // watch waits for changes in the store and applies them. It returns in time for the next expiry.
 func (f *Follower) watch(ctx context.Context) error {
 	f.mu.Lock()
-	after, wait := f.replica.Revision(), f.share(waitShare)
-	if f.age(clock.Now()) >= f.share(overdueShare) {
-		wait = 0 // children may be waiting for a contact with the store
-	}
+	after := f.replica.Revision()
+	// Children may be waiting for a contact with the store, which is overdue from overdueShare on.
+	wait := max(min(f.share(waitShare), f.share(overdueShare)-f.age(clock.Now())), 0)
 	if next := f.replica.NextExpiry(); !next.IsZero() {
 		wait = min(wait, max(next.Sub(clock.Now()), 0)+time.Millisecond)
 	}
@@ -309,9 +318,14 @@
 	if err != nil {
 		return f.logFailedCall(start, err)
 	}
-	f.logSlowReply(storeName, clock.Now().Sub(start), wait, revision)
+	took := clock.Now().Sub(start)
+	f.logSlowReply(storeName, took, wait, revision)
+	contact := start // the response with changes may have been sent at once
+	if len(entries) == 0 && took >= wait {
+		contact = start.Add(wait)
+	}
 	f.commit(storeName, func(now time.Time) bool {
-		f.storeResponded(now)
+		f.storeResponded(now, contact)
 		return f.replica.Apply(now, entries, revision)
 	})
 	if len(entries) > 0 {
@@ -381,9 +395,10 @@
 	})
 }
 
-// storeResponded records a response of the store and ends an outage. It must be called with f.mu held.
-func (f *Follower) storeResponded(now time.Time) {
-	f.lastContact = now
+// storeResponded records a response of the store, sent at the time of contact or later, and ends an outage. It must be called with
+// f.mu held.
+func (f *Follower) storeResponded(now, contact time.Time) {
+	f.advanceContact(contact)
 	if outage := f.endOutage(now); outage > 0 {
 		f.cfg.Log.Info().Dur("silent", outage).Msg(events.StoreRecovered)
 	}
