follow, platform: allow a connection the round trip of a full link

A connection to a peer may now take 2 s, one to the store as long as the call. Nothing waits for it: the refresher goes on with other sources. A process that starts still gives up a connection to the peer that it joins from after 0.3 s, since it tries these one after the other.

TestFullLinkDoesNotDelayChange with a round trip of 1.1 s: 'does not have change 4' before, passes now.

--- a/follow/bound_test.go
+++ b/follow/bound_test.go
@@ -120,7 +120,7 @@
 // Guards against time-outs shorter than the round trip of a process with a full link: every call is given up and its connection
 // closed although the response is on its way.
 func TestFullLinkDoesNotDelayChange(t *testing.T) {
-	for _, roundTrip := range []time.Duration{200 * time.Millisecond, 400 * time.Millisecond, 600 * time.Millisecond} {
+	for _, roundTrip := range []time.Duration{200 * time.Millisecond, 400 * time.Millisecond, 600 * time.Millisecond, 1100 * time.Millisecond} {
 		t.Run(roundTrip.String(), func(t *testing.T) {
 			runBound(t, 2*fanout+6, func(fl *fleet) {
 				full := fl.ranked()[40]
--- a/follow/exchange.go
+++ b/follow/exchange.go
@@ -31,8 +31,9 @@
 	// exchangeTimeout is the time beyond the requested wait after which a call is given up. It covers round trips over full links
 	// and a full state, which is some hundred kilobytes, sent to several processes over a narrow link.
 	exchangeTimeout = 1500 * time.Millisecond
-	// peerConnectTimeout is the time allowed for a connection to a peer.
-	peerConnectTimeout = time.Second
+	// peerConnectTimeout is the time allowed for a connection to a peer unless PollRequest.ConnectWithin is set. A round trip over a
+	// full link takes more than a second.
+	peerConnectTimeout = 2 * time.Second
 	maxExchange        = 16 << 20
 	// maxExchangeWait bounds the wait that a peer may request.
 	maxExchangeWait = 5 * time.Second
@@ -209,12 +210,19 @@
 
 // NewPeerClient returns a client for processes that listen on the given port of their instances.
 func NewPeerClient(port uint16) *PeerClient {
-	dialer := &net.Dialer{Timeout: peerConnectTimeout}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		within, _ := ctx.Value(connectWithin{}).(time.Duration)
+		dialer := net.Dialer{Timeout: cmp.Or(within, peerConnectTimeout)}
+		return dialer.DialContext(ctx, network, address)
+	}
 	return &PeerClient{port: port, client: &http.Client{Transport: &http.Transport{
-		DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, DisableCompression: true,
+		DialContext: dial, MaxIdleConnsPerHost: 1, DisableCompression: true,
 	}}}
 }
 
+// connectWithin is the context key of PollRequest.ConnectWithin.
+type connectWithin struct{}
+
 // timeout returns the time after which the call is given up.
 func (q PollRequest) timeout() time.Duration { return q.Wait + exchangeTimeout }
 
@@ -232,7 +240,7 @@
 
 // Fetch implements Peers.
 func (p *PeerClient) Fetch(ctx context.Context, addr netip.Addr, q PollRequest) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(ctx, q.timeout())
+	ctx, cancel := context.WithTimeout(context.WithValue(ctx, connectWithin{}, q.ConnectWithin), q.timeout())
 	defer cancel()
 	url := "http://" + netip.AddrPortFrom(addr, p.port).String() + q.target()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -67,6 +67,8 @@
 	// Age is the time since the last contact with the store that the requester knows of. The peer does not wait if it knows of a
 	// newer one.
 	Age time.Duration
+	// ConnectWithin is the time allowed for a new connection; 0 means that of the client.
+	ConnectWithin time.Duration
 }
 
 // Limits and intervals of the follower. The shares are fractions of Config.ApplyWithin.
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -178,7 +179,7 @@
 
 // Time-outs of the platform's store client, with which the followers run.
 const (
-	storeConnectTimeout  = time.Second
+	storeConnectTimeout  = storeResponseTimeout
 	storeResponseTimeout = 1500 * time.Millisecond
 )
 
@@ -326,14 +327,14 @@
 		if q.After > 0 { // a connection is open already
 			time.Sleep(q.timeout())
 		} else {
-			time.Sleep(peerConnectTimeout)
+			time.Sleep(cmp.Or(q.ConnectWithin, peerConnectTimeout))
 		}
 		return nil, context.DeadlineExceeded
 	}
 	ctx, cancel := withTimeout(ctx, q.timeout())
 	defer cancel()
 	w := httptest.NewRecorder()
-	err := l.exchange(ctx, addr, peerConnectTimeout, func() error {
+	err := l.exchange(ctx, addr, cmp.Or(q.ConnectWithin, peerConnectTimeout), func() error {
 		r := httptest.NewRequest(http.MethodGet, q.target(), nil).WithContext(ctx)
 		f.ServeHTTP(w, r)
 		return nil
--- a/follow/join.go
+++ b/follow/join.go
@@ -19,6 +19,8 @@
 	// joinWait is the time to wait for a peer that may be starting too. It covers some reads of a long configuration over
 	// narrow links, one after the other.
 	joinWait = 2500 * time.Millisecond
+	// joinConnectTimeout is the time allowed for a connection to such a peer, before the next one is tried.
+	joinConnectTimeout = 300 * time.Millisecond
 )
 
 // join fetches the full state from a process of this region if the store is in another one: otherwise all processes that start
@@ -52,7 +54,7 @@
 // joinFrom waits until the process at addr has the full state and applies it. It reports whether it succeeded.
 func (f *Follower) joinFrom(ctx context.Context, addr netip.Addr) bool {
 	start := clock.Now()
-	update, err := f.fetch(ctx, addr, PollRequest{Wait: joinWait, WaitIfStale: true})
+	update, err := f.fetch(ctx, addr, PollRequest{Wait: joinWait, WaitIfStale: true, ConnectWithin: joinConnectTimeout})
 	if err == nil && (update.Revision == 0 || update.age() >= f.maxAge()) {
 		err = ErrStale
 	}
