follow: poll a peer again while the state is too old

After a random peer had replied with a state that was still too old, the refresher went on to the next peer, over a new connection. Over a full link that costs another round trip.

The same peer is now polled once more, on the open connection, and replies as soon as it has a newer contact. The tests of the bound pass.

--- a/follow/refresh.go
+++ b/follow/refresh.go
@@ -27,6 +27,8 @@
 	// maxStoreReads and maxPeerReads bound the calls of the refresher at any time.
 	maxStoreReads = 2
 	maxPeerReads  = 3
+	// pollsPerPeer is the number of polls of one peer in a row.
+	pollsPerPeer = 2
 )
 
 // refresh reads the store and random peers while the last known contact with the store is older than refreshShare, no matter what
@@ -75,7 +77,8 @@
 	}
 }
 
-// refreshFromPeer polls a random process and applies its update if it has newer changes or a newer contact with the store.
+// refreshFromPeer polls a random process, and again if the state is still too old after its reply: the connection is open now, and
+// the peer replies as soon as it has a newer contact with the store.
 func (f *Follower) refreshFromPeer(ctx context.Context) {
 	addrs := f.cfg.Holder.Load().InstanceAddrs("")
 	if f.cfg.Peers == nil || len(addrs) == 0 {
@@ -85,11 +88,16 @@
 	if peer == f.cfg.Self {
 		return
 	}
-	update, err := f.fetch(ctx, peer, PollRequest{Wait: f.share(stalePollShare), WaitIfStale: true})
-	if err != nil {
-		return // the next call picks another peer
+	for range pollsPerPeer {
+		update, err := f.fetch(ctx, peer, PollRequest{Wait: f.share(stalePollShare), WaitIfStale: true})
+		if err != nil {
+			return // the next call picks another peer
+		}
+		f.useUpdate(peer, update)
+		if f.Age() < f.share(refreshShare) {
+			return
+		}
 	}
-	f.useUpdate(peer, update)
 }
 
 // useUpdate applies an update that no step of Serve waits for, unless the state here is newer.
