httppool: limit the bytes of responses to other requests

Bytes that belong to no request were read until the request's deadline if a server sent them as a series of complete responses to other requests: each body had its limit, their number had none. The caller waited for its deadline, and the process read and parsed all the while.

Endless status lines, headers, informational responses, empty lines, chunk lines, trailers and plain bodies of another request ended at their limits before, as does a body that its caller has left (TestEndlessBodyEndsWithCaller).

One limit of 1 MiB now covers all responses to other requests that are read before the response to a request, headers included.

--- a/internal/httppool/conn.go
+++ b/internal/httppool/conn.go
@@ -185,7 +185,8 @@
 
 // receive reads the header of the final response. It skips informational responses and those of other requests.
 func (x *exchange) receive(req *http.Request) (*http.Response, error) {
-	x.limit.N = x.pool.config.MaxHeaderBytes
+	headerBytes, unmatchedBytes := x.pool.config.MaxHeaderBytes, int64(maxUnmatchedBytes)
+	x.limit.N = headerBytes
 	gotContinue := false
 	for {
 		resp, err := http.ReadResponse(x.in, req)
@@ -202,32 +203,36 @@
 		case resp.StatusCode < http.StatusOK:
 			continue
 		}
-		x.limit.N = math.MaxInt64
 		if belongs := x.pool.config.MatchesRequest; belongs == nil || belongs(req, resp) {
+			x.limit.N = math.MaxInt64
 			return resp, nil
 		}
+		unmatchedBytes -= headerBytes - x.limit.N
+		x.limit.N = max(unmatchedBytes, 0)
 		if err := discardResponse(resp); err != nil {
 			return nil, err
 		}
-		x.limit.N = x.pool.config.MaxHeaderBytes
+		if unmatchedBytes = x.limit.N; unmatchedBytes == 0 {
+			return nil, ErrUnmatched
+		}
+		x.limit.N = headerBytes
 	}
 }
 
-// maxUnmatchedBytes limits the body of a response to another request that is read in order to reach the next response.
+// maxUnmatchedBytes limits the bytes of responses to other requests, headers included, that are read before the response to a
+// request.
 const maxUnmatchedBytes = 1 << 20
 
-// ErrUnmatched is returned if the server sends a response to another request that cannot be skipped, since it is too long or
-// the last one on its connection.
+// ErrUnmatched is returned if the server sends responses to other requests that cannot be skipped, since they are too long or
+// the last ones on their connection.
 var ErrUnmatched = errors.New("server sent an answer to another request; the connection is closed, check the server")
 
-// discardResponse reads a response to another request to its end. It returns ErrUnmatched if the body is too long or no further
-// response follows.
+// discardResponse reads a response to another request to its end. It returns ErrUnmatched if no further response follows.
 func discardResponse(resp *http.Response) error {
-	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxUnmatchedBytes))
-	if err != nil {
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
 		return err
 	}
-	if n == maxUnmatchedBytes || resp.Close {
+	if resp.Close {
 		return ErrUnmatched
 	}
 	return nil
