follow: let a peer without a state wait for one

Since a poll carries the requester's age, a starting process that had started later than the requester took its own start for a newer contact and replied at once, without a state; the requester then listed the store.

--- a/follow/bound_test.go
+++ b/follow/bound_test.go
@@ -10,8 +10,6 @@
 	"testing"
 	"testing/synctest"
 	"time"
-
-	"github.com/chervilwell/chervilwell/rank"
 )
 
 // boundWithin is Config.ApplyWithin of the tests of the bound: from the moment at which a process can reach the store, or any
@@ -32,19 +30,6 @@
 	})
 }
 
-// ranked returns the addresses of the fleet in rank order: the root, then its children.
-func (fl *fleet) ranked() []netip.Addr {
-	var names []string
-	for addr := range fl.followers {
-		names = append(names, addr.String())
-	}
-	var out []netip.Addr
-	for _, name := range rank.Sort("r", names) {
-		out = append(out, netip.MustParseAddr(name))
-	}
-	return out
-}
-
 func (fl *fleet) setCut(cut bool, addrs ...netip.Addr) {
 	fl.mu.Lock()
 	defer fl.mu.Unlock()
--- a/follow/exchange.go
+++ b/follow/exchange.go
@@ -143,7 +143,8 @@
 	defer timer.Stop()
 	f.mu.Lock()
 	contactBefore := f.lastContact
-	if requester := clock.Now().Add(-q.Age); requester.Add(pollPause).Before(contactBefore) {
+	// Without a state there has been no contact.
+	if requester := clock.Now().Add(-q.Age); f.replica.Revision() > 0 && requester.Add(pollPause).Before(contactBefore) {
 		contactBefore = requester
 	}
 	f.mu.Unlock()
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -36,10 +37,10 @@
 	// dropEvents makes Watch return no changes.
 	dropEvents bool
 	calls      int
-	// remote makes Remote return true. listDelay is the duration of List.
-	remote    bool
-	listDelay time.Duration
-	lists     int
+	// remote makes Remote return true. listDelay is the duration of List, targetsDelay that of Targets.
+	remote                  bool
+	listDelay, targetsDelay time.Duration
+	lists                   int
 	// readsBy counts the calls per instance.
 	readsBy map[netip.Addr]int
 	changed chan struct{}
@@ -90,6 +91,7 @@
 }
 
 func (s *store) Targets(context.Context) ([]mesh.Entry, error) {
+	time.Sleep(s.targetsDelay)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
@@ -175,6 +177,8 @@
 	open map[[2]netip.Addr]int
 	// applyWithin is Config.ApplyWithin of the followers.
 	applyWithin time.Duration
+	// startGap is the time between the starts of two followers, of which the root is the last.
+	startGap time.Duration
 }
 
 // Time-outs of the platform's store client, with which the followers run.
@@ -359,13 +363,24 @@
 	for _, f := range setUp {
 		f(fl)
 	}
-	for i := range size {
-		addr := instanceAddr(i)
+	order := fl.ranked()
+	slices.Reverse(order)
+	for i, addr := range order {
 		link := endpoint{fl, addr}
-		fl.followers[addr] = New(Config{
+		f := New(Config{
 			Source: link, Peers: link, Holder: &mesh.Holder{}, Decode: decode, Self: addr, Region: "r", ApplyWithin: fl.applyWithin,
 			Log: zerolog.Nop(), Rand: rand.New(rand.NewPCG(1, uint64(i))),
 		})
+		fl.mu.Lock()
+		fl.followers[addr] = f
+		fl.mu.Unlock()
+		if fl.startGap > 0 {
+			go func() { _ = f.Serve(ctx) }()
+			time.Sleep(fl.startGap)
+		}
+	}
+	if fl.startGap > 0 {
+		return fl
 	}
 	for _, f := range fl.followers {
 		go func() { _ = f.Serve(ctx) }()
@@ -399,12 +414,19 @@
 }
 
 // root returns the process that watches the store.
-func (fl *fleet) root() netip.Addr {
+func (fl *fleet) root() netip.Addr { return fl.ranked()[0] }
+
+// ranked returns the addresses of the fleet in rank order: the root, then its children.
+func (fl *fleet) ranked() []netip.Addr {
 	var names []string
 	for addr := range fl.followers {
 		names = append(names, addr.String())
 	}
-	return netip.MustParseAddr(rank.Sort("r", names)[0])
+	var out []netip.Addr
+	for _, name := range rank.Sort("r", names) {
+		out = append(out, netip.MustParseAddr(name))
+	}
+	return out
 }
 
 func TestChangeReachesAllThroughOneReader(t *testing.T) {
@@ -544,16 +566,19 @@
 func TestColdStartReadsRemoteStoreOnce(t *testing.T) {
 	for name, test := range map[string]struct {
 		unreachableReaders int
+		startGap           time.Duration
 		maxLists           int
 	}{
-		"all start":                 {0, 1},
-		"the reader is unreachable": {1, 6},
+		"all start":                   {0, 0, 1},
+		"all start one after another": {0, 3 * time.Millisecond, 1},
+		"the reader is unreachable":   {1, 0, 6},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(t.Context())
 				fl := newFleet(ctx, 40, func(fl *fleet) {
-					fl.store.remote, fl.store.listDelay = true, time.Second
+					fl.store.remote, fl.store.listDelay, fl.startGap = true, time.Second, test.startGap
+					fl.store.targetsDelay = 40 * test.startGap // all have started when the first one joins
 					if test.unreachableReaders > 0 {
 						fl.unreachable[fl.root()], fl.noStore[fl.root()] = true, true
 					}
