follow: start to refresh as soon as the state is too old

The refresher slept at least 0.1 of ApplyWithin after it had found the state fresh, so that it started that much late. It now sleeps exactly until the state is too old, and limits its calls with errgroup instead of code of its own.

--- a/follow/exchange.go
+++ b/follow/exchange.go
@@ -260,7 +260,8 @@
 	return data, errors.Wrapf(err, "peer %s", addr)
 }
 
-// applyUpdate applies the update of a peer and records the peer's contact with the store. It fails with ErrPatch if a patch does not match, without changing the state.
+// applyUpdate applies the update of a peer and records the peer's contact with the store. It fails with ErrPatch if a patch does
+// not match, without changing the state.
 func (f *Follower) applyUpdate(peer netip.Addr, update *stateUpdate) error {
 	entries, revision := make([]mesh.Entry, 0, len(update.Entries)), f.Revision()
 	for _, e := range update.Entries {
@@ -274,11 +275,13 @@
 		entries = append(entries, entry)
 	}
 	f.commit(peer.String(), func(now time.Time) bool {
-		defer f.noteContact(now, update.age()) // the peer has delayed the removals that may be expiries
+		apply := f.replica.Apply
 		if update.Full {
-			return f.replica.Replace(now, entries, update.Revision)
+			apply = f.replica.Replace
 		}
-		return f.replica.Apply(now, entries, update.Revision)
+		changed := apply(now, entries, update.Revision)
+		f.noteContact(now, update.age()) // after the removals, since the peer has delayed those that may be expiries
+		return changed
 	})
 	return nil
 }
--- a/follow/refresh.go
+++ b/follow/refresh.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/chervilwell/chervilwell/internal/clock"
 	"github.com/chervilwell/chervilwell/internal/events"
@@ -34,18 +35,24 @@
 // refresh reads the store and random peers while the last known contact with the store is older than refreshShare, no matter what
 // the calls of Serve are waiting for. It returns when ctx ends.
 func (f *Follower) refresh(ctx context.Context) {
-	storeReads, peerReads := make(chan struct{}, maxStoreReads), make(chan struct{}, maxPeerReads)
+	var storeReads, peerReads errgroup.Group
+	storeReads.SetLimit(maxStoreReads)
+	peerReads.SetLimit(maxPeerReads)
 	for ctx.Err() == nil {
-		if fresh := f.share(refreshShare) - f.Age(); fresh > 0 || f.Revision() == 0 {
-			_ = periodic.Sleep(ctx, max(fresh, f.share(refreshIntervalShare)))
+		if f.Revision() == 0 { // Serve reads the first state
+			_ = periodic.Sleep(ctx, f.share(refreshIntervalShare))
+			continue
+		}
+		if fresh := f.share(refreshShare) - f.Age(); fresh > 0 {
+			_ = periodic.Sleep(ctx, fresh)
 			continue
 		}
 		nextStoreRead := clock.Now().Add(f.randomUpTo(f.share(refreshSpreadShare)))
 		for backoff := minBackoff; ctx.Err() == nil && f.Age() >= f.share(refreshShare); {
 			if now := clock.Now(); now.Before(nextStoreRead) {
-				start(peerReads, func() { f.refreshFromPeer(ctx) })
+				peerReads.TryGo(func() error { f.refreshFromPeer(ctx); return nil })
 			} else {
-				start(storeReads, func() { f.refreshFromStore(ctx) })
+				storeReads.TryGo(func() error { f.refreshFromStore(ctx); return nil })
 				nextStoreRead = now.Add(f.jitter(max(backoff, f.share(storeReadShare))))
 				backoff = min(2*backoff, maxBackoff)
 			}
@@ -54,18 +61,6 @@
 	}
 }
 
-// start runs call in a new goroutine, or does nothing if slots has no room for it.
-func start(slots chan struct{}, call func()) {
-	select {
-	case slots <- struct{}{}:
-		go func() {
-			defer func() { <-slots }()
-			call()
-		}()
-	default:
-	}
-}
-
 // refreshFromStore reads the changes of the store, or all of it if the changes are no longer available.
 func (f *Follower) refreshFromStore(ctx context.Context) {
 	err := f.watch(ctx)
