docs: correct statements of the late configuration that the logs do not bear out

One comment of follow claimed that the remaining time suffices for a store read, which the incident refutes.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -82,8 +82,8 @@
 	// relayed.
 	overdueShare = 0.4
 	// stalePollShare is the wait at a peer that may be reading the store, used if the parent's state is stale. It covers
-	// several versions of a long configuration over a narrow link. The remaining time suffices for a store read of the process
-	// itself.
+	// several versions of a long configuration over a narrow link. A process does not rely on the remaining time for its own
+	// store read: the refresher makes one meanwhile.
 	stalePollShare = 0.33
 	// ejectionTime is the time for which a parent is not polled after a failure.
 	ejectionTime = 3 * time.Second
