platform, proxy: decode what a target states about itself, and log it

The logs did not tell whether a gatekeeper learns of the rate limit that its target names, when, and from which response. The header is decoded in platform; the limit in force is tracked in package ratelimit, by the causal order of requests and responses. No request is treated differently yet.

--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -39,6 +39,11 @@
 	TargetWarm        = "target is warm"
 	HealthCheckFailed = "health check failed"
 
+	RateLimitStated        = "target limits its rate"
+	RateLimitEnded         = "target ended its rate limit"
+	TargetAnnouncedLeaving = "target announces that it is leaving"
+	NoticeInvalid          = "target's header is not used"
+
 	RequestAnswered       = "request answered"
 	RequestRefused        = "request refused"
 	RequestFailed         = "request failed"
@@ -87,6 +92,10 @@
 	{TargetCold, "the local target reports that it is cold", []string{"target", "cold"}},
 	{TargetWarm, "the local target reports that it is warm", nil},
 	{HealthCheckFailed, "the local target failed a health check", []string{"error"}},
+	{RateLimitStated, "the local target states, in a response or a health check (field source), the rate of requests per second that it accepts; before is the limit until then, 0 if none", []string{"target", "rate", "before", "source"}},
+	{RateLimitEnded, "the local target no longer limits the rate of requests", []string{"target", "before", "source"}},
+	{TargetAnnouncedLeaving, "the local target states that it is about to stop", []string{"target", "source"}},
+	{NoticeInvalid, "a header in which the local target describes its state is invalid and is ignored", []string{"source", "error"}},
 
 	{RequestAnswered, "a target's response was returned to the caller; only a sample of these events is logged", []string{"request", "route", "service", "target", "status", "tried", "took", "left", "config", "age"}},
 	{RequestRefused, "the request did not run and will not run; the caller received a retry-after (field back)", []string{"request", "route", "service", "status", "reason", "tried", "took", "left", "back", "config", "age"}},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -81,7 +81,8 @@
 	names, metrics := platform.Headers(), proxy.NewMetrics(n.registry)
 	decoder := platform.Decoder{Regions: s.Regions}
 	n.gatekeeper = proxy.NewGatekeeper(proxy.GatekeeperConfig{
-		Addr: s.Target, Service: s.Service, LinkRate: s.LinkRate, Holder: n.holder, Names: names, Log: log, LogBudget: lineBudget, Metrics: metrics,
+		Addr: s.Target, Service: s.Service, LinkRate: s.LinkRate, Holder: n.holder, Names: names, DecodeNotice: platform.DecodeNotice,
+		Log: log, LogBudget: lineBudget, Metrics: metrics,
 	})
 	n.frontend = proxy.NewFrontend(proxy.FrontendConfig{
 		Service: s.Service, FailureDomain: s.FailureDomain, Region: s.Region, Holder: n.holder, Gatekeeper: n.gatekeeper,
--- a/proxy/gatekeeper.go
+++ b/proxy/gatekeeper.go
@@ -22,6 +22,7 @@
 	"github.com/chervilwell/chervilwell/internal/stream"
 	"github.com/chervilwell/chervilwell/mesh"
 	"github.com/chervilwell/chervilwell/pacer"
+	"github.com/chervilwell/chervilwell/ratelimit"
 )
 
 // Limits and intervals of the gatekeeper.
@@ -52,7 +53,9 @@
 	LinkRate float64
 	Holder   *mesh.Holder
 	Names    HeaderNames
-	Log      zerolog.Logger
+	// DecodeNotice decodes what the target states about itself in the header of a response.
+	DecodeNotice func(http.Header) (Notice, error)
+	Log          zerolog.Logger
 	// LogBudget limits the log lines about requests.
 	LogBudget *events.Budget
 	Metrics   *Metrics
@@ -75,6 +78,9 @@
 	wasOutOfService bool
 	tickTimer       *time.Timer
 	health          health
+	// rateLimit is the limit that the target states; announcedLeaving is set once it has stated that it is leaving.
+	rateLimit        ratelimit.Advertised
+	announcedLeaving bool
 }
 
 // NewGatekeeper returns a gatekeeper that treats its target as cold until the target reports that it is warm.
@@ -132,6 +138,8 @@
 	}
 	if !t.SameIncarnation(k.entry) {
 		k.cfg.Log.Info().Str("target", t.ID).Int64("born", t.StartedMs).Dur("cold", t.ColdFor).Int("slots", t.Slots).Msg(events.TargetRestarted)
+		k.rateLimit.Reset()
+		k.announcedLeaving = false
 		k.assumeCold("new life")
 		k.gate.SetSlots(clock.Now(), t.Slots)
 	}
@@ -320,11 +328,15 @@
 		ctx = context.WithoutCancel(ctx)
 	}
 	ctx, cancel := context.WithTimeout(ctx, remaining(c.deadline)+deadlineSlack)
+	sent := clock.Now()
 	resp, err := k.pool.Do(k.targetRequest(ctx, c))
 	if err != nil {
 		defer cancel()
 		return k.targetFailure(ctx, err)
 	}
+	if resp.StatusCode != http.StatusMisdirectedRequest { // from another target than the one that the call names
+		k.noteNotice(sourceResponse, sent, resp.Header)
+	}
 	o := &outcome{run: ran, arrived: true, status: resp.StatusCode, header: resp.Header}
 	if k.refusedByTarget(resp, o) {
 		resp.Body.Close()
--- a/proxy/health.go
+++ b/proxy/health.go
@@ -129,10 +129,12 @@
 		Header: http.Header{"User-Agent": {""}}, Body: http.NoBody, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
 	k.cfg.Metrics.healthChecks.Inc()
+	sent := clock.Now()
 	resp, err := k.pool.Do(req.WithContext(ctx))
 	if err != nil {
 		return "", 0, errors.Wrap(err, "health check")
 	}
+	k.noteNotice(sourceHealthCheck, sent, resp.Header)
 	var o outcome
 	if err := bufferResponse(resp, &o); err != nil {
 		return "", 0, errors.Wrap(err, "read health check response")
--- /dev/null
+++ b/proxy/notice.go
@@ -0,0 +1,64 @@
+package proxy
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/chervilwell/chervilwell/internal/clock"
+	"github.com/chervilwell/chervilwell/internal/events"
+	"github.com/chervilwell/chervilwell/ratelimit"
+)
+
+// Notice is what a target states about itself in the header of a response.
+type Notice struct {
+	// RateLimit is the rate of requests that the target accepts while it says so.
+	RateLimit ratelimit.Limit
+	// Leaving is set by a target that is about to stop and accepts no new requests.
+	Leaving bool
+}
+
+// Sources of a notice, for logs.
+const (
+	sourceResponse    = "response"
+	sourceHealthCheck = "health check"
+)
+
+// noteNotice records what the header of a response to a request sent at sent states about the target.
+func (k *Gatekeeper) noteNotice(source string, sent time.Time, h http.Header) {
+	notice, err := k.cfg.DecodeNotice(h)
+	if err != nil {
+		if k.cfg.LogBudget.Allow() {
+			k.cfg.Log.Warn().Str("source", source).Err(err).Msg(events.NoticeInvalid)
+		}
+		return
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.noteRateLimit(source, sent, notice.RateLimit)
+	if notice.Leaving && !k.announcedLeaving {
+		k.announcedLeaving = true
+		k.cfg.Log.Info().Str("target", k.targetID()).Str("source", source).Msg(events.TargetAnnouncedLeaving)
+	}
+}
+
+// noteRateLimit records the rate limit stated in a response. It must be called with k.mu held.
+func (k *Gatekeeper) noteRateLimit(source string, sent time.Time, stated ratelimit.Limit) {
+	before := k.rateLimit.Limit()
+	if !k.rateLimit.Observe(sent, clock.Now(), stated) || !k.cfg.LogBudget.Allow() {
+		return
+	}
+	if !stated.Limited {
+		k.cfg.Log.Info().Str("target", k.targetID()).Float64("before", before.PerSecond).Str("source", source).Msg(events.RateLimitEnded)
+		return
+	}
+	k.cfg.Log.Info().Str("target", k.targetID()).Float64("rate", stated.PerSecond).Float64("before", before.PerSecond).
+		Str("source", source).Msg(events.RateLimitStated)
+}
+
+// targetID returns the ID of the local target, or "" if its entry has not been read. It must be called with k.mu held.
+func (k *Gatekeeper) targetID() string {
+	if k.entry == nil {
+		return ""
+	}
+	return k.entry.ID
+}
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -21,6 +21,7 @@
 
 	"github.com/chervilwell/chervilwell/internal/events"
 	"github.com/chervilwell/chervilwell/mesh"
+	"github.com/chervilwell/chervilwell/ratelimit"
 	"github.com/chervilwell/chervilwell/retrybudget"
 )
 
@@ -29,6 +30,19 @@
 	CallerService: "X-Caller", TargetID: "X-Target", ColdFor: "X-Cold",
 }
 
+// decodeNotice decodes the headers of fake targets.
+func decodeNotice(h http.Header) (Notice, error) {
+	n := Notice{Leaving: h.Get("X-Leaving") != ""}
+	if text := h.Get("X-Limit"); text != "" {
+		rate, err := strconv.ParseFloat(text, 64)
+		if err != nil {
+			return n, err
+		}
+		n.RateLimit = ratelimit.Limit{PerSecond: rate, Limited: true}
+	}
+	return n, nil
+}
+
 // received describes a request received by a fake target.
 type received struct {
 	method, uri, id, caller, expect string
@@ -167,7 +181,7 @@
 		n := &node{target: startFakeTarget(t, ip)}
 		holder := &mesh.Holder{}
 		n.gatekeeper = NewGatekeeper(GatekeeperConfig{
-			Addr: n.target.addr, Service: testService, Holder: holder, Names: names, Log: zerolog.Nop(), LogBudget: events.NewBudget(1), Metrics: NewMetrics(nil),
+			Addr: n.target.addr, Service: testService, Holder: holder, Names: names, DecodeNotice: decodeNotice, Log: zerolog.Nop(), LogBudget: events.NewBudget(1), Metrics: NewMetrics(nil),
 		})
 		n.frontend = NewFrontend(FrontendConfig{
 			Service: "caller" + strconv.Itoa(i), FailureDomain: "d" + strconv.Itoa(i), Region: "r", Holder: holder, Gatekeeper: n.gatekeeper,
