gate: apply the rate limit that a target states

Callers saw nothing: the targets served the excess.

The gatekeeper is the only way to its target, so that it holds the limit alone and exactly: package ratelimit paces starts (the generic cell rate algorithm that the gate had for cold targets, now one copy for both), queued requests that the limit leaves no room for in time are refused at once, with the time at which there is room, and a limit that no request can confirm is checked. Load reports the number of requests that may start now instead of free slots, so that frontends prefer targets with room.

TestTargetReceivesNoMoreThanItsRateLimit failed before (400 of 400 requests at the limited target) and passes.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -308,9 +308,8 @@
 		return 0
 	}
 	sentSince := t.inFlight - t.inFlightAtReport
-	freeSlots := t.load.Slots - t.load.Running
 	wait := t.load.Wait
-	if queued := sentSince - freeSlots; queued > 0 {
+	if queued := sentSince - t.load.Free; queued > 0 {
 		wait += t.load.Interval * time.Duration(queued)
 	}
 	return time.Duration(weight * float64(max(wait, 0)))
--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -183,7 +183,7 @@
 func TestTargetWithOverdueResponseIsAvoided(t *testing.T) {
 	s, b := state("n1", "n2"), newBalancer()
 	for _, d := range []string{"n1", "n2"} {
-		run(b, epoch, byID(s, d), Completion{Result: Succeeded, RunTime: 50 * time.Millisecond, Load: &gate.Load{Slots: 18}})
+		run(b, epoch, byID(s, d), Completion{Result: Succeeded, RunTime: 50 * time.Millisecond, Load: &gate.Load{Slots: 18, Free: 18}})
 	}
 	b.Started(epoch, Choice{Target: byID(s, "n1"), Due: epoch.Add(200 * time.Millisecond)})
 	for _, c := range []struct {
@@ -208,7 +208,7 @@
 	target := byID(s, "n1")
 	b.Started(epoch, Choice{Target: target, Due: epoch.Add(200 * time.Millisecond)})
 	now := epoch.Add(2 * time.Second)
-	run(b, now, target, Completion{Result: Succeeded, RunTime: 50 * time.Millisecond, Load: &gate.Load{Slots: 18, Running: 1}})
+	run(b, now, target, Completion{Result: Succeeded, RunTime: 50 * time.Millisecond, Load: &gate.Load{Slots: 18, Running: 1, Free: 17}})
 	a := attempt(s, 0)
 	a.Now = now
 	if got := shares(t, b, a); got["n1"] < 900 {
@@ -255,7 +255,7 @@
 	s, b := state("n1", "n2"), newBalancer()
 	for range 10 {
 		run(b, epoch, byID(s, "n1"), Completion{
-			Result: Succeeded, RunTime: 50 * time.Millisecond, Load: &gate.Load{Slots: 18}, RoundTrip: 600 * time.Millisecond,
+			Result: Succeeded, RunTime: 50 * time.Millisecond, Load: &gate.Load{Slots: 18, Free: 18}, RoundTrip: 600 * time.Millisecond,
 		})
 	}
 	if got := shares(t, b, attempt(s, 0)); got["n1"] > 50 {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -4,7 +4,8 @@
 // the time until a slot is expected to be free. Requests with a more urgent priority are started first. Among equal
 // priorities, requests that will end past their latency objective in any case, such as retries after a refusal, are started
 // last, and they are not queued while there is no room for others. Under sustained overload, therefore, the requests in excess
-// of the capacity are refused and the others still meet their objective. A cold target starts requests at a bounded rate.
+// of the capacity are refused and the others still meet their objective. A target that is cold, or limits its rate, starts requests
+// at a bounded rate.
 //
 // The package does no I/O and reads no clock: the caller passes the time and acts on the results.
 package gate
@@ -12,6 +13,8 @@
 import (
 	"container/heap"
 	"time"
+
+	"github.com/chervilwell/chervilwell/ratelimit"
 )
 
 // Request is a request for the target.
@@ -58,9 +61,12 @@
 	p90Factor = 1.5
 	// maxRoutes bounds the routes with a mean running time. All of them are dropped when the bound is reached.
 	maxRoutes = 4096
-	// coldBurst is the fraction of one second's cold starts that may start in a burst. Together with the rate itself it stays
-	// below 1.5 times the rate, which a cold target can bear.
-	coldBurst = 0.15
+	// coldBurst is the time for which unused starts of a cold target are kept. Together with the rate itself they stay below 1.5
+	// times the rate, which a cold target can bear.
+	coldBurst = 150 * time.Millisecond
+	// limitBurst is the time for which unused starts are kept at a target that limits its rate, so that a burst of arrivals need
+	// not wait.
+	limitBurst = 250 * time.Millisecond
 	// minRetryAfter and maxRetryAfter bound the retry-after.
 	minRetryAfter = 20 * time.Millisecond
 	maxRetryAfter = 2 * time.Second
@@ -74,7 +80,7 @@
 // Gate is the admission gate of one target. It is not safe for concurrent use.
 //
 // Invariants: no more requests run than there are slots, except after SetSlots has lowered their number; while the target is
-// cold, no more requests start in any second than its rate and coldBurst allow; a refused request never runs.
+// cold or limits its rate, no more requests start than the limiters allow; a refused request never runs.
 type Gate struct {
 	slots    int
 	running  int
@@ -82,17 +88,18 @@
 	arrivals uint64
 	mean     time.Duration
 	routes   map[string]time.Duration
-	coldRate float64
-	cold     bool
-	// nextCold is the time at which the next request would start if starts were evenly spaced (generic cell rate algorithm).
-	nextCold time.Time
+	// cold limits the starts while the target is cold, stated while it states a limit.
+	cold, stated *ratelimit.Limiter
 	// lastOnTimeRefusal is the time at which a request that was within its objective was last refused.
 	lastOnTimeRefusal time.Time
 }
 
 // New returns a gate with the given number of slots, at least 1.
 func New(slots int) *Gate {
-	return &Gate{slots: max(slots, 1), routes: map[string]time.Duration{}}
+	return &Gate{
+		slots: max(slots, 1), routes: map[string]time.Duration{},
+		cold: ratelimit.NewLimiter(coldBurst), stated: ratelimit.NewLimiter(limitBurst),
+	}
 }
 
 // SetSlots changes the number of slots. Running requests are not affected.
@@ -102,19 +109,31 @@
 }
 
 // SetCold bounds starts to rate per second until SetWarm is called. A rate of 0 removes the bound.
-func (g *Gate) SetCold(rate float64) {
-	g.coldRate = rate
-	g.cold = rate > 0
+func (g *Gate) SetCold(now time.Time, rate float64) {
+	g.cold.SetLimit(now, ratelimit.Limit{PerSecond: rate, Limited: rate > 0})
 }
 
-// SetWarm removes the bound on starts.
+// SetWarm removes the bound on starts that SetCold has set.
 func (g *Gate) SetWarm(now time.Time) {
-	g.cold = false
+	g.cold.SetLimit(now, ratelimit.Limit{})
+	g.grant(now)
+}
+
+// SetRateLimit bounds starts to the limit that the target states, and refuses the queued requests that can no longer end in time.
+func (g *Gate) SetRateLimit(now time.Time, limit ratelimit.Limit) {
+	g.stated.SetLimit(now, limit)
 	g.grant(now)
+	g.evict(now, len(g.queue))
 }
 
+// Count counts a request that was sent to the target without Offer, such as a health check, against the rate limit.
+func (g *Gate) Count(now time.Time) { g.stated.Start(now) }
+
 // Cold reports whether starts are bounded.
-func (g *Gate) Cold() bool { return g.cold }
+func (g *Gate) Cold() bool { return g.cold.Limited() }
+
+// AtRateLimit reports whether requests have to wait because of the limit that the target states.
+func (g *Gate) AtRateLimit(now time.Time) bool { return g.stated.Wait(now, len(g.queue)) > 0 }
 
 // Offer decides whether a request runs, waits or is refused. With Refuse it also returns the retry-after.
 func (g *Gate) Offer(now time.Time, r *Request) (Verdict, time.Duration) {
@@ -130,7 +149,7 @@
 	g.arrivals++
 	r.arrival, r.waiting = g.arrivals, true
 	heap.Push(&g.queue, r)
-	g.evict(now)
+	g.evict(now, maxEvictions)
 	return Wait, 0
 }
 
@@ -186,9 +205,9 @@
 // still end too late.
 func (r *Request) LastStart() time.Time { return r.limit().Add(-r.runTime) }
 
-// evict refuses the least urgent queued requests that can no longer end in time because more urgent ones precede them.
-func (g *Gate) evict(now time.Time) {
-	for range maxEvictions {
+// evict refuses the least urgent queued requests that can no longer end in time, at most most of them.
+func (g *Gate) evict(now time.Time, most int) {
+	for range most {
 		last := g.queue.last()
 		if last == nil || g.endsInTime(now, last, g.waitFor(now, last)) {
 			return
@@ -230,9 +249,9 @@
 func (g *Gate) Tick(now time.Time) { g.grant(now) }
 
 // NextTick returns the next time at which Tick has to be called, or the zero time if there is none.
-func (g *Gate) NextTick() time.Time {
-	if len(g.queue) > 0 && g.cold && g.running < g.slots {
-		return g.nextCold.Add(-g.coldBurstTime())
+func (g *Gate) NextTick(now time.Time) time.Time {
+	if len(g.queue) > 0 && (g.cold.Limited() || g.stated.Limited()) && g.running < g.slots {
+		return now.Add(g.limiterWait(now, 0))
 	}
 	return time.Time{}
 }
@@ -240,6 +259,8 @@
 // Load is the load of a gate as reported to the callers of its target.
 type Load struct {
 	Running, Waiting, Slots int
+	// Free is the number of requests that could start now.
+	Free int
 	// Wait is the time that a request of the lowest priority would wait now. Interval is the time by which each further
 	// request lengthens that wait.
 	Wait, Interval time.Duration
@@ -253,8 +274,12 @@
 
 // Load returns the current load.
 func (g *Gate) Load(now time.Time) Load {
-	l := Load{Running: g.running, Waiting: len(g.queue), Slots: g.slots, Interval: g.interval(), Cold: g.cold}
+	l := Load{Running: g.running, Waiting: len(g.queue), Slots: g.slots, Interval: g.interval(), Cold: g.Cold()}
 	l.Wait = g.waitBehind(now, len(g.queue))
+	if len(g.queue) == 0 {
+		free := max(g.slots-g.running, 0)
+		l.Free = min(g.cold.Available(now, free), g.stated.Available(now, free))
+	}
 	return l
 }
 
@@ -299,13 +324,9 @@
 	return mean + time.Duration(runTimeWeight*float64(sample-mean))
 }
 
-// interval returns the mean time between two starts when all slots are busy.
+// interval returns the mean time between two starts while requests are queued.
 func (g *Gate) interval() time.Duration {
-	bySlots := g.meanRunTime() / time.Duration(g.slots)
-	if g.cold {
-		return max(bySlots, g.spacing())
-	}
-	return bySlots
+	return max(g.meanRunTime()/time.Duration(g.slots), g.cold.Spacing(), g.stated.Spacing())
 }
 
 // waitFor returns the expected wait of a request behind those that precede it in the queue.
@@ -319,34 +340,24 @@
 	if g.running >= g.slots || ahead > 0 {
 		wait = g.interval() * time.Duration(ahead+1)
 	}
-	if g.cold {
-		wait = max(wait, g.nextCold.Add(-g.coldBurstTime()).Sub(now)+g.spacing()*time.Duration(ahead))
-	}
-	return max(wait, 0)
+	return max(wait, g.limiterWait(now, ahead))
 }
 
-// spacing returns the time between evenly spaced starts at the cold rate. Must be called only while the target is cold.
-func (g *Gate) spacing() time.Duration { return time.Duration(float64(time.Second) / g.coldRate) }
-
-func (g *Gate) coldBurstTime() time.Duration { return time.Duration(coldBurst * float64(time.Second)) }
+// limiterWait returns the time for which the limiters delay a request that is preceded by ahead others.
+func (g *Gate) limiterWait(now time.Time, ahead int) time.Duration {
+	return max(g.cold.Wait(now, ahead), g.stated.Wait(now, ahead), 0)
+}
 
-// canStart reports whether a slot is free and, for a cold target, the start rate permits a start.
+// canStart reports whether a slot is free and the limiters permit a start.
 func (g *Gate) canStart(now time.Time) bool {
-	if g.running >= g.slots {
-		return false
-	}
-	return !g.cold || !now.Before(g.nextCold.Add(-g.coldBurstTime()))
+	return g.running < g.slots && g.cold.Ready(now) && g.stated.Ready(now)
 }
 
-// start counts a request as running and, for a cold target, against the start rate.
+// start counts a request as running and against the limiters.
 func (g *Gate) start(now time.Time) {
 	g.running++
-	if g.cold {
-		if g.nextCold.Before(now) {
-			g.nextCold = now
-		}
-		g.nextCold = g.nextCold.Add(g.spacing())
-	}
+	g.cold.Start(now)
+	g.stated.Start(now)
 }
 
 func (g *Gate) remove(r *Request) {
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -34,7 +34,7 @@
 				next, i = e.at, j
 			}
 		}
-		if tick := s.gate.NextTick(); !tick.IsZero() && tick.Before(next) {
+		if tick := s.gate.NextTick(s.now); !tick.IsZero() && tick.Before(next) {
 			s.now = later(tick, s.now.Add(time.Millisecond))
 			s.gate.Tick(s.now)
 			if s.now.After(to) {
@@ -188,7 +188,7 @@
 func TestColdTargetStartsAtItsRate(t *testing.T) {
 	const rate = 21.0
 	s := newSimulation(18)
-	s.gate.SetCold(rate)
+	s.gate.SetCold(s.now, rate)
 	for i := range 2000 {
 		s.advance(epoch.Add(time.Duration(i) * 2 * time.Millisecond))
 		s.offer(s.request(1, time.Second, 2*time.Second), 10*time.Millisecond, func(bool, time.Time) {})
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -76,6 +76,7 @@
 const (
 	reasonNone        = "-"
 	reasonBusy        = "busy"
+	reasonRateLimited = "rate-limited"
 	reasonLeaving     = "leaving"
 	reasonMoved       = "moved"
 	reasonTargetDown  = "target-down"
--- a/proxy/gatekeeper.go
+++ b/proxy/gatekeeper.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/http"
@@ -37,6 +38,8 @@
 	deadlineSlack = 40 * time.Millisecond
 	// maxResponseHeaderBytes is the maximum size of a target's response header.
 	maxResponseHeaderBytes = 64 << 10
+	// maxLimitAge is the age from which on a rate limit that holds back requests is checked.
+	maxLimitAge = time.Second
 	// defaultSlots applies until the target's entry has been read.
 	defaultSlots = 4
 	// defaultColdRate is the maximum number of starts per second at a cold target whose service has no configured rate.
@@ -94,7 +97,7 @@
 		MaxHeaderBytes: maxResponseHeaderBytes,
 		MatchesRequest: k.matchesRequest,
 	})
-	k.gate.SetCold(defaultColdRate)
+	k.gate.SetCold(clock.Now(), defaultColdRate)
 	return k
 }
 
@@ -139,6 +142,7 @@
 	if !t.SameIncarnation(k.entry) {
 		k.cfg.Log.Info().Str("target", t.ID).Int64("born", t.StartedMs).Dur("cold", t.ColdFor).Int("slots", t.Slots).Msg(events.TargetRestarted)
 		k.rateLimit.Reset()
+		k.gate.SetRateLimit(clock.Now(), ratelimit.Limit{})
 		k.announcedLeaving = false
 		k.assumeCold("new life")
 		k.gate.SetSlots(clock.Now(), t.Slots)
@@ -217,11 +221,12 @@
 	req.Start = func(run bool) { granted <- run }
 	k.mu.Lock()
 	verdict, retryAfter := k.gate.Offer(clock.Now(), req)
+	reason := k.busyReason()
 	k.scheduleTick()
 	k.mu.Unlock()
 	switch verdict {
 	case gate.Refuse:
-		o := noResponse(notRun, reasonBusy)
+		o := noResponse(notRun, reason)
 		o.retryAfter = retryAfter
 		return o
 	case gate.Wait:
@@ -250,7 +255,7 @@
 func (k *Gatekeeper) waitForSlot(ctx context.Context, req *gate.Request, granted chan bool) *outcome {
 	timer := time.NewTimer(remaining(req.LastStart()))
 	defer timer.Stop()
-	reason := reasonBusy
+	reason := ""
 	select {
 	case run := <-granted:
 		if run {
@@ -273,15 +278,30 @@
 	return k.busyOutcome(reason)
 }
 
-// busyOutcome returns a refusal whose retry-after is the time in which the current backlog is expected to clear.
+// busyOutcome returns a refusal whose retry-after is the time in which the current backlog is expected to clear. An empty reason
+// stands for that of busyReason.
 func (k *Gatekeeper) busyOutcome(reason string) *outcome {
-	o := noResponse(notRun, reason)
 	k.mu.Lock()
 	defer k.mu.Unlock()
+	o := noResponse(notRun, cmp.Or(reason, k.busyReason()))
 	o.retryAfter = k.gate.BacklogRetryAfter(clock.Now())
 	return o
 }
 
+// busyReason returns why the gate refuses a request: the target's rate limit or its load. If the limit has not been confirmed for
+// some time, it also schedules a health check, since a limit below the rate of requests may end unnoticed. It must be called with
+// k.mu held.
+func (k *Gatekeeper) busyReason() string {
+	now := clock.Now()
+	if !k.gate.AtRateLimit(now) {
+		return reasonBusy
+	}
+	if now.Sub(k.rateLimit.StatedAt()) >= maxLimitAge {
+		k.scheduleCheck(0)
+	}
+	return reasonRateLimited
+}
+
 // recheck repeats the precheck after a wait, since the target may have begun to leave. A call that was admitted before Stop
 // still runs.
 func (k *Gatekeeper) recheck(c *call) *outcome {
@@ -304,7 +324,7 @@
 
 // scheduleTick sets the timer for the next Tick of the gate. It must be called with k.mu held.
 func (k *Gatekeeper) scheduleTick() {
-	at := k.gate.NextTick()
+	at := k.gate.NextTick(clock.Now())
 	if at.IsZero() {
 		return
 	}
--- a/proxy/health.go
+++ b/proxy/health.go
@@ -37,7 +37,7 @@
 // assumeCold treats the target as cold until a check reports that it is warm. It must be called with k.mu held.
 func (k *Gatekeeper) assumeCold(why string) {
 	k.health.suspicions++
-	k.gate.SetCold(k.coldRate())
+	k.gate.SetCold(clock.Now(), k.coldRate())
 	k.cfg.Log.Info().Str("why", why).Msg(events.TargetMaybeCold)
 	k.scheduleCheck(0)
 }
@@ -56,7 +56,7 @@
 func (k *Gatekeeper) setColdFor(d time.Duration) {
 	until := clock.Now().Add(d)
 	k.health.coldUntil = until
-	k.gate.SetCold(k.coldRate())
+	k.gate.SetCold(clock.Now(), k.coldRate())
 	time.AfterFunc(d, func() {
 		k.mu.Lock()
 		defer k.mu.Unlock()
@@ -130,6 +130,9 @@
 	}
 	k.cfg.Metrics.healthChecks.Inc()
 	sent := clock.Now()
+	k.mu.Lock()
+	k.gate.Count(sent)
+	k.mu.Unlock()
 	resp, err := k.pool.Do(req.WithContext(ctx))
 	if err != nil {
 		return "", 0, errors.Wrap(err, "health check")
--- a/proxy/hop.go
+++ b/proxy/hop.go
@@ -85,7 +85,7 @@
 	b = strconv.AppendInt(b, o.retryAfter.Microseconds(), 10)
 	if l := o.load; l != nil {
 		for _, n := range [...]int64{
-			int64(l.Running), int64(l.Waiting), int64(l.Slots),
+			int64(l.Running), int64(l.Waiting), int64(l.Slots), int64(l.Free),
 			l.Wait.Microseconds(), l.Interval.Microseconds(), l.InboundWait.Microseconds(),
 		} {
 			b = strconv.AppendInt(append(b, ' '), n, 10)
@@ -98,7 +98,7 @@
 
 const (
 	outcomeFields     = 8
-	outcomeLoadFields = 16
+	outcomeLoadFields = 17
 )
 
 // parseOutcome decodes a hop response header into o. An error wraps ErrMalformedMessage.
@@ -116,12 +116,12 @@
 	o.retryAfter = time.Duration(n.parse(f[7])) * time.Microsecond
 	if len(f) == outcomeLoadFields {
 		o.load = &gate.Load{
-			Running: int(n.parse(f[8])), Waiting: int(n.parse(f[9])), Slots: int(n.parse(f[10])),
-			Wait:           time.Duration(n.parse(f[11])) * time.Microsecond,
-			Interval:       time.Duration(n.parse(f[12])) * time.Microsecond,
-			InboundWait:    time.Duration(n.parse(f[13])) * time.Microsecond,
-			Cold:           f[14] == "true",
-			ReserveInbound: f[15] == "true",
+			Running: int(n.parse(f[8])), Waiting: int(n.parse(f[9])), Slots: int(n.parse(f[10])), Free: int(n.parse(f[11])),
+			Wait:           time.Duration(n.parse(f[12])) * time.Microsecond,
+			Interval:       time.Duration(n.parse(f[13])) * time.Microsecond,
+			InboundWait:    time.Duration(n.parse(f[14])) * time.Microsecond,
+			Cold:           f[15] == "true",
+			ReserveInbound: f[16] == "true",
 		}
 	}
 	if o.run > unknown {
--- a/proxy/notice.go
+++ b/proxy/notice.go
@@ -43,8 +43,13 @@
 
 // noteRateLimit records the rate limit stated in a response. It must be called with k.mu held.
 func (k *Gatekeeper) noteRateLimit(source string, sent time.Time, stated ratelimit.Limit) {
-	before := k.rateLimit.Limit()
-	if !k.rateLimit.Observe(sent, clock.Now(), stated) || !k.cfg.LogBudget.Allow() {
+	before, now := k.rateLimit.Limit(), clock.Now()
+	if !k.rateLimit.Observe(sent, now, stated) {
+		return
+	}
+	k.gate.SetRateLimit(now, stated)
+	k.scheduleTick()
+	if !k.cfg.LogBudget.Allow() {
 		return
 	}
 	if !stated.Limited {
--- a/proxy/notice_test.go
+++ b/proxy/notice_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strconv"
 	"testing"
 	"time"
 
@@ -63,3 +64,57 @@
 		t.Errorf("statuses %v; the other target has room for all 400 requests", statuses)
 	}
 }
+
+// Guards against requests that wait at targets whose rate limits leave no room for them, instead of being refused at once.
+func TestRequestsBeyondAllRateLimitsAreRefusedAtOnce(t *testing.T) {
+	c := startCluster(t, mesh.Safe)
+	for _, n := range c.nodes {
+		n.target.set(stating("X-Limit: 5\r\n"))
+	}
+	statuses, slowest := c.offer(t, 100, time.Second)
+	if statuses[http.StatusServiceUnavailable] < 50 || statuses[http.StatusOK] == 0 {
+		t.Errorf("statuses %v", statuses)
+	}
+	if slowest > 700*time.Millisecond { // the objective, and a scheduling delay
+		t.Errorf("the slowest response took %v", slowest)
+	}
+	resp, _ := c.send(t, http.MethodGet, "/x/", "")
+	if back, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); resp.StatusCode == http.StatusServiceUnavailable && (err != nil || back <= 0 || back > 0.3) {
+		t.Errorf("retry-after %q with 900 ms left", resp.Header.Get("Retry-After"))
+	}
+}
+
+// Guards against a burst at a limited target from a gatekeeper that has just started and has had no response yet.
+func TestStartingGatekeeperLearnsRateLimitFromHealthCheck(t *testing.T) {
+	c := startCluster(t, mesh.Safe)
+	n := c.nodes[0]
+	n.target.mu.Lock()
+	n.target.health = "X-Limit: 0\r\n"
+	n.target.mu.Unlock()
+	n.gatekeeper.mu.Lock()
+	n.gatekeeper.assumeCold("start")
+	n.gatekeeper.mu.Unlock()
+	for range 100 {
+		time.Sleep(10 * time.Millisecond)
+		n.gatekeeper.mu.Lock()
+		known := n.gatekeeper.rateLimit.Limit().Limited && !n.gatekeeper.gate.Cold()
+		n.gatekeeper.mu.Unlock()
+		if known {
+			break
+		}
+	}
+	before := len(n.target.requests())
+	if statuses, _ := c.offer(t, 100, time.Second/2); statuses[http.StatusOK] != 50 || len(n.target.requests()) != before {
+		t.Errorf("statuses %v, %d requests reached the target with a limit of 0", statuses, len(n.target.requests())-before)
+	}
+	n.target.mu.Lock()
+	n.target.health = ""
+	n.target.mu.Unlock()
+	// No request reaches the target that could show the end of the limit: a health check does.
+	for range 20 {
+		if c.offer(t, 50, time.Second/5); len(n.target.requests()) > before {
+			return
+		}
+	}
+	t.Error("the end of the limit was not noticed within 4 s")
+}
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -61,6 +61,8 @@
 	received []received
 	respond  behaviour
 	cold     string
+	// health holds additional header lines of responses to health checks.
+	health string
 }
 
 func (s *fakeTarget) set(b behaviour) {
@@ -105,9 +107,9 @@
 		}
 		if r.URL.Path == "/health" {
 			s.mu.Lock()
-			cold := s.cold
+			cold, lines := s.cold, s.health
 			s.mu.Unlock()
-			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Target: t\r\nX-Cold: %s\r\nContent-Length: 0\r\n\r\n", cold)
+			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Target: t\r\nX-Cold: %s\r\n%sContent-Length: 0\r\n\r\n", cold, lines)
 			continue
 		}
 		got := received{method: r.Method, uri: r.RequestURI, id: r.Header.Get("X-Id"), caller: r.Header.Get("X-Caller"), expect: r.Header.Get("X-Expect"), hop: r.Header.Get(hopHeader)}
--- a/ratelimit/advertised.go
+++ b/ratelimit/advertised.go
@@ -23,6 +23,9 @@
 // Limit returns the limit in force.
 func (a *Advertised) Limit() Limit { return a.limit }
 
+// StatedAt returns the arrival of the latest response that stated a limit.
+func (a *Advertised) StatedAt() time.Time { return a.statedAt }
+
 // Observe records what the response to a request sent at sent states, and reports whether the limit in force has changed. A response
 // that states no limit ends the one in force, unless its request was sent before the latest statement of a limit arrived: responses
 // may arrive out of order.
