proxy: failing test of a target that states that it is leaving

Known red: what a target states in its responses is logged, and no request is treated differently. The local target and the remote one go on to receive requests until their entries in the store say that they leave.

--- a/proxy/notice_test.go
+++ b/proxy/notice_test.go
@@ -118,3 +118,41 @@
 	}
 	t.Error("the end of the limit was not noticed within 4 s")
 }
+
+// Guards against requests to a target that has stated in a response that it is leaving (DRAIN), also if the gatekeeper beside it has
+// restarted since and does not know.
+func TestLeavingTargetReceivesNoMoreRequests(t *testing.T) {
+	for i, name := range []string{"local target", "remote target"} {
+		t.Run(name, func(t *testing.T) {
+			c := startCluster(t, mesh.Safe)
+			leaving, other := c.nodes[i], c.nodes[1-i]
+			other.target.set(stating("X-Limit: 20\r\n")) // so that the rest goes to the leaving one
+			leaving.target.set(stating("X-Leaving: 1\r\n"))
+			c.offer(t, 200, time.Second/2)
+			before := len(leaving.target.requests())
+			if before == 0 {
+				t.Fatal("no request has reached the leaving target")
+			}
+			c.offer(t, 200, time.Second/2)
+			if got := len(leaving.target.requests()) - before; got > 0 {
+				t.Errorf("the leaving target received %d requests after its first responses", got)
+			}
+			leaving.gatekeeper.mu.Lock()
+			leaving.gatekeeper.announcedLeaving = false
+			leaving.gatekeeper.mu.Unlock()
+			before = len(leaving.target.requests())
+			c.offer(t, 200, time.Second/2)
+			if got := len(leaving.target.requests()) - before; got > 0 {
+				t.Errorf("the leaving target received %d requests after a restart of its gatekeeper", got)
+			}
+			restarted := *c.replica.State().TargetAt(leaving.target.addr)
+			restarted.StartedMs++
+			revision := c.replica.Revision() + 1
+			c.replica.Apply(time.Now(), []mesh.Entry{{Key: fmt.Sprintf("127.0.0.%d", i+1), Revision: revision, Target: &restarted}}, revision)
+			c.publish()
+			if c.offer(t, 200, time.Second/2); len(leaving.target.requests()) == before {
+				t.Error("the next incarnation of the target receives no requests")
+			}
+		})
+	}
+}
