proxy, balance: send nothing more to a target that states that it is leaving

A target that leaves says so in its responses, possibly long before its entry in the store does at a process that the store does not reach. The gatekeeper beside it logged the header and went on. Class: what the target says itself was known only through the store.

The gatekeeper refuses calls for the incarnation that has stated it, from the first response or health check on, and says so in its outcomes; a frontend that has learned of it does not pick that incarnation again, also after a restart of the gatekeeper, which forgets. A later incarnation is not affected.

TestLeavingTargetReceivesNoMoreRequests failed before (100 and 90 requests after the first responses) and passes.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -7,6 +7,7 @@
 package balance
 
 import (
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -62,7 +63,8 @@
 	// maximum lets a target that has recovered wait for at most a second, plus jitter.
 	firstBackoff = 150 * time.Millisecond
 	maxBackoff   = time.Second
-	// maxTargets bounds the targets, and the routes, with statistics. All of them are dropped when the bound is exceeded.
+	// maxTargets bounds the targets, and the routes, with statistics. All of them are dropped when the bound is exceeded, except
+	// for the targets that are leaving.
 	maxTargets = 4096
 	// HeaderBytes is the size in bytes that the headers of a request and its response add to their bodies.
 	HeaderBytes = 1200
@@ -153,6 +155,8 @@
 	slownessAt time.Time
 	faults     float64
 	faultAt    time.Time
+	// leaving is set once the target has stated that it is leaving.
+	leaving bool
 	// backoffUntil is the end of the present back-off, and backoff is its length before jitter.
 	backoffUntil time.Time
 	backoff      time.Duration
@@ -203,6 +207,9 @@
 			continue
 		}
 		stats := b.targetStatsFor(a.Now, t)
+		if stats.leaving {
+			continue
+		}
 		distance := b.distance(t)
 		var delay time.Duration
 		if distance == OtherRegion && a.LinkState != nil {
@@ -349,7 +356,7 @@
 	stats := b.targets[t.ID]
 	if stats == nil || stats.startedMs != t.StartedMs {
 		if len(b.targets) > maxTargets {
-			clear(b.targets)
+			b.dropTargets()
 		}
 		stats = &targetStats{startedMs: t.StartedMs, slowness: 1, slownessAt: now, faultAt: now}
 		b.targets[t.ID] = stats
@@ -357,6 +364,14 @@
 	return stats
 }
 
+// dropTargets drops the statistics of all targets. Those that are leaving stay unless they alone exceed the bound.
+func (b *Balancer) dropTargets() {
+	maps.DeleteFunc(b.targets, func(_ string, stats *targetStats) bool { return !stats.leaving })
+	if len(b.targets) > maxTargets {
+		clear(b.targets)
+	}
+}
+
 // maxDueTimes bounds the due times kept for one target; more would not change the estimate.
 const maxDueTimes = 64
 
@@ -378,6 +393,8 @@
 	// RunTime is the running time at the target, or 0 if it is not known. ResponseBytes is the length of the response body.
 	RunTime       time.Duration
 	ResponseBytes int
+	// TargetLeaving is set if the target states that it is leaving. It is not picked any more.
+	TargetLeaving bool
 	// RoundTrip is the round trip without the time in the target's process. It is used only if Load is not nil.
 	RoundTrip time.Duration
 }
@@ -387,6 +404,7 @@
 	stats := b.targetStatsFor(now, c.Target)
 	stats.inFlight = max(stats.inFlight-1, 0)
 	stats.removeDue(c.Due)
+	stats.leaving = stats.leaving || e.TargetLeaving
 	if e.Load != nil {
 		stats.load, stats.loadAt, stats.inFlightAtReport = *e.Load, now, stats.inFlight
 		stats.lastResponse = now
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -116,7 +116,8 @@
 	// included.
 	took, gatekeeperTime time.Duration
 	retryAfter           time.Duration
-	leaving              bool
+	// leaving is set by a process that accepts no new calls, targetLeaving if the target states that it is leaving.
+	leaving, targetLeaving bool
 	// revision is the store revision of the gatekeeper's state.
 	revision uint64
 }
@@ -180,5 +181,8 @@
 	io.Closer
 }
 
+// incarnation returns the incarnation that the call is meant for.
+func (c *call) incarnation() incarnation { return incarnation{id: c.targetID, startedMs: c.startedMs} }
+
 // matches reports whether t is the target of the call. t may be nil.
 func (c *call) matches(t *mesh.Target) bool { return t != nil && t.ID == c.targetID }
--- a/proxy/frontend.go
+++ b/proxy/frontend.go
@@ -234,6 +234,7 @@
 	f.observeLink(req, t, choice.Distance, o, took)
 	f.balancer.Ended(clock.Now(), choice, balance.Completion{
 		Route: req.route.Name, Result: result, Load: o.load, RunTime: o.took, ResponseBytes: len(o.body), RoundTrip: took - o.gatekeeperTime,
+		TargetLeaving: o.targetLeaving,
 	})
 }
 
--- a/proxy/gatekeeper.go
+++ b/proxy/gatekeeper.go
@@ -71,6 +71,8 @@
 	stopped atomic.Bool
 	leaving atomic.Bool
 	active  atomic.Int64
+	// leavingTarget is the last incarnation of the target that stated that it is leaving, or nil.
+	leavingTarget atomic.Pointer[incarnation]
 
 	mu      sync.Mutex
 	gate    *gate.Gate
@@ -81,9 +83,8 @@
 	wasOutOfService bool
 	tickTimer       *time.Timer
 	health          health
-	// rateLimit is the limit that the target states; announcedLeaving is set once it has stated that it is leaving.
-	rateLimit        ratelimit.Advertised
-	announcedLeaving bool
+	// rateLimit is the limit that the target states.
+	rateLimit ratelimit.Advertised
 }
 
 // NewGatekeeper returns a gatekeeper that treats its target as cold until the target reports that it is warm.
@@ -143,7 +144,6 @@
 		k.cfg.Log.Info().Str("target", t.ID).Int64("born", t.StartedMs).Dur("cold", t.ColdFor).Int("slots", t.Slots).Msg(events.TargetRestarted)
 		k.rateLimit.Reset()
 		k.gate.SetRateLimit(clock.Now(), ratelimit.Limit{})
-		k.announcedLeaving = false
 		k.assumeCold("new life")
 		k.gate.SetSlots(clock.Now(), t.Slots)
 	}
@@ -166,6 +166,9 @@
 	if k.stopped.Load() {
 		return noResponse(notRun, reasonLeaving)
 	}
+	if k.isLeaving(c.incarnation()) {
+		return noResponse(notRun, reasonLeaving)
+	}
 	t := state.TargetAt(k.cfg.Addr)
 	switch {
 	case t == nil:
@@ -192,7 +195,7 @@
 		o = k.admit(ctx, c)
 	}
 	load := k.load()
-	o.load, o.leaving, o.revision = &load, k.leaving.Load(), state.Revision
+	o.load, o.leaving, o.targetLeaving, o.revision = &load, k.leaving.Load(), k.isLeaving(c.incarnation()), state.Revision
 	o.gatekeeperTime = clock.Now().Sub(start)
 	k.cfg.Metrics.countGateOutcome(o)
 	k.logCall(c, o)
@@ -355,7 +358,7 @@
 		return k.targetFailure(ctx, err)
 	}
 	if resp.StatusCode != http.StatusMisdirectedRequest { // from another target than the one that the call names
-		k.noteNotice(sourceResponse, sent, resp.Header)
+		k.noteNotice(sourceResponse, sent, c.incarnation(), resp.Header)
 	}
 	o := &outcome{run: ran, arrived: true, status: resp.StatusCode, header: resp.Header}
 	if k.refusedByTarget(resp, o) {
--- a/proxy/health.go
+++ b/proxy/health.go
@@ -137,7 +137,7 @@
 	if err != nil {
 		return "", 0, errors.Wrap(err, "health check")
 	}
-	k.noteNotice(sourceHealthCheck, sent, resp.Header)
+	k.noteNotice(sourceHealthCheck, sent, k.incarnationOf(resp.Header.Get(k.cfg.Names.TargetID)), resp.Header)
 	var o outcome
 	if err := bufferResponse(resp, &o); err != nil {
 		return "", 0, errors.Wrap(err, "read health check response")
--- a/proxy/hop.go
+++ b/proxy/hop.go
@@ -67,7 +67,7 @@
 	return v
 }
 
-// formatOutcome encodes the hop response header: run, reason, arrived, leaving, revision; took, gatekeeperTime and
+// formatOutcome encodes the hop response header: run, reason, arrived, leaving, targetLeaving, revision; took, gatekeeperTime and
 // retryAfter in microseconds; and the load if there is one.
 func formatOutcome(o *outcome) string {
 	b := make([]byte, 0, 96)
@@ -79,6 +79,7 @@
 	b = append(append(b, reason...), ' ')
 	b = append(strconv.AppendBool(b, o.arrived), ' ')
 	b = append(strconv.AppendBool(b, o.leaving), ' ')
+	b = append(strconv.AppendBool(b, o.targetLeaving), ' ')
 	b = append(strconv.AppendUint(b, o.revision, 10), ' ')
 	b = append(strconv.AppendInt(b, o.took.Microseconds(), 10), ' ')
 	b = append(strconv.AppendInt(b, o.gatekeeperTime.Microseconds(), 10), ' ')
@@ -97,8 +98,8 @@
 }
 
 const (
-	outcomeFields     = 8
-	outcomeLoadFields = 17
+	outcomeFields     = 9
+	outcomeLoadFields = 18
 )
 
 // parseOutcome decodes a hop response header into o. An error wraps ErrMalformedMessage.
@@ -109,19 +110,19 @@
 	}
 	n := fieldParser{}
 	o.run, o.reason = run(n.parse(f[0])), f[1]
-	o.arrived, o.leaving = f[2] == "true", f[3] == "true"
-	o.revision = uint64(n.parse(f[4]))
-	o.took = time.Duration(n.parse(f[5])) * time.Microsecond
-	o.gatekeeperTime = time.Duration(n.parse(f[6])) * time.Microsecond
-	o.retryAfter = time.Duration(n.parse(f[7])) * time.Microsecond
+	o.arrived, o.leaving, o.targetLeaving = f[2] == "true", f[3] == "true", f[4] == "true"
+	o.revision = uint64(n.parse(f[5]))
+	o.took = time.Duration(n.parse(f[6])) * time.Microsecond
+	o.gatekeeperTime = time.Duration(n.parse(f[7])) * time.Microsecond
+	o.retryAfter = time.Duration(n.parse(f[8])) * time.Microsecond
 	if len(f) == outcomeLoadFields {
 		o.load = &gate.Load{
-			Running: int(n.parse(f[8])), Waiting: int(n.parse(f[9])), Slots: int(n.parse(f[10])), Free: int(n.parse(f[11])),
-			Wait:           time.Duration(n.parse(f[12])) * time.Microsecond,
-			Interval:       time.Duration(n.parse(f[13])) * time.Microsecond,
-			InboundWait:    time.Duration(n.parse(f[14])) * time.Microsecond,
-			Cold:           f[15] == "true",
-			ReserveInbound: f[16] == "true",
+			Running: int(n.parse(f[9])), Waiting: int(n.parse(f[10])), Slots: int(n.parse(f[11])), Free: int(n.parse(f[12])),
+			Wait:           time.Duration(n.parse(f[13])) * time.Microsecond,
+			Interval:       time.Duration(n.parse(f[14])) * time.Microsecond,
+			InboundWait:    time.Duration(n.parse(f[15])) * time.Microsecond,
+			Cold:           f[16] == "true",
+			ReserveInbound: f[17] == "true",
 		}
 	}
 	if o.run > unknown {
--- a/proxy/notice.go
+++ b/proxy/notice.go
@@ -23,8 +23,14 @@
 	sourceHealthCheck = "health check"
 )
 
-// noteNotice records what the header of a response to a request sent at sent states about the target.
-func (k *Gatekeeper) noteNotice(source string, sent time.Time, h http.Header) {
+// incarnation identifies one life of a target.
+type incarnation struct {
+	id        string
+	startedMs int64
+}
+
+// noteNotice records what the header of a response to a request sent at sent states about a target.
+func (k *Gatekeeper) noteNotice(source string, sent time.Time, from incarnation, h http.Header) {
 	notice, err := k.cfg.DecodeNotice(h)
 	if err != nil {
 		if k.cfg.LogBudget.Allow() {
@@ -35,12 +41,19 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.noteRateLimit(source, sent, notice.RateLimit)
-	if notice.Leaving && !k.announcedLeaving {
-		k.announcedLeaving = true
-		k.cfg.Log.Info().Str("target", k.targetID()).Str("source", source).Msg(events.TargetAnnouncedLeaving)
+	if notice.Leaving && !k.isLeaving(from) {
+		k.leavingTarget.Store(&from)
+		k.gate.RefuseWaiting()
+		k.cfg.Log.Info().Str("target", from.id).Str("source", source).Msg(events.TargetAnnouncedLeaving)
 	}
 }
 
+// isLeaving reports whether a target has stated that it is leaving. Leaving is final for an incarnation.
+func (k *Gatekeeper) isLeaving(target incarnation) bool {
+	leaving := k.leavingTarget.Load()
+	return leaving != nil && *leaving == target
+}
+
 // noteRateLimit records the rate limit stated in a response. It must be called with k.mu held.
 func (k *Gatekeeper) noteRateLimit(source string, sent time.Time, stated ratelimit.Limit) {
 	before, now := k.rateLimit.Limit(), clock.Now()
@@ -67,3 +80,13 @@
 	}
 	return k.entry.ID
 }
+
+// incarnationOf returns the incarnation of the local target with the given ID. Its start is 0 if the entry has not been read.
+func (k *Gatekeeper) incarnationOf(id string) incarnation {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if k.entry == nil || k.entry.ID != id {
+		return incarnation{id: id}
+	}
+	return incarnation{id: id, startedMs: k.entry.StartedMs}
+}
--- a/proxy/notice_test.go
+++ b/proxy/notice_test.go
@@ -137,9 +137,7 @@
 			if got := len(leaving.target.requests()) - before; got > 0 {
 				t.Errorf("the leaving target received %d requests after its first responses", got)
 			}
-			leaving.gatekeeper.mu.Lock()
-			leaving.gatekeeper.announcedLeaving = false
-			leaving.gatekeeper.mu.Unlock()
+			leaving.gatekeeper.leavingTarget.Store(nil)
 			before = len(leaving.target.requests())
 			c.offer(t, 200, time.Second/2)
 			if got := len(leaving.target.requests()) - before; got > 0 {
