--- a/proxy/gatekeeper.go
+++ b/proxy/gatekeeper.go
@@ -15,6 +15,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
+	"golang.org/x/time/rate"
 
 	"github.com/chervilwell/chervilwell/gate"
 	"github.com/chervilwell/chervilwell/internal/clock"
@@ -85,11 +86,13 @@
 	health          health
 	// rateLimit is the limit that the target states.
 	rateLimit ratelimit.Advertised
+	// noticeLog limits the log lines about what the target states.
+	noticeLog *rate.Limiter
 }
 
 // NewGatekeeper returns a gatekeeper that treats its target as cold until the target reports that it is warm.
 func NewGatekeeper(cfg GatekeeperConfig) *Gatekeeper {
-	k := &Gatekeeper{cfg: cfg, gate: gate.New(defaultSlots), inbound: pacer.NewInbound(cfg.LinkRate)}
+	k := &Gatekeeper{cfg: cfg, gate: gate.New(defaultSlots), inbound: pacer.NewInbound(cfg.LinkRate), noticeLog: rate.NewLimiter(noticeLinesPerSecond, noticeBurstLines)}
 	k.pool = httppool.New(httppool.Config{
 		Dial:           func(ctx context.Context) (net.Conn, error) { return dial(ctx, cfg.Addr.String(), targetDialTimeout) },
 		MaxConns:       maxTargetConns,
--- a/proxy/notice.go
+++ b/proxy/notice.go
@@ -17,6 +17,13 @@
 	Leaving bool
 }
 
+// Limits of the log lines about notices, which a target may change with each response. They do not share the budget of the lines
+// about requests: an overload that exhausts it would hide why requests are refused.
+const (
+	noticeLinesPerSecond = 5
+	noticeBurstLines     = 20
+)
+
 // Sources of a notice, for logs.
 const (
 	sourceResponse    = "response"
@@ -33,7 +40,7 @@
 func (k *Gatekeeper) noteNotice(source string, sent time.Time, from incarnation, h http.Header) {
 	notice, err := k.cfg.DecodeNotice(h)
 	if err != nil {
-		if k.cfg.LogBudget.Allow() {
+		if k.noticeLog.Allow() {
 			k.cfg.Log.Warn().Str("source", source).Err(err).Msg(events.NoticeInvalid)
 		}
 		return
@@ -62,7 +69,7 @@
 	}
 	k.gate.SetRateLimit(now, stated)
 	k.scheduleTick()
-	if !k.cfg.LogBudget.Allow() {
+	if !k.noticeLog.Allow() {
 		return
 	}
 	if !stated.Limited {
