platform, follow: decode the epoch of the store, and log restores and ignored listings

After a restore of the store the logs told neither that it had been restored nor that listings were ignored for their lower revision.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -40,15 +40,15 @@
 // Source reads the store. Its errors wrap ErrCompacted or ErrUnavailable, are those of the context, or report a malformed
 // response.
 type Source interface {
-	// List returns all entries, and the revision to watch from.
-	List(ctx context.Context) ([]mesh.Entry, uint64, error)
+	// List returns all entries, and the position to watch from.
+	List(ctx context.Context) ([]mesh.Entry, mesh.Position, error)
 	// Targets returns only the entries of targets. These are short and name the peers that can supply the rest.
 	Targets(ctx context.Context) ([]mesh.Entry, error)
 	// Remote reports whether the store called so far is in another region.
 	Remote() bool
-	// Watch returns the entries changed after a revision as soon as there are any, or none after wait, and the revision
+	// Watch returns the entries changed after a position as soon as there are any, or none after wait, and the position
 	// reached.
-	Watch(ctx context.Context, after uint64, wait time.Duration) ([]mesh.Entry, uint64, error)
+	Watch(ctx context.Context, after mesh.Position, wait time.Duration) ([]mesh.Entry, mesh.Position, error)
 }
 
 // Peers calls other processes.
@@ -135,6 +135,8 @@
 
 	mu      sync.Mutex
 	replica *mesh.Replica
+	// epoch is the latest epoch of the store that this process has seen.
+	epoch uint64
 	// changed is closed and replaced at each change of the state and each contact with the store.
 	changed chan struct{}
 	// lastContact is the time of the last known contact with the store, of this process or the peers that it follows: the state is
@@ -292,14 +294,18 @@
 // list replaces the state by a full listing of the store.
 func (f *Follower) list(ctx context.Context) error {
 	start := clock.Now()
-	entries, revision, err := f.cfg.Source.List(ctx)
+	entries, position, err := f.cfg.Source.List(ctx)
 	if err != nil {
 		return f.logFailedCall(start, err)
 	}
-	f.logSlowReply(storeName, clock.Now().Sub(start), 0, revision)
+	f.logSlowReply(storeName, clock.Now().Sub(start), 0, position.Revision)
 	f.commit(storeName, func(now time.Time) bool {
 		f.storeResponded(now, start)
-		return f.replica.Replace(now, entries, revision)
+		f.noteEpoch(position)
+		if known := f.replica.Revision(); position.Revision < known {
+			f.cfg.Log.Info().Uint64("epoch", position.Epoch).Uint64("revision", position.Revision).Uint64("known", known).Msg(events.ListingIgnored)
+		}
+		return f.replica.Replace(now, entries, position.Revision)
 	})
 	f.synced.Store(true)
 	return nil
@@ -316,19 +322,20 @@
 	}
 	f.mu.Unlock()
 	start := clock.Now()
-	entries, revision, err := f.cfg.Source.Watch(ctx, after, wait)
+	entries, position, err := f.cfg.Source.Watch(ctx, mesh.Position{Revision: after}, wait)
 	if err != nil {
 		return f.logFailedCall(start, err)
 	}
 	took := clock.Now().Sub(start)
-	f.logSlowReply(storeName, took, wait, revision)
+	f.logSlowReply(storeName, took, wait, position.Revision)
 	contact := start // the response with changes may have been sent at once
 	if len(entries) == 0 && took >= wait {
 		contact = start.Add(wait)
 	}
 	f.commit(storeName, func(now time.Time) bool {
 		f.storeResponded(now, contact)
-		return f.replica.Apply(now, entries, revision)
+		f.noteEpoch(position)
+		return f.replica.Apply(now, entries, position.Revision)
 	})
 	if len(entries) > 0 {
 		_ = periodic.Sleep(ctx, watchPause)
@@ -336,6 +343,14 @@
 	return nil
 }
 
+// noteEpoch records the epoch of a response of the store. It must be called with f.mu held.
+func (f *Follower) noteEpoch(position mesh.Position) {
+	if known := f.replica.Revision(); position.Epoch > f.epoch && known > 0 {
+		f.cfg.Log.Warn().Uint64("epoch", position.Epoch).Uint64("before", f.epoch).Uint64("revision", position.Revision).Uint64("known", known).Msg(events.StoreRestored)
+	}
+	f.epoch = max(f.epoch, position.Epoch)
+}
+
 // logFailedCall logs a call to the store that did not succeed and returns its error.
 func (f *Follower) logFailedCall(start time.Time, err error) error {
 	f.cfg.Log.Info().Dur("took", clock.Now().Sub(start)).Dur("age", f.Age()).Err(err).Msg(events.StoreCallFailed)
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
@@ -17,6 +18,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"pgregory.net/rapid"
 
@@ -30,9 +32,12 @@
 // store is a fake of the platform's store.
 type store struct {
 	mu       sync.Mutex
+	epoch    uint64
 	revision uint64
 	entries  map[string]mesh.Entry
-	log      []mesh.Entry
+	// log holds the changes after historyStart.
+	log          []mesh.Entry
+	historyStart uint64
 	down     bool
 	// dropEvents makes Watch return no changes.
 	dropEvents bool
@@ -109,23 +114,49 @@
 
 func (s *store) Remote() bool { return s.remote }
 
-func (s *store) List(context.Context) ([]mesh.Entry, uint64, error) {
+func (s *store) List(context.Context) ([]mesh.Entry, mesh.Position, error) {
 	time.Sleep(s.listDelay)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
 	s.lists++
 	if s.down {
-		return nil, 0, ErrUnavailable
+		return nil, mesh.Position{}, ErrUnavailable
 	}
 	var out []mesh.Entry
 	for _, f := range s.entries {
 		out = append(out, f)
 	}
-	return out, s.revision, nil
+	return out, s.position(), nil
 }
 
-func (s *store) Watch(ctx context.Context, after uint64, wait time.Duration) ([]mesh.Entry, uint64, error) {
+// position returns the position of the store. It must be called with s.mu held.
+func (s *store) position() mesh.Position {
+	return mesh.Position{Epoch: s.epoch, Revision: s.revision}
+}
+
+// storeCopy is the content of the store at one revision.
+type storeCopy struct {
+	revision uint64
+	entries  map[string]mesh.Entry
+}
+
+func (s *store) copy() storeCopy {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return storeCopy{s.revision, maps.Clone(s.entries)}
+}
+
+// restore replaces the content of the store by that of a copy and starts the next epoch. The history is lost.
+func (s *store) restore(c storeCopy) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.epoch++
+	s.revision, s.entries, s.log, s.historyStart = c.revision, maps.Clone(c.entries), nil, c.revision
+	s.notify()
+}
+
+func (s *store) Watch(ctx context.Context, after mesh.Position, wait time.Duration) ([]mesh.Entry, mesh.Position, error) {
 	s.mu.Lock()
 	s.calls++
 	dropEvents := s.dropEvents
@@ -136,25 +167,29 @@
 		s.mu.Lock()
 		if s.down {
 			s.mu.Unlock()
-			return nil, 0, ErrUnavailable
+			return nil, mesh.Position{}, ErrUnavailable
 		}
 		var out []mesh.Entry
 		for _, f := range s.log {
-			if f.Revision > after && !dropEvents {
+			if f.Revision > after.Revision && !dropEvents {
 				out = append(out, f)
 			}
 		}
-		revision, changed := s.revision, s.changed
+		position, changed := s.position(), s.changed
+		compacted := after.Revision > s.revision || after.Revision < s.historyStart
 		s.mu.Unlock()
+		if compacted {
+			return nil, mesh.Position{}, ErrCompacted
+		}
 		if len(out) > 0 {
-			return out, revision, nil
+			return out, position, nil
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			return nil, after, nil
+			return nil, mesh.Position{Epoch: position.Epoch, Revision: after.Revision}, nil
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return nil, mesh.Position{}, ctx.Err()
 		}
 	}
 }
@@ -192,9 +227,9 @@
 	self netip.Addr
 }
 
-func (l endpoint) List(ctx context.Context) ([]mesh.Entry, uint64, error) {
+func (l endpoint) List(ctx context.Context) ([]mesh.Entry, mesh.Position, error) {
 	if l.storeUnreachable() {
-		return nil, 0, ErrUnavailable
+		return nil, mesh.Position{}, ErrUnavailable
 	}
 	l.store.countRead(l.self)
 	return l.store.List(ctx)
@@ -209,24 +244,27 @@
 
 func (l endpoint) Remote() bool { return l.store.Remote() }
 
-func (l endpoint) Watch(ctx context.Context, after uint64, wait time.Duration) ([]mesh.Entry, uint64, error) {
+func (l endpoint) Watch(ctx context.Context, after mesh.Position, wait time.Duration) ([]mesh.Entry, mesh.Position, error) {
 	if l.storeUnreachable() {
 		time.Sleep(wait)
-		return nil, 0, ErrUnavailable
+		return nil, mesh.Position{}, ErrUnavailable
 	}
 	ctx, cancel := withTimeout(ctx, wait+storeResponseTimeout)
 	defer cancel()
 	l.store.countRead(l.self)
 	var entries []mesh.Entry
-	var revision uint64
+	var position mesh.Position
 	err := l.exchange(ctx, netip.Addr{}, storeConnectTimeout, func() (err error) {
-		entries, revision, err = l.store.Watch(ctx, after, wait)
+		entries, position, err = l.store.Watch(ctx, after, wait)
 		return err
 	})
+	if errors.Is(err, ErrCompacted) {
+		return nil, mesh.Position{}, err
+	}
 	if err != nil {
-		return nil, 0, ErrUnavailable
+		return nil, mesh.Position{}, ErrUnavailable
 	}
-	return entries, revision, nil
+	return entries, position, nil
 }
 
 // exchange models a request over an idle connection to the callee, or a new one. A packet that is lost is not sent again, and
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -31,6 +31,8 @@
 	PeerMalformed      = "peer sent what can't be read"
 	PeerDisconnected   = "peer left before its answer"
 	StoreCallFailed    = "store call failed"
+	StoreRestored      = "store was restored from a copy"
+	ListingIgnored     = "listing is older than the state"
 	SlowReply          = "slow reply"
 
 	TargetRestarted   = "target began a new life"
@@ -74,6 +76,8 @@
 	{StoreRecovered, "the store responds again; silent is the time for which it did not", []string{"silent"}},
 	{StoreNotResponding, "the store does not respond; the present state stays in use", []string{"revision", "error"}},
 	{StoreCallFailed, "a call to the store did not succeed; took is its duration, age the time since the last known contact with the store", []string{"took", "age", "error"}},
+	{StoreRestored, "the store responds with a later epoch: it was restored from a copy and has lost changes; revision is that of the response, known the one reached in the epoch before", []string{"epoch", "before", "revision", "known"}},
+	{ListingIgnored, "a listing of the store is older than the state and changes nothing", []string{"epoch", "revision", "known"}},
 	{EntryIgnored, "an entry of the store is invalid and is ignored", []string{"error"}},
 	{ConfigInForce, "a configuration is now in force; source is the peer that supplied it, or store", []string{"config", "routes", "revision", "source"}},
 	{DomainOut, "an operator took a failure domain out of service", []string{"domain", "revision"}},
