follow: pause before listing the store again without progress

Class: a call that succeeds without progress is repeated with no pause. A refused watch after a listing now waits for the back-off of failed calls, and so does, for a fixed pause, the watch after one that ended early with nothing.

--- a/follow/follow.go
+++ b/follow/follow.go
@@ -89,8 +89,8 @@
 	ejectionTime = 3 * time.Second
 	// fanout is the number of children of a parent. Each child sends it one request per waitShare.
 	fanout = 24
-	// watchPause is the pause after a change before the next watch, which batches further changes. It is a small part of
-	// ApplyWithin.
+	// watchPause is the pause after a watch that ended early before the next one, which batches further changes and bounds the
+	// rate of calls. It is a small part of ApplyWithin.
 	watchPause = 150 * time.Millisecond
 	// pollPause is the pause after an update from a parent before the next poll, which batches changes in quick succession.
 	pollPause = 50 * time.Millisecond
@@ -167,6 +167,7 @@
 func (f *Follower) Serve(ctx context.Context) error {
 	go f.refresh(ctx)
 	backoff := minBackoff
+	listed := false // the last successful call was a listing
 	for ctx.Err() == nil {
 		if parent, ok := f.parent(); ok {
 			f.pollParent(ctx, parent)
@@ -175,18 +176,26 @@
 		if !f.synced.Load() && f.join(ctx) {
 			continue
 		}
+		wasSynced := f.synced.Load()
 		err := f.readStore(ctx)
 		switch {
+		case err == nil && wasSynced:
+			backoff, listed = minBackoff, false
+			continue
 		case err == nil:
-			backoff = minBackoff
+			listed = true
 			continue
 		case ctx.Err() != nil:
 			return ctx.Err()
 		case errors.Is(err, ErrCompacted):
 			f.synced.Store(false)
-			continue
+			if !listed {
+				continue
+			}
+			// The listing led to no history either; the next one may not help.
+		default:
+			f.storeFailed(err)
 		}
-		f.storeFailed(err)
 		_ = periodic.Sleep(ctx, f.jitter(backoff))
 		backoff = min(2*backoff, maxBackoff)
 	}
@@ -337,7 +346,7 @@
 		f.noteEpoch(position)
 		return f.replica.Apply(now, entries, position.Revision)
 	})
-	if len(entries) > 0 {
+	if len(entries) > 0 || took < wait {
 		_ = periodic.Sleep(ctx, watchPause)
 	}
 	return nil
--- a/follow/restore_test.go
+++ b/follow/restore_test.go
@@ -39,3 +39,21 @@
 		})
 	}
 }
+
+// Guards against calls to the store without a pause: each watch is refused for its revision, and each listing succeeds.
+func TestStoreWithoutHistoryIsNotReadInTightLoop(t *testing.T) {
+	runFleet(t, 6, func(fl *fleet) {
+		fl.store.mu.Lock()
+		fl.store.historyStart = 1 << 40 // of no revision is the history known
+		before := fl.store.calls
+		fl.store.mu.Unlock()
+		const during, perSecond = 10 * time.Second, 10
+		time.Sleep(during)
+		fl.store.mu.Lock()
+		got := fl.store.calls - before
+		fl.store.mu.Unlock()
+		if most := int(during.Seconds()) * perSecond * len(fl.followers); got > most {
+			t.Errorf("%d calls to the store in %v, more than %d a second for each process", got, during, perSecond)
+		}
+	})
+}
