mesh, follow: identify states of the store by epoch and revision

Cause: a revision was compared across histories. A listing of the restored store is at a lower revision and was ignored; once the store had given out the same revisions again, a watch from the old one succeeded, and what had been written since counted as known.

A position now consists of an epoch and a revision, everywhere: in watches, listings, polls between processes, patches (by the content of their base) and states. A watch that is answered from another epoch leads to a listing. What was known does not become older through the copy: the version of the configuration, and a target that drains, never go back; removed targets, and failure domains out of service, stay as known for the grace period, within which the lost changes are written again; after it the listing applies.

TestChangeAfterRestoreReachesEveryProcess failed before and passes.

--- a/balance/balance_test.go
+++ b/balance/balance_test.go
@@ -25,7 +25,7 @@
 		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}), 80)
 		registry.Apply(epoch, []mesh.Entry{{Key: d, Revision: uint64(i + 1), Target: &mesh.Target{
 			ID: d, Service: "s", Addr: addr, FailureDomain: d, Region: region, Slots: 18,
-		}}}, uint64(i+1))
+		}}}, mesh.Position{Revision: uint64(i + 1)})
 	}
 	return registry.State()
 }
--- a/follow/exchange.go
+++ b/follow/exchange.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/klauspost/compress/s2"
 	"github.com/pkg/errors"
@@ -46,11 +47,12 @@
 	Raw      []byte `cbor:"3,keyasint,omitempty"`
 	Patch    *patch `cbor:"4,keyasint,omitempty"`
 	Removed  bool   `cbor:"5,keyasint,omitempty"`
-	// ExpiresInUs is set on a removal that has not taken effect: the time in microseconds until it does.
-	ExpiresInUs int64 `cbor:"6,keyasint,omitempty"`
+	// ExpiresInUs and EffectiveInUs are those of mesh.Entry, in microseconds.
+	ExpiresInUs   int64 `cbor:"6,keyasint,omitempty"`
+	EffectiveInUs int64 `cbor:"7,keyasint,omitempty"`
 }
 
-// stateUpdate is the reply to a poll: the changes after the requested revision, or the full state.
+// stateUpdate is the reply to a poll: the changes after the requested position, or the full state.
 type stateUpdate struct {
 	// Format is the version of this layout.
 	Format   int    `cbor:"1,keyasint"`
@@ -62,10 +64,12 @@
 	// HeldUs is the time in microseconds for which the request was held open. The requester's time beyond it was spent on the
 	// way.
 	HeldUs int64 `cbor:"6,keyasint,omitempty"`
+	// Epoch is the epoch of Revision.
+	Epoch uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // format is the layout version of stateUpdate that this code reads and writes.
-const format = 2
+const format = 3
 
 // encode returns the update as CBOR in an S2 block. Configurations are repetitive, and a parent with a narrow link sends each
 // of its children the same.
@@ -100,17 +104,21 @@
 // instead, until all processes run the same version.
 var ErrFormat = errors.New("peer uses another version of the state format; finish the upgrade")
 
+func (u *stateUpdate) position() mesh.Position {
+	return mesh.Position{Epoch: u.Epoch, Revision: u.Revision}
+}
+
 func (u *stateUpdate) age() time.Duration { return time.Duration(u.AgeUs) * time.Microsecond }
 
 // held returns the time for which the peer held the request open.
 func (u *stateUpdate) held() time.Duration { return time.Duration(u.HeldUs) * time.Microsecond }
 
 // ServeHTTP returns the changes of this process's state as an encoded stateUpdate. The query parameters are those of
-// PollRequest: after, the revision; wait and age, in milliseconds; and patient, which is "true" to wait even if the state is too
+// PollRequest: epoch and after, the position; wait and age, in milliseconds; and patient, which is "true" to wait even if the state is too
 // old to be followed.
 func (f *Follower) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	query := r.URL.Query()
-	after, err := strconv.ParseUint(query.Get("after"), 10, 64)
+	after, err := parsePosition(query)
 	wait, waitErr := strconv.Atoi(query.Get("wait"))
 	age, ageErr := strconv.Atoi(cmp.Or(query.Get("age"), "0"))
 	if r.URL.Path != StatePath || err != nil || waitErr != nil || ageErr != nil {
@@ -135,7 +143,17 @@
 	}
 }
 
-// waitForChange waits until the revision exceeds q.After, there is a contact with the store that is newer than the requester's,
+// parsePosition decodes the position of a poll.
+func parsePosition(query url.Values) (mesh.Position, error) {
+	epoch, err := strconv.ParseUint(query.Get("epoch"), 10, 64)
+	if err != nil {
+		return mesh.Position{}, err
+	}
+	revision, err := strconv.ParseUint(query.Get("after"), 10, 64)
+	return mesh.Position{Epoch: epoch, Revision: revision}, err
+}
+
+// waitForChange waits until the position is after q.After, there is a contact with the store that is newer than the requester's,
 // the state becomes too old to be followed, or q.Wait has passed. Returning at each contact keeps the age of the state the same
 // at every depth of the tree.
 func (f *Follower) waitForChange(ctx context.Context, q PollRequest) {
@@ -144,20 +162,20 @@
 	f.mu.Lock()
 	contactBefore := f.lastContact
 	// Without a state there has been no contact.
-	if requester := clock.Now().Add(-q.Age); f.replica.Revision() > 0 && requester.Add(pollPause).Before(contactBefore) {
+	if requester := clock.Now().Add(-q.Age); f.replica.Position().Revision > 0 && requester.Add(pollPause).Before(contactBefore) {
 		contactBefore = requester
 	}
 	f.mu.Unlock()
 	for {
 		f.mu.Lock()
-		revision, changed := f.replica.Revision(), f.changed
+		position, changed := f.replica.Position(), f.changed
 		contacted := f.lastContact.After(contactBefore)
 		untilStale := f.maxAge() - f.age(clock.Now())
 		f.mu.Unlock()
 		if q.WaitIfStale {
 			untilStale = q.Wait
 		}
-		if revision > q.After || contacted || untilStale <= 0 {
+		if position.After(q.After) || contacted || untilStale <= 0 {
 			return
 		}
 		staleTimer := time.NewTimer(untilStale)
@@ -175,25 +193,25 @@
 	}
 }
 
-// updateSince returns the changes after a revision, or the full state if the history does not reach back that far.
-func (f *Follower) updateSince(after uint64) *stateUpdate {
+// updateSince returns the changes after a position, or the full state if the history does not reach back that far.
+func (f *Follower) updateSince(after mesh.Position) *stateUpdate {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := clock.Now()
-	update := &stateUpdate{Format: format, Revision: f.replica.Revision(), AgeUs: f.age(now).Microseconds()}
-	if update.Revision <= after {
+	position := f.replica.Position()
+	update := &stateUpdate{Format: format, Epoch: position.Epoch, Revision: position.Revision, AgeUs: f.age(now).Microseconds()}
+	if !position.After(after) {
 		return update
 	}
 	var changes []mesh.Change
 	changes, update.Full = f.replica.Since(now, after)
 	for _, c := range changes {
-		e := wireEntry{Key: c.Key, Revision: c.Revision}
+		e := wireEntry{Key: c.Key, Revision: c.Revision, ExpiresInUs: c.ExpiresIn.Microseconds(), EffectiveInUs: c.EffectiveIn.Microseconds()}
 		switch {
 		case c.Raw == nil:
-			e.Removed, e.ExpiresInUs = true, c.ExpiresIn.Microseconds()
+			e.Removed = true
 		case c.Base != nil:
 			p := diff(c.Base.Raw, c.Raw)
-			p.Base = c.Base.Revision
 			e.Patch = &p
 		default:
 			e.Raw = c.Raw
@@ -230,7 +248,7 @@
 // target returns the request target of the call, as read by ServeHTTP.
 func (q PollRequest) target() string {
 	query := url.Values{
-		"after": {strconv.FormatUint(q.After, 10)}, "wait": {strconv.FormatInt(q.Wait.Milliseconds(), 10)},
+		"epoch": {strconv.FormatUint(q.After.Epoch, 10)}, "after": {strconv.FormatUint(q.After.Revision, 10)}, "wait": {strconv.FormatInt(q.Wait.Milliseconds(), 10)},
 		"age": {strconv.FormatInt(q.Age.Milliseconds(), 10)},
 	}
 	if q.WaitIfStale {
@@ -263,9 +281,9 @@
 // applyUpdate applies the update of a peer and records the peer's contact with the store. It fails with ErrPatch if a patch does
 // not match, without changing the state.
 func (f *Follower) applyUpdate(peer netip.Addr, update *stateUpdate) error {
-	entries, revision := make([]mesh.Entry, 0, len(update.Entries)), f.Revision()
+	entries, known := make([]mesh.Entry, 0, len(update.Entries)), f.Position()
 	for _, e := range update.Entries {
-		if e.Revision <= revision && !update.Full {
+		if e.Revision <= known.Revision && !update.Full {
 			continue // from another source since the request
 		}
 		entry, err := f.entry(e)
@@ -275,12 +293,15 @@
 		entries = append(entries, entry)
 	}
 	f.commit(peer.String(), func(now time.Time) bool {
-		apply := f.replica.Apply
+		var changed bool
 		if update.Full {
-			apply = f.replica.Replace
+			changed = f.replace(now, peer.String(), entries, update.position())
+		} else {
+			changed = f.replica.Apply(now, entries, update.position())
+		}
+		if update.Epoch >= f.replica.Position().Epoch {
+			f.noteContact(now, update.age()) // after the removals, since the peer has delayed those that may be expiries
 		}
-		changed := apply(now, entries, update.Revision)
-		f.noteContact(now, update.age()) // after the removals, since the peer has delayed those that may be expiries
 		return changed
 	})
 	return nil
@@ -289,14 +310,15 @@
 // entry decodes a wireEntry. An invalid entry is returned without content; it was reported by the process that read it from
 // the store.
 func (f *Follower) entry(e wireEntry) (mesh.Entry, error) {
+	expiresIn, effectiveIn := time.Duration(e.ExpiresInUs)*time.Microsecond, time.Duration(e.EffectiveInUs)*time.Microsecond
 	if e.Removed {
-		return mesh.Entry{Key: e.Key, Revision: e.Revision, ExpiresIn: time.Duration(e.ExpiresInUs) * time.Microsecond}, nil
+		return mesh.Entry{Key: e.Key, Revision: e.Revision, ExpiresIn: expiresIn}, nil
 	}
 	if e.Patch != nil {
 		f.mu.Lock()
 		current, ok := f.replica.Entry(e.Key)
 		f.mu.Unlock()
-		if !ok || current.Revision != e.Patch.Base {
+		if !ok || xxhash.Sum64(current.Raw) != e.Patch.Base {
 			return mesh.Entry{}, ErrPatch
 		}
 		raw, err := e.Patch.apply(current.Raw)
@@ -309,5 +331,6 @@
 	if err != nil {
 		return mesh.Entry{Key: e.Key, Revision: e.Revision, Raw: e.Raw}, nil
 	}
+	entry.ExpiresIn, entry.EffectiveIn = expiresIn, effectiveIn
 	return entry, nil
 }
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -57,9 +57,9 @@
 	Fetch(ctx context.Context, addr netip.Addr, q PollRequest) ([]byte, error)
 }
 
-// PollRequest asks a process for the changes after a revision.
+// PollRequest asks a process for the changes after a position.
 type PollRequest struct {
-	After uint64
+	After mesh.Position
 	// Wait is the time for which the peer may hold the request open until there is a change.
 	Wait time.Duration
 	// WaitIfStale makes the peer wait even if its state is too old to be followed, since it may be about to read the store.
@@ -135,8 +135,6 @@
 
 	mu      sync.Mutex
 	replica *mesh.Replica
-	// epoch is the latest epoch of the store that this process has seen.
-	epoch uint64
 	// changed is closed and replaced at each change of the state and each contact with the store.
 	changed chan struct{}
 	// lastContact is the time of the last known contact with the store, of this process or the peers that it follows: the state is
@@ -145,7 +143,7 @@
 	// unavailableSince is the start of the current store outage, at first the time of New; zero if the store responds or is not called.
 	unavailableSince time.Time
 
-	// synced is set once the state is complete as of some revision, and cleared if the store has compacted the history after
+	// synced is set once the state is complete as of some position, and cleared if the store no longer has the history after
 	// it.
 	synced atomic.Bool
 	// joinTried is set once this process has tried to take the full state from a peer instead of the store.
@@ -202,18 +200,21 @@
 	return ctx.Err()
 }
 
-// Revision returns the store revision up to which the state is complete.
-func (f *Follower) Revision() uint64 {
+// Position returns the position of the store up to which the state is complete.
+func (f *Follower) Position() mesh.Position {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.replica.Revision()
+	return f.replica.Position()
 }
 
+// empty reports whether there is no state yet.
+func (f *Follower) empty() bool { return f.Position().Revision == 0 }
+
 // fetch returns the changes that the process at addr has after the revision of this one. The time on the way counts towards the
 // age of the update.
 func (f *Follower) fetch(ctx context.Context, addr netip.Addr, q PollRequest) (*stateUpdate, error) {
 	start := clock.Now()
-	q.After, q.Age = f.Revision(), f.Age()
+	q.After, q.Age = f.Position(), f.Age()
 	data, err := f.cfg.Peers.Fetch(ctx, addr, q)
 	if err != nil {
 		return nil, err
@@ -259,7 +260,7 @@
 	}
 	outage := now.Sub(f.unavailableSince)
 	f.unavailableSince = time.Time{}
-	if f.replica.Revision() > 0 && outage >= minExpiryOutage {
+	if f.replica.Position().Revision > 0 && outage >= minExpiryOutage {
 		f.replica.StoreRecovered(now)
 	}
 	return outage
@@ -309,12 +310,10 @@
 	}
 	f.logSlowReply(storeName, clock.Now().Sub(start), 0, position.Revision)
 	f.commit(storeName, func(now time.Time) bool {
-		f.storeResponded(now, start)
-		f.noteEpoch(position)
-		if known := f.replica.Revision(); position.Revision < known {
-			f.cfg.Log.Info().Uint64("epoch", position.Epoch).Uint64("revision", position.Revision).Uint64("known", known).Msg(events.ListingIgnored)
+		if position.Epoch >= f.replica.Position().Epoch {
+			f.storeResponded(now, start)
 		}
-		return f.replica.Replace(now, entries, position.Revision)
+		return f.replace(now, storeName, entries, position)
 	})
 	f.synced.Store(true)
 	return nil
@@ -323,7 +322,7 @@
 // watch waits for changes in the store and applies them. It returns in time for the next expiry.
 func (f *Follower) watch(ctx context.Context) error {
 	f.mu.Lock()
-	after := f.replica.Revision()
+	after := f.replica.Position()
 	// Children may be waiting for a contact with the store, which is overdue from overdueShare on.
 	wait := max(min(f.share(waitShare), f.share(overdueShare)-f.age(clock.Now())), 0)
 	if next := f.replica.NextExpiry(); !next.IsZero() {
@@ -331,7 +330,7 @@
 	}
 	f.mu.Unlock()
 	start := clock.Now()
-	entries, position, err := f.cfg.Source.Watch(ctx, mesh.Position{Revision: after}, wait)
+	entries, position, err := f.cfg.Source.Watch(ctx, after, wait)
 	if err != nil {
 		return f.logFailedCall(start, err)
 	}
@@ -342,9 +341,10 @@
 		contact = start.Add(wait)
 	}
 	f.commit(storeName, func(now time.Time) bool {
-		f.storeResponded(now, contact)
-		f.noteEpoch(position)
-		return f.replica.Apply(now, entries, position.Revision)
+		if position.Epoch == f.replica.Position().Epoch {
+			f.storeResponded(now, contact)
+		}
+		return f.replica.Apply(now, entries, position)
 	})
 	if len(entries) > 0 || took < wait {
 		_ = periodic.Sleep(ctx, watchPause)
@@ -352,12 +352,18 @@
 	return nil
 }
 
-// noteEpoch records the epoch of a response of the store. It must be called with f.mu held.
-func (f *Follower) noteEpoch(position mesh.Position) {
-	if known := f.replica.Revision(); position.Epoch > f.epoch && known > 0 {
-		f.cfg.Log.Warn().Uint64("epoch", position.Epoch).Uint64("before", f.epoch).Uint64("revision", position.Revision).Uint64("known", known).Msg(events.StoreRestored)
+// replace applies a full listing from source and reports whether anything changed. It must be called with f.mu held.
+func (f *Follower) replace(now time.Time, source string, entries []mesh.Entry, at mesh.Position) bool {
+	known := f.replica.Position()
+	switch {
+	case known.After(at):
+		f.cfg.Log.Info().Str("source", source).Uint64("epoch", at.Epoch).Uint64("revision", at.Revision).Uint64("before", known.Epoch).
+			Uint64("known", known.Revision).Msg(events.ListingIgnored)
+	case known.Revision > 0 && at.Epoch > known.Epoch:
+		f.cfg.Log.Warn().Str("source", source).Uint64("epoch", at.Epoch).Uint64("revision", at.Revision).Uint64("before", known.Epoch).
+			Uint64("known", known.Revision).Msg(events.StoreRestored)
 	}
-	f.epoch = max(f.epoch, position.Epoch)
+	return f.replica.Replace(now, entries, at)
 }
 
 // logFailedCall logs a call to the store that did not succeed and returns its error.
@@ -375,7 +381,7 @@
 	changed := change(now)
 	changed = f.replica.Expire(now) || changed
 	var state *mesh.State
-	if before := f.cfg.Holder.Load(); changed || before.Revision < f.replica.Revision() {
+	if before := f.cfg.Holder.Load(); changed || f.replica.Position().After(before.Position) {
 		state = f.replica.State()
 		f.logChanges(source, before, state)
 		f.cfg.Holder.Store(state)
@@ -391,7 +397,7 @@
 
 // logChanges logs the differences between two states, of which the later one came from source.
 func (f *Follower) logChanges(source string, before, after *mesh.State) {
-	log, revision := &f.cfg.Log, after.Revision
+	log, revision := &f.cfg.Log, after.Position.Revision
 	if after.Config != nil && (before.Config == nil || before.Config.Version != after.Config.Version) {
 		log.Info().Uint64("config", after.Config.Version).Int("routes", len(after.Config.Routes)).
 			Uint64("revision", revision).Str("source", source).Msg(events.ConfigInForce)
@@ -436,7 +442,7 @@
 	defer f.mu.Unlock()
 	if f.unavailableSince.IsZero() {
 		f.unavailableSince = clock.Now()
-		f.cfg.Log.Warn().Uint64("revision", f.replica.Revision()).Err(err).Msg(events.StoreNotResponding)
+		f.cfg.Log.Warn().Uint64("revision", f.replica.Position().Revision).Err(err).Msg(events.StoreNotResponding)
 	}
 }
 
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -177,7 +177,7 @@
 			}
 		}
 		position, changed := s.position(), s.changed
-		compacted := after.Revision > s.revision || after.Revision < s.historyStart
+		compacted := after.Epoch != s.epoch || after.Revision > s.revision || after.Revision < s.historyStart
 		s.mu.Unlock()
 		if compacted {
 			return nil, mesh.Position{}, ErrCompacted
@@ -370,7 +370,7 @@
 		return stub(), nil
 	}
 	if unreachable || f == nil {
-		if q.After > 0 { // a connection is open already
+		if q.After.Revision > 0 { // a connection is open already
 			time.Sleep(q.timeout())
 		} else {
 			time.Sleep(cmp.Or(q.ConnectWithin, peerConnectTimeout))
@@ -627,7 +627,7 @@
 				})
 				time.Sleep(joinWait + exchangeTimeout + 2*time.Second)
 				for addr, f := range fl.followers {
-					if f.Revision() == 0 && !fl.unreachable[addr] {
+					if f.empty() && !fl.unreachable[addr] {
 						t.Errorf("%v has no state", addr)
 					}
 				}
--- a/follow/join.go
+++ b/follow/join.go
@@ -27,7 +27,7 @@
 // together would fill the link between the regions with the same configuration. It reports whether it succeeded, and does
 // nothing if called again.
 func (f *Follower) join(ctx context.Context) bool {
-	if f.cfg.Peers == nil || f.joinTried || f.Revision() > 0 {
+	if f.cfg.Peers == nil || f.joinTried || !f.empty() {
 		return false
 	}
 	f.joinTried = true
--- a/follow/patch.go
+++ b/follow/patch.go
@@ -10,7 +10,7 @@
 // patch describes the change from one version of an entry to the next. It is short, since versions mostly differ in few
 // places.
 type patch struct {
-	// Base is the revision of the version to which the patch applies.
+	// Base is the xxhash of the version to which the patch applies.
 	Base uint64 `cbor:"1,keyasint"`
 	// Ops build the new version from pieces of the base and new bytes.
 	Ops []op `cbor:"2,keyasint"`
@@ -44,7 +44,7 @@
 
 // diff returns the patch from base to target.
 func diff(base, target []byte) patch {
-	p := patch{Sum: xxhash.Sum64(target)}
+	p := patch{Base: xxhash.Sum64(base), Sum: xxhash.Sum64(target)}
 	at := map[string]int{}
 	old := pieces(base)
 	for i, piece := range old {
--- a/follow/refresh.go
+++ b/follow/refresh.go
@@ -39,7 +39,7 @@
 	storeReads.SetLimit(maxStoreReads)
 	peerReads.SetLimit(maxPeerReads)
 	for ctx.Err() == nil {
-		if f.Revision() == 0 { // Serve reads the first state
+		if f.empty() { // Serve reads the first state
 			_ = periodic.Sleep(ctx, f.share(refreshIntervalShare))
 			continue
 		}
@@ -97,8 +97,8 @@
 
 // useUpdate applies an update that no step of Serve waits for, unless the state here is newer.
 func (f *Follower) useUpdate(peer netip.Addr, update *stateUpdate) {
-	before := f.Revision()
-	if update.Revision < before || update.Revision == before && update.age() >= f.Age() {
+	before := f.Position()
+	if before.After(update.position()) || update.position() == before && update.age() >= f.Age() {
 		return
 	}
 	if err := f.applyUpdate(peer, update); err != nil {
--- a/follow/restore_test.go
+++ b/follow/restore_test.go
@@ -2,8 +2,13 @@
 
 import (
 	"fmt"
+	"maps"
+	"math/rand/v2"
+	"net/netip"
 	"testing"
 	"time"
+
+	"github.com/chervilwell/chervilwell/mesh"
 )
 
 // restoreAfter takes the store down for outage and restores it from a copy.
@@ -57,3 +62,51 @@
 		}
 	})
 }
+
+// Guards against processes that stay apart from the store, or from each other, after restores that overlap with cuts and changes: the
+// listing of the store applies everywhere once the grace period of the last restore has passed.
+func TestRestoresInSeriesConverge(t *testing.T) {
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			rng := rand.New(rand.NewPCG(seed, 7))
+			runFleet(t, fanout+6, func(fl *fleet) {
+				order := fl.ranked()
+				copies := []storeCopy{fl.store.copy()}
+				for i := range 60 {
+					switch domain := fmt.Sprintf("out/x%d", rng.IntN(8)); rng.IntN(10) {
+					case 0:
+						fl.store.restoreAfter(time.Duration(rng.IntN(2500))*time.Millisecond, copies[max(len(copies)-1-rng.IntN(6), 0)])
+					case 1:
+						cut := []netip.Addr{order[rng.IntN(4)], order[rng.IntN(len(order))]}
+						fl.setCut(true, cut...)
+						time.Sleep(time.Duration(rng.IntN(2000)) * time.Millisecond)
+						if rng.IntN(2) == 0 {
+							fl.store.restoreAfter(0, copies[len(copies)-1])
+						}
+						fl.setCut(false, cut...)
+					case 2, 3, 4:
+						fl.store.remove(domain)
+					default:
+						fl.store.put(domain, fmt.Sprint(i))
+					}
+					if rng.IntN(3) == 0 {
+						copies = append(copies, fl.store.copy())
+					}
+					time.Sleep(time.Duration(rng.IntN(700)) * time.Millisecond)
+				}
+				time.Sleep(mesh.ExpiryGrace + 2*applyWithin)
+				want := map[string]bool{}
+				for _, e := range fl.store.copy().entries {
+					if e.OutOfService != "" {
+						want[e.OutOfService] = true
+					}
+				}
+				for addr, f := range fl.followers {
+					if state := f.cfg.Holder.Load(); !maps.Equal(state.OutOfService, want) {
+						t.Errorf("%v at %v has %v, the store %v", addr, state.Position, state.OutOfService, want)
+					}
+				}
+			})
+		})
+	}
+}
--- a/follow/tree.go
+++ b/follow/tree.go
@@ -137,26 +137,26 @@
 	ErrLate = errors.New("peer has not replied in time; polling another peer or reading the store as well")
 	// ErrNoWait is returned if a peer repeatedly replies at once without changes, which would be polled in a tight loop.
 	ErrNoWait = errors.New("peer replies without waiting and has no changes; check its version")
-	// ErrStale is returned if a peer has had no contact with the store for longer than maxAge.
+	// ErrStale is returned if a peer has had no contact with the store for longer than maxAge, or none since a restore of the store.
 	ErrStale = errors.New("peer's last contact with the store is too old; polling another peer or reading the store")
 )
 
 // acceptUpdate applies the update of a parent. The request took the given time, and contactAge was the age of the last known
 // contact with the store when it was sent. The caller ejects the parent on an error.
 func (f *Follower) acceptUpdate(ctx context.Context, parent netip.Addr, q PollRequest, update *stateUpdate, took, contactAge time.Duration) error {
-	if update.age() >= f.maxAge() {
+	before := f.Position()
+	if update.age() >= f.maxAge() || update.Epoch < before.Epoch {
 		return ErrStale
 	}
 	if _, ok := f.ejected[parent]; ok {
 		delete(f.ejected, parent)
 		f.emptyReplies = maxEmptyReplies - 1 // the next reply without waiting ejects it again
 	}
-	before := f.Revision()
 	if err := f.applyUpdate(parent, update); err != nil {
 		return err
 	}
 	switch {
-	case f.Revision() > before:
+	case f.Position().After(before):
 		_ = periodic.Sleep(ctx, pollPause)
 	case q.Wait == 0:
 		// This request did not ask the parent to wait; the next one does.
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -10,6 +10,9 @@
 
 var epoch = time.Unix(1_000_000, 0)
 
+// at returns a position in the first epoch.
+func at(revision uint64) Position { return Position{Epoch: 1, Revision: revision} }
+
 func route(name, host, prefix string, parts ...WeightedService) *Route {
 	return &Route{Name: name, Host: host, Prefix: prefix, Timeout: time.Second, MaxTargets: 2, Parts: parts}
 }
@@ -66,20 +69,20 @@
 
 func TestConfigVersionNeverDecreases(t *testing.T) {
 	r := NewReplica()
-	r.Apply(epoch, []Entry{{Key: "c", Revision: 5, Config: config(t, 7)}}, 5)
-	r.Apply(epoch, []Entry{{Key: "c", Revision: 6, Config: config(t, 6)}}, 6)
+	r.Apply(epoch, []Entry{{Key: "c", Revision: 5, Config: config(t, 7)}}, at(5))
+	r.Apply(epoch, []Entry{{Key: "c", Revision: 6, Config: config(t, 6)}}, at(6))
 	if got := r.State().Config.Version; got != 7 {
 		t.Errorf("version %d is in force after 7", got)
 	}
-	if r.Replace(epoch, []Entry{{Key: "c", Revision: 2, Config: config(t, 2)}}, 4) {
+	if r.Replace(epoch, []Entry{{Key: "c", Revision: 2, Config: config(t, 2)}}, at(4)) {
 		t.Error("a listing older than the replica changed it")
 	}
 }
 
 func TestInvalidEntryKeepsOthers(t *testing.T) {
 	r := NewReplica()
-	r.Apply(epoch, []Entry{{Key: "a", Revision: 1, Target: target("a", false)}, {Key: "b", Revision: 2, Target: target("b", false)}}, 2)
-	r.Apply(epoch, []Entry{{Key: "a", Revision: 3}}, 3)
+	r.Apply(epoch, []Entry{{Key: "a", Revision: 1, Target: target("a", false)}, {Key: "b", Revision: 2, Target: target("b", false)}}, at(2))
+	r.Apply(epoch, []Entry{{Key: "a", Revision: 3}}, at(3))
 	if got := r.State().Targets("s"); len(got) != 1 || got[0].ID != "b" {
 		t.Errorf("got %v", got)
 	}
@@ -87,8 +90,8 @@
 
 func TestRemovalIsImmediateWithoutOutage(t *testing.T) {
 	r := NewReplica()
-	r.Apply(epoch, []Entry{{Key: "a", Revision: 1, Target: target("a", false)}}, 1)
-	r.Apply(epoch, []Entry{{Key: "a", Revision: 2}}, 2)
+	r.Apply(epoch, []Entry{{Key: "a", Revision: 1, Target: target("a", false)}}, at(1))
+	r.Apply(epoch, []Entry{{Key: "a", Revision: 2}}, at(2))
 	if len(r.State().Targets("s")) != 0 {
 		t.Error("a removed target is still listed")
 	}
@@ -96,9 +99,9 @@
 
 func TestExpiredTargetIsKeptForGracePeriod(t *testing.T) {
 	r := NewReplica()
-	r.Apply(epoch, []Entry{{Key: "a", Revision: 1, Target: target("a", false)}, {Key: "b", Revision: 1, Target: target("b", true)}}, 1)
+	r.Apply(epoch, []Entry{{Key: "a", Revision: 1, Target: target("a", false)}, {Key: "b", Revision: 1, Target: target("b", true)}}, at(1))
 	r.StoreRecovered(epoch)
-	r.Replace(epoch, nil, 5)
+	r.Replace(epoch, nil, at(5))
 	if got := r.State().Targets("s"); len(got) != 1 || got[0].ID != "a" {
 		t.Fatalf("after the outage: got %v, want only the live target", got)
 	}
@@ -114,22 +117,22 @@
 	r := NewReplica()
 	otherAddr := target("c", false)
 	otherAddr.Addr = netip.MustParseAddrPort("10.0.0.2:80")
-	r.Apply(epoch, []Entry{{Key: "a", Revision: 1, Target: target("a", false), Raw: []byte("a")}, {Key: "b", Revision: 2, Target: target("b", false), Raw: []byte("b")}}, 2)
-	r.Apply(epoch, []Entry{{Key: "a", Revision: 3}, {Key: "c", Revision: 4, Target: otherAddr, Raw: []byte("c")}}, 4)
-	changes, full := r.Since(epoch, 2)
+	r.Apply(epoch, []Entry{{Key: "a", Revision: 1, Target: target("a", false), Raw: []byte("a")}, {Key: "b", Revision: 2, Target: target("b", false), Raw: []byte("b")}}, at(2))
+	r.Apply(epoch, []Entry{{Key: "a", Revision: 3}, {Key: "c", Revision: 4, Target: otherAddr, Raw: []byte("c")}}, at(4))
+	changes, full := r.Since(epoch, at(2))
 	if full || len(changes) != 2 {
 		t.Fatalf("got %v, full %v", changes, full)
 	}
-	if _, full := r.Since(epoch, 1); !full {
+	if _, full := r.Since(epoch, at(1)); !full {
 		t.Error("no full listing for a revision before the kept history")
 	}
 	child := NewReplica()
-	all, _ := r.Since(epoch, 0)
+	all, _ := r.Since(epoch, at(0))
 	var entries []Entry
 	for _, c := range all {
 		entries = append(entries, c.Entry)
 	}
-	child.Replace(epoch, entries, r.Revision())
+	child.Replace(epoch, entries, r.Position())
 	if got := child.State().Targets("s"); len(got) != 2 {
 		t.Errorf("state of the child: got %v, want 2 targets", got)
 	}
@@ -140,13 +143,13 @@
 func TestLateUpdateDoesNotRestoreRemovedEntry(t *testing.T) {
 	r := NewReplica()
 	listed := []Entry{{Key: "out/d", Revision: 2, OutOfService: "d"}}
-	r.Apply(epoch, listed, 2)
-	r.Apply(epoch, []Entry{{Key: "out/d", Revision: 3}}, 3)
-	if r.Apply(epoch, listed, 2); r.State().OutOfService["d"] {
+	r.Apply(epoch, listed, at(2))
+	r.Apply(epoch, []Entry{{Key: "out/d", Revision: 3}}, at(3))
+	if r.Apply(epoch, listed, at(2)); r.State().OutOfService["d"] {
 		t.Error("the update of revision 2 restored an entry that was removed at revision 3")
 	}
-	if r.Revision() != 3 {
-		t.Errorf("revision %d, want 3", r.Revision())
+	if r.Position() != at(3) {
+		t.Errorf("position %v, want revision 3", r.Position())
 	}
 }
 
@@ -154,7 +157,7 @@
 	old, now := target("old", false), target("new", false)
 	old.StartedMs, now.StartedMs = 1, 2
 	r := NewReplica()
-	r.Apply(epoch, []Entry{{Key: "n", Revision: 1, Target: now}, {Key: "o", Revision: 2, Target: old}}, 2)
+	r.Apply(epoch, []Entry{{Key: "n", Revision: 1, Target: now}, {Key: "o", Revision: 2, Target: old}}, at(2))
 	state := r.State()
 	if got := state.TargetAt(now.Addr); got.ID != "new" {
 		t.Errorf("got %s", got.ID)
--- a/mesh/replica.go
+++ b/mesh/replica.go
@@ -15,36 +15,54 @@
 	OutOfService string
 	// Raw is the undecoded value, kept to be sent to other processes.
 	Raw []byte
-	// ExpiresIn is set on a removal that has not taken effect: the time until it does.
+	// ExpiresIn is set on a removal that has not taken effect, and on an entry whose removal has not: the time until it does.
 	ExpiresIn time.Duration
+	// EffectiveIn is set on an entry that is not in effect yet: the time until it is.
+	EffectiveIn time.Duration
 }
 
 func (e Entry) present() bool { return e.Config != nil || e.Target != nil || e.OutOfService != "" }
 
 // ExpiryGrace is the time after an outage of the store for which a target is kept although its entry expired during the
-// outage. Live targets are listed again within two seconds of the end of the outage.
+// outage, and the time after a restore of the store for which what was known before prevails over the copy. Live targets are listed
+// again, and lost changes written again, within two seconds of the end of the outage.
 const ExpiryGrace = 2500 * time.Millisecond
 
 // Replica is a local replica of the store's entries and builds states from them. It is not safe for concurrent use.
 //
-// Invariants: the version of the configuration never decreases; an entry never returns to an earlier revision, nor from its
-// removal to a revision before it; a target whose entry expired during an outage of the store is kept until ExpiryGrace after
-// its end. Changes may thus come from several sources at once and arrive in any order.
+// Invariants: the position never decreases; the version of the configuration never decreases; a target that is leaving does not
+// become ready again within its incarnation; within an epoch, an entry never returns to an earlier revision, nor from its removal to
+// a revision before it; a target whose entry expired during an outage of the store is kept until ExpiryGrace after its end. Changes
+// may thus come from several sources at once and arrive in any order.
+//
+// The first listing of a later epoch is one of a restored store: entries that it lacks, and entries that it has although they are
+// known to have been removed, may be those of a copy that is out of date. Neither takes effect before ExpiryGrace has passed,
+// within which the store gets the lost changes again. After that the listing applies.
 type Replica struct {
-	revision uint64
+	position Position
 	entries  map[string]Entry
 	config   *Config
-	// expiring maps the keys of targets whose removal has not taken effect to the time at which it does.
+	// expiring maps the keys of entries whose removal has not taken effect to the time at which it does.
 	expiring map[string]time.Time
+	// held holds entries that are not in effect yet, by key.
+	held map[string]heldEntry
 	// graceEnd is the time until which a removal may be an expiry caused by the outage.
 	graceEnd time.Time
-	// removals holds the latest removals, oldest first. It is complete for revisions above historyStart.
+	// removals holds the latest removals of this epoch, oldest first. It is complete for revisions above historyStart.
 	removals     []removal
 	historyStart uint64
+	// removed holds the last content of removed entries by key, at most maxRemovals.
+	removed map[string]Entry
 	// versions holds earlier versions of large entries, oldest first, as bases of patches.
 	versions map[string][]Entry
 }
 
+// heldEntry is an entry that takes effect at a time.
+type heldEntry struct {
+	entry Entry
+	from  time.Time
+}
+
 // removal is the removal of an entry.
 type removal struct {
 	key      string
@@ -62,56 +80,120 @@
 
 // NewReplica returns an empty replica.
 func NewReplica() *Replica {
-	return &Replica{entries: map[string]Entry{}, expiring: map[string]time.Time{}, versions: map[string][]Entry{}}
+	return &Replica{
+		entries: map[string]Entry{}, expiring: map[string]time.Time{}, held: map[string]heldEntry{},
+		removed: map[string]Entry{}, versions: map[string][]Entry{},
+	}
 }
 
-// Revision returns the store revision up to which the replica is complete.
-func (r *Replica) Revision() uint64 { return r.revision }
+// Position returns the position of the store up to which the replica is complete.
+func (r *Replica) Position() Position { return r.position }
 
 // StoreRecovered records that the store responds again after an outage, which starts the grace period of expired targets.
 func (r *Replica) StoreRecovered(now time.Time) { r.graceEnd = now.Add(ExpiryGrace) }
 
-// Apply applies changes up to revision and reports whether anything changed.
-func (r *Replica) Apply(now time.Time, entries []Entry, revision uint64) bool {
+// Apply applies changes up to a position and reports whether anything changed. Changes of another epoch are ignored.
+func (r *Replica) Apply(now time.Time, entries []Entry, to Position) bool {
+	if r.position.Revision > 0 && to.Epoch != r.position.Epoch {
+		return false
+	}
+	return r.applyAll(now, entries, to)
+}
+
+func (r *Replica) applyAll(now time.Time, entries []Entry, to Position) bool {
 	changed := false
 	for _, e := range entries {
 		changed = r.apply(now, e) || changed
 	}
-	if r.revision == 0 {
-		r.historyStart = revision
+	if r.position.Revision == 0 {
+		r.historyStart = to.Revision
+	}
+	if to.After(r.position) {
+		r.position = to
 	}
-	r.revision = max(r.revision, revision)
 	return changed
 }
 
-// Replace applies a full listing of the store at revision; entries that it does not contain are removed. A listing older than
+// Replace applies a full listing of the store at a position; entries that it does not contain are removed. A listing older than
 // the replica is ignored. It reports whether anything changed.
-func (r *Replica) Replace(now time.Time, entries []Entry, revision uint64) bool {
-	if revision < r.revision {
+func (r *Replica) Replace(now time.Time, entries []Entry, at Position) bool {
+	if r.position.After(at) {
 		return false
 	}
+	expiresIn := time.Duration(0)
+	if r.position.Revision > 0 && at.Epoch != r.position.Epoch {
+		expiresIn = ExpiryGrace
+		entries = r.beginEpoch(entries, at.Epoch)
+	}
 	listed := make(map[string]bool, len(entries))
 	for _, e := range entries {
 		listed[e.Key] = true
 	}
 	for key, e := range r.entries {
 		if !listed[key] && e.present() {
-			entries = append(entries, Entry{Key: key, Revision: revision})
+			entries = append(entries, Entry{Key: key, Revision: at.Revision, ExpiresIn: expiresIn})
 		}
 	}
-	return r.Apply(now, entries, revision)
+	return r.applyAll(now, entries, at)
+}
+
+// beginEpoch prepares the replica for the first listing of an epoch and returns the listing, in which the entries that are known to
+// be out of date have their EffectiveIn set. The known entries precede all revisions of the epoch, except those that stand for an entry
+// not in effect yet.
+func (r *Replica) beginEpoch(listing []Entry, epoch uint64) []Entry {
+	out := make([]Entry, 0, len(listing))
+	heldRevisions := map[string]uint64{}
+	for _, e := range listing {
+		if r.outOfDate(e) {
+			if e.ExpiresIn > 0 {
+				continue
+			}
+			e.EffectiveIn = max(e.EffectiveIn, ExpiryGrace)
+			heldRevisions[e.Key] = e.Revision
+		}
+		out = append(out, e)
+	}
+	for key, e := range r.entries {
+		e.Revision = heldRevisions[key]
+		r.entries[key] = e
+	}
+	r.position = Position{Epoch: epoch}
+	r.removals, r.held = nil, map[string]heldEntry{}
+	clear(r.versions)
+	return out
+}
+
+// outOfDate reports whether an entry of a restored store is known to have been removed, or replaced by a later incarnation.
+func (r *Replica) outOfDate(e Entry) bool {
+	if current, ok := r.entries[e.Key]; ok && current.present() {
+		return e.Target != nil && current.Target != nil && e.Target.StartedMs < current.Target.StartedMs
+	}
+	removed, ok := r.removed[e.Key]
+	switch {
+	case !ok:
+		return false
+	case e.Target != nil && removed.Target != nil:
+		return e.Target.StartedMs <= removed.Target.StartedMs
+	}
+	return e.OutOfService != "" && removed.OutOfService != ""
 }
 
 func (r *Replica) apply(now time.Time, e Entry) bool {
 	current, ok := r.entries[e.Key]
-	if e.Revision <= r.revision || ok && e.Revision <= current.Revision {
-		return false // included already, since the replica is complete up to its revision
+	if e.Revision <= r.position.Revision {
+		return false // included already, since the replica is complete up to its position
 	}
-	if !ok && !e.present() {
+	if e.EffectiveIn > 0 {
+		r.held[e.Key] = heldEntry{e, now.Add(e.EffectiveIn)}
 		return false
 	}
-	if e.Config != nil && (r.config == nil || e.Config.Version > r.config.Version) {
-		r.config = e.Config
+	h, isHeld := r.held[e.Key]
+	if ok && e.Revision <= current.Revision || isHeld && e.Revision < h.entry.Revision || !ok && !isHeld && !e.present() {
+		return false
+	}
+	delete(r.held, e.Key)
+	if !e.present() && current.Config != nil {
+		e.Config, e.Raw = current.Config, current.Raw // a configuration stays in force
 	}
 	if !e.present() {
 		r.recordRemoval(e.Key, e.Revision)
@@ -126,24 +208,62 @@
 	}
 	delete(r.expiring, e.Key)
 	if !e.present() {
-		delete(r.entries, e.Key)
+		r.remove(e.Key)
 		return current.present()
 	}
+	if e.ExpiresIn > 0 {
+		r.expiring[e.Key] = now.Add(e.ExpiresIn)
+		e.ExpiresIn = 0
+	}
 	r.keepVersion(current)
-	r.entries[e.Key] = e
+	r.put(e)
 	return true
 }
 
-// effectiveFrom returns the time from which on a change takes effect. This is now, except for the removal of a target whose
-// entry may only have expired.
+// put stores an entry, with the known content instead if that is later.
+func (r *Replica) put(e Entry) {
+	known, ok := r.entries[e.Key]
+	if !ok {
+		known = r.removed[e.Key]
+	}
+	switch {
+	case e.Config != nil && known.Config != nil && known.Config.Version > e.Config.Version:
+		e.Config, e.Raw = known.Config, known.Raw
+	case e.Target != nil && !e.Target.Leaving && known.Target != nil && known.Target.Leaving &&
+		e.Target.StartedMs != 0 && e.Target.StartedMs == known.Target.StartedMs:
+		e.Target, e.Raw = known.Target, known.Raw
+	}
+	if e.Config != nil && (r.config == nil || e.Config.Version > r.config.Version) {
+		r.config = e.Config
+	}
+	delete(r.removed, e.Key)
+	r.entries[e.Key] = e
+}
+
+// remove removes an entry and remembers its content.
+func (r *Replica) remove(key string) {
+	if len(r.removed) >= maxRemovals {
+		clear(r.removed)
+	}
+	if e, ok := r.entries[key]; ok && e.present() {
+		r.removed[key] = e
+	}
+	delete(r.entries, key)
+}
+
+// effectiveFrom returns the time from which on a change takes effect. This is now, except for a removal that may be one by a restore
+// of the store, and for the removal of a target whose entry may only have expired. A target that is leaving is removed at once.
 func (r *Replica) effectiveFrom(now time.Time, current, e Entry) time.Time {
-	if e.present() || current.Target == nil || current.Target.Leaving {
+	isTarget := current.Target != nil && !current.Target.Leaving
+	switch {
+	case e.present():
 		return now
-	}
-	if e.ExpiresIn > 0 {
+	case e.ExpiresIn > 0 && (isTarget || current.OutOfService != ""):
 		return now.Add(e.ExpiresIn)
+	case isTarget:
+		return r.graceEnd
 	}
-	return r.graceEnd
+	return now
 }
 
 func (r *Replica) recordRemoval(key string, revision uint64) {
@@ -162,7 +282,7 @@
 	r.versions[old.Key] = list[max(len(list)-maxVersions, 0):]
 }
 
-// Expire removes the targets whose grace period has ended and reports whether there were any.
+// Expire lets the removals and entries take effect whose time has come, and reports whether there were any.
 func (r *Replica) Expire(now time.Time) bool {
 	changed := false
 	for key, until := range r.expiring {
@@ -170,13 +290,22 @@
 			continue
 		}
 		delete(r.expiring, key)
-		delete(r.entries, key)
+		r.remove(key)
+		changed = true
+	}
+	for key, h := range r.held {
+		if now.Before(h.from) {
+			continue
+		}
+		delete(r.held, key)
+		h.entry.EffectiveIn = 0
+		r.put(h.entry)
 		changed = true
 	}
 	return changed
 }
 
-// NextExpiry returns the time of the next removal by Expire, or the zero time.
+// NextExpiry returns the next time at which Expire changes anything, or the zero time.
 func (r *Replica) NextExpiry() time.Time {
 	var next time.Time
 	for _, until := range r.expiring {
@@ -184,6 +313,11 @@
 			next = until
 		}
 	}
+	for _, h := range r.held {
+		if next.IsZero() || h.from.Before(next) {
+			next = h.from
+		}
+	}
 	return next
 }
 
@@ -198,7 +332,7 @@
 			outOfService[e.OutOfService] = true
 		}
 	}
-	return newState(r.revision, r.config, targets, outOfService)
+	return newState(r.position, r.config, targets, outOfService)
 }
 
 // Change is a changed entry with the version that the requester has, if known.
@@ -208,18 +342,32 @@
 	Base *Entry
 }
 
-// Since returns the changes after a revision, removals included. It returns a full listing instead, and reports so, if after
-// is 0 or lies before the kept history.
-func (r *Replica) Since(now time.Time, after uint64) (changes []Change, full bool) {
-	full = after == 0 || after < r.historyStart
+// Since returns the changes after a position, removals included. It returns a full listing instead, and reports so, if the position
+// is zero, lies before the kept history, or is one of another epoch.
+func (r *Replica) Since(now time.Time, position Position) (changes []Change, full bool) {
+	after := position.Revision
+	full = after == 0 || after < r.historyStart || position.Epoch != r.position.Epoch
 	if full {
 		after = 0
 	}
 	for key, e := range r.entries {
-		if _, pending := r.expiring[key]; !pending && e.Revision > after {
+		until, pending := r.expiring[key]
+		switch {
+		case pending && !full:
+			continue // see below
+		case pending:
+			e.ExpiresIn = max(until.Sub(now), 1)
+		}
+		if full || e.Revision > after {
 			changes = append(changes, Change{Entry: e, Base: r.base(key, after)})
 		}
 	}
+	for _, h := range r.held {
+		if e := h.entry; full || e.Revision > after {
+			e.EffectiveIn = max(h.from.Sub(now), 1)
+			changes = append(changes, Change{Entry: e})
+		}
+	}
 	if full {
 		return changes, true
 	}
--- a/mesh/state.go
+++ b/mesh/state.go
@@ -32,8 +32,8 @@
 
 // State is the mesh as known to a process at one moment. It is immutable.
 type State struct {
-	// Revision is the store revision up to which the state is complete.
-	Revision uint64
+	// Position is the position of the store up to which the state is complete.
+	Position Position
 	// Config is nil until a valid configuration has been read.
 	Config *Config
 	// OutOfService is the set of failure domains that operators have taken out of service.
@@ -86,8 +86,8 @@
 	return t.ID > other.ID
 }
 
-func newState(revision uint64, config *Config, targets map[string]*Target, outOfService map[string]bool) *State {
-	s := &State{Revision: revision, Config: config, OutOfService: outOfService, byService: map[string][]*Target{}, byAddr: map[netip.AddrPort]*Target{}}
+func newState(position Position, config *Config, targets map[string]*Target, outOfService map[string]bool) *State {
+	s := &State{Position: position, Config: config, OutOfService: outOfService, byService: map[string][]*Target{}, byAddr: map[netip.AddrPort]*Target{}}
 	for _, t := range targets {
 		if other := s.byAddr[t.Addr]; other == nil || supersedes(t, other) {
 			s.byAddr[t.Addr] = t
--- a/proxy/gatekeeper.go
+++ b/proxy/gatekeeper.go
@@ -198,7 +198,7 @@
 		o = k.admit(ctx, c)
 	}
 	load := k.load()
-	o.load, o.leaving, o.targetLeaving, o.revision = &load, k.leaving.Load(), k.isLeaving(c.incarnation()), state.Revision
+	o.load, o.leaving, o.targetLeaving, o.revision = &load, k.leaving.Load(), k.isLeaving(c.incarnation()), state.Position.Revision
 	o.gatekeeperTime = clock.Now().Sub(start)
 	k.cfg.Metrics.countGateOutcome(o)
 	k.logCall(c, o)
--- a/proxy/notice_test.go
+++ b/proxy/notice_test.go
@@ -145,8 +145,8 @@
 			}
 			restarted := *c.replica.State().TargetAt(leaving.target.addr)
 			restarted.StartedMs++
-			revision := c.replica.Revision() + 1
-			c.replica.Apply(time.Now(), []mesh.Entry{{Key: fmt.Sprintf("127.0.0.%d", i+1), Revision: revision, Target: &restarted}}, revision)
+			revision := c.replica.Position().Revision + 1
+			c.replica.Apply(time.Now(), []mesh.Entry{{Key: fmt.Sprintf("127.0.0.%d", i+1), Revision: revision, Target: &restarted}}, mesh.Position{Revision: revision})
 			c.publish()
 			if c.offer(t, 200, time.Second/2); len(leaving.target.requests()) == before {
 				t.Error("the next incarnation of the target receives no requests")
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -197,7 +197,7 @@
 		c.nodes = append(c.nodes, n)
 		c.replica.Apply(time.Now(), []mesh.Entry{{Key: ip, Revision: uint64(i + 1), Target: &mesh.Target{
 			ID: "t" + strconv.Itoa(i), Service: testService, Addr: n.target.addr, FailureDomain: "d" + strconv.Itoa(i), Region: "r", Slots: 18, StartedMs: 1,
-		}}}, uint64(i+1))
+		}}}, mesh.Position{Revision: uint64(i + 1)})
 	}
 	config, err := mesh.NewConfig(1, []*mesh.Route{{
 		Name: "route", Host: "h.example", Prefix: "/", Kind: kind, Timeout: time.Second, Objective: 500 * time.Millisecond,
@@ -206,7 +206,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	c.replica.Apply(time.Now(), []mesh.Entry{{Key: "config", Revision: 9, Config: config}}, 9)
+	c.replica.Apply(time.Now(), []mesh.Entry{{Key: "config", Revision: 9, Config: config}}, mesh.Position{Revision: 9})
 	c.publish()
 	return c
 }
@@ -274,8 +274,8 @@
 func (c *cluster) markLeaving(i int) {
 	old := *c.replica.State().TargetAt(c.nodes[i].target.addr)
 	old.Leaving = true
-	revision := c.replica.Revision() + 1
-	c.replica.Apply(time.Now(), []mesh.Entry{{Key: fmt.Sprintf("127.0.0.%d", i+1), Revision: revision, Target: &old}}, revision)
+	revision := c.replica.Position().Revision + 1
+	c.replica.Apply(time.Now(), []mesh.Entry{{Key: fmt.Sprintf("127.0.0.%d", i+1), Revision: revision, Target: &old}}, mesh.Position{Revision: revision})
 	c.publish()
 }
 
@@ -395,7 +395,7 @@
 	c.markLeaving(0)
 	third := *c.replica.State().TargetAt(c.nodes[1].target.addr)
 	third.ID, third.Addr = "gone", netip.MustParseAddrPort("127.0.0.9:1")
-	c.replica.Apply(time.Now(), []mesh.Entry{{Key: "gone", Revision: 50, Target: &third}}, 50)
+	c.replica.Apply(time.Now(), []mesh.Entry{{Key: "gone", Revision: 50, Target: &third}}, mesh.Position{Revision: 50})
 	c.publish()
 	for i := range 10 {
 		if resp, _ := c.send(t, http.MethodPost, fmt.Sprintf("/%d/", i), "x"); resp.StatusCode != 200 {
