--- a/follow/follow.go
+++ b/follow/follow.go
@@ -190,7 +190,7 @@
 			if !listed {
 				continue
 			}
-			// The listing led to no history either; the next one may not help.
+			// The listing did not help, and the next one may not either.
 		default:
 			f.storeFailed(err)
 		}
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -205,9 +205,9 @@
 // still end too late.
 func (r *Request) LastStart() time.Time { return r.limit().Add(-r.runTime) }
 
-// evict refuses the least urgent queued requests that can no longer end in time, at most most of them.
-func (g *Gate) evict(now time.Time, most int) {
-	for range most {
+// evict refuses up to n of the least urgent queued requests, those that can no longer end in time.
+func (g *Gate) evict(now time.Time, n int) {
+	for range n {
 		last := g.queue.last()
 		if last == nil || g.endsInTime(now, last, g.waitFor(now, last)) {
 			return
--- a/ratelimit/limiter.go
+++ b/ratelimit/limiter.go
@@ -72,16 +72,16 @@
 	return l.limit.spacing()
 }
 
-// Available returns how many requests may start now, at most most.
-func (l *Limiter) Available(now time.Time, most int) int {
+// Available returns how many of n requests may start now.
+func (l *Limiter) Available(now time.Time, n int) int {
 	if !l.limit.Limited {
-		return most
+		return n
 	}
 	wait := l.Wait(now, 0)
 	if wait > 0 {
 		return 0
 	}
-	return int(min(float64(-wait)/float64(max(l.limit.spacing(), 1))+1, float64(most)))
+	return int(min(float64(-wait)/float64(max(l.limit.spacing(), 1))+1, float64(n)))
 }
 
 // spacing returns the time between evenly spaced starts, at most maxSpacing.
