--- a/follow/bound_test.go
+++ b/follow/bound_test.go
@@ -223,4 +223,4 @@
 	}
 }
 
-var boundSeeds = flag.Int("seeds", 12, "number of random histories of TestChangeReachesEveryProcessWithinBound")
+var boundSeeds = flag.Int("seeds", 12, "number of random histories of TestChangeReachesEveryProcessWithinBound and TestRestoresInSeriesConverge")
--- a/follow/restore_test.go
+++ b/follow/restore_test.go
@@ -66,7 +66,7 @@
 // Guards against processes that stay apart from the store, or from each other, after restores that overlap with cuts and changes: the
 // listing of the store applies everywhere once the grace period of the last restore has passed.
 func TestRestoresInSeriesConverge(t *testing.T) {
-	for seed := range uint64(6) {
+	for seed := range uint64(*boundSeeds) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			rng := rand.New(rand.NewPCG(seed, 7))
 			runFleet(t, fanout+6, func(fl *fleet) {
--- a/mesh/restore_test.go
+++ b/mesh/restore_test.go
@@ -85,9 +85,16 @@
 func TestRestoredTargetsAreNotOlder(t *testing.T) {
 	r := NewReplica()
 	for i, e := range []Entry{
-		{Target: incarnation("drained", 1, false)}, {Target: incarnation("left", 1, false)}, {Target: incarnation("gone", 1, false)},
-		{Target: incarnation("again", 1, false)}, {Target: incarnation("drained", 1, true)}, {Target: incarnation("left", 1, true)},
-		{Key: "left"}, {Key: "gone"}, {Target: incarnation("again", 2, false)}, {Target: incarnation("new", 1, false)},
+		{Target: incarnation("drained", 1, false)},
+		{Target: incarnation("left", 1, false)},
+		{Target: incarnation("gone", 1, false)},
+		{Target: incarnation("again", 1, false)},
+		{Target: incarnation("drained", 1, true)},
+		{Target: incarnation("left", 1, true)},
+		{Key: "left"},
+		{Key: "gone"},
+		{Target: incarnation("again", 2, false)},
+		{Target: incarnation("new", 1, false)},
 	} {
 		if e.Target != nil {
 			e.Key = e.Target.ID
