--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -116,6 +116,7 @@
 // causes describes each reason for operators.
 var causes = map[string]string{
 	"busy":             "no gate expected a free slot in time; check waiting and wait of the refused calls, and which targets of the service were listed",
+	"rate-limited":     "the targets limit their rate and leave no room in time; see which state a limit, and since when",
 	"leaving":          "the target or its process was stopping, and no untried target remained",
 	"moved":            "another target had taken over the address; the frontend's list was out of date, compare the revisions",
 	"target-down":      "the target accepted no connection; check whether it crashed",
