mesh: start the grace period again with each restore

Found by reading; TestSecondRestoreStartsGracePeriodAgain failed before. The expiries of the epoch before are dropped, and the listing starts new ones.

--- a/mesh/replica.go
+++ b/mesh/replica.go
@@ -158,7 +158,9 @@
 		r.entries[key] = e
 	}
 	r.position = Position{Epoch: epoch}
-	r.removals, r.held = nil, map[string]heldEntry{}
+	r.removals = nil
+	clear(r.expiring) // the grace period starts again
+	clear(r.held)
 	clear(r.versions)
 	return out
 }
--- a/mesh/restore_test.go
+++ b/mesh/restore_test.go
@@ -161,3 +161,20 @@
 func addrOf(id string) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, id[0], id[1]}), 80)
 }
+
+// Guards against a grace period that ends too early because the store was restored twice: the changes are written again after the
+// second time only.
+func TestSecondRestoreStartsGracePeriodAgain(t *testing.T) {
+	r := NewReplica()
+	r.Apply(epoch, []Entry{{Key: "a", Revision: 1, Target: target("a", false)}, {Key: "out/d", Revision: 2, OutOfService: "elsewhere"}}, at(2))
+	r.Replace(epoch, nil, restored(1))
+	second := epoch.Add(2 * time.Second)
+	r.Replace(second, nil, Position{Epoch: 3, Revision: 1})
+	r.Expire(epoch.Add(ExpiryGrace))
+	if s := r.State(); s.ready() != "a" || !s.OutOfService["elsewhere"] {
+		t.Errorf("ready %q, out of service %v before the end of the second grace period", s.ready(), s.OutOfService)
+	}
+	if r.Expire(second.Add(ExpiryGrace)); r.State().ready() != "" {
+		t.Error("a target that the store does not list is kept after the second grace period")
+	}
+}
