follow: run the tests of the restore on one processor

A run of all checks failed once, beside load: 'ThreadSanitizer: CHECK failed' in the tests of follow, the known crash of the race detector with many timers in a synctest bubble on several processors. Checks and bounds are the same.

--- a/follow/restore_test.go
+++ b/follow/restore_test.go
@@ -22,6 +22,7 @@
 // Guards against a change that is in force nowhere because a restored store has given out its revision before (CONFIG): the state of
 // every process is at that revision already, in the epoch before.
 func TestChangeAfterRestoreReachesEveryProcess(t *testing.T) {
+	useOneProcessor(t)
 	for lost := range 4 {
 		t.Run(fmt.Sprintf("%d lost revisions", lost), func(t *testing.T) {
 			runFleet(t, fanout+6, func(fl *fleet) {
@@ -47,6 +48,7 @@
 
 // Guards against calls to the store without a pause: each watch is refused for its revision, and each listing succeeds.
 func TestStoreWithoutHistoryIsNotReadInTightLoop(t *testing.T) {
+	useOneProcessor(t)
 	runFleet(t, 6, func(fl *fleet) {
 		fl.store.mu.Lock()
 		fl.store.historyStart = 1 << 40 // of no revision is the history known
@@ -66,6 +68,7 @@
 // Guards against processes that stay apart from the store, or from each other, after restores that overlap with cuts and changes: the
 // listing of the store applies everywhere once the grace period of the last restore has passed.
 func TestRestoresInSeriesConverge(t *testing.T) {
+	useOneProcessor(t)
 	for seed := range uint64(*boundSeeds) {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			rng := rand.New(rand.NewPCG(seed, 7))
