proxy: record work that goes on after a caller has left

The frontend now logs 'caller left', the gatekeeper 'call was abandoned', and chervilwell_abandoned_call_seconds has the time by stage. The lines of both share the request's ID: the time at which a call started minus the time of 'caller left' is how late it started.

--- a/proxy/frontend.go
+++ b/proxy/frontend.go
@@ -135,7 +135,12 @@
 		f.refuse(w, req, noResponse(notRun, reasonCancelled))
 		return
 	}
+	abandoned := watchAbandonment(r.Context())
+	defer abandoned.stop()
 	o := f.forward(r.Context(), req)
+	if at, ok := abandoned.since(); ok {
+		f.logCallerLeft(req, at)
+	}
 	f.writeResponse(w, req, o)
 }
 
--- a/proxy/gatekeeper.go
+++ b/proxy/gatekeeper.go
@@ -189,6 +189,8 @@
 	start := clock.Now()
 	k.active.Add(1)
 	defer k.active.Add(-1)
+	abandoned := watchAbandonment(ctx)
+	defer abandoned.stop()
 	state := k.cfg.Holder.Load()
 	o := k.precheck(state, c)
 	if o == nil {
@@ -202,6 +204,9 @@
 	o.gatekeeperTime = clock.Now().Sub(start)
 	k.cfg.Metrics.countGateOutcome(o)
 	k.logCall(c, o)
+	if at, ok := abandoned.since(); ok {
+		k.recordAbandoned(c, o, start, at)
+	}
 	return o
 }
 
--- a/proxy/log.go
+++ b/proxy/log.go
@@ -83,10 +83,7 @@
 	if o.run == ran || !k.cfg.LogBudget.Allow() {
 		return
 	}
-	id := ""
-	if values := c.header[k.cfg.Names.RequestID]; len(values) > 0 {
-		id = values[0]
-	}
+	id := k.requestID(c)
 	if o.run == unknown || o.err != nil {
 		k.cfg.Log.Warn().Str("request", id).Str("route", c.route).Str("reason", o.reason).Bool("arrived", o.arrived).Dur("took", o.took).
 			Dur("left", remaining(c.deadline)).Err(o.err).Msg(events.CallFailed)
@@ -96,3 +93,40 @@
 		Int("running", o.load.Running).Int("waiting", o.load.Waiting).Int("slots", o.load.Slots).Dur("wait", o.load.Wait).
 		Bool("cold", o.load.Cold).Dur("left", remaining(c.deadline)).Dur("back", o.retryAfter).Uint64("revision", o.revision).Msg(events.CallRefused)
 }
+
+// logCallerLeft logs a request whose caller left at the given time, before its response.
+func (f *Frontend) logCallerLeft(req *request, at time.Time) {
+	if !f.cfg.LogBudget.Allow() {
+		return
+	}
+	f.mu.Lock()
+	tried := strings.Join(req.tried, ",")
+	f.mu.Unlock()
+	f.cfg.Log.Info().Str("request", req.incoming.Header.Get(f.cfg.Names.RequestID)).Str("route", req.route.Name).
+		Str("kind", kindNames[req.route.Kind]).Str("service", req.service).Str("tried", tried).Dur("took", at.Sub(req.arrived)).
+		Dur("after", clock.Now().Sub(at)).Msg(events.CallerLeft)
+}
+
+// recordAbandoned observes and logs a call, which began at start, that was abandoned at the given time.
+func (k *Gatekeeper) recordAbandoned(c *call, o *outcome, start, at time.Time) {
+	end := start.Add(o.gatekeeperTime)
+	sent := end.Add(-o.took)
+	queued, ran := after(at, start, sent), time.Duration(0)
+	if o.arrived {
+		ran = after(at, sent, end)
+	}
+	k.cfg.Metrics.observeAbandoned(c.retryable, o.arrived, queued, ran)
+	if !k.cfg.LogBudget.Allow() {
+		return
+	}
+	k.cfg.Log.Info().Str("request", k.requestID(c)).Str("route", c.route).Bool("retryable", c.retryable).Bool("arrived", o.arrived).
+		Dur("after", at.Sub(start)).Dur("queued", queued).Dur("ran", ran).Msg(events.CallAbandoned)
+}
+
+// requestID returns the ID of the request of a call, or "" if it has none.
+func (k *Gatekeeper) requestID(c *call) string {
+	if values := c.header[k.cfg.Names.RequestID]; len(values) > 0 {
+		return values[0]
+	}
+	return ""
+}
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -18,6 +19,8 @@
 	// hop, queue and service split the time of an attempt: the network in both directions, the queue at the target's gate,
 	// and the target.
 	hop, queue, service stage
+	// abandoned is the time that calls remained in a stage after they were abandoned, by whether they are retryable.
+	abandoned *prometheus.HistogramVec
 }
 
 // stage is the histogram of one part of an attempt's time, by kind of route and outcome.
@@ -68,8 +71,11 @@
 	m.hop = newStage("chervilwell_hop_seconds", "Time of an attempt on the way to the target's process and back.")
 	m.queue = newStage("chervilwell_queue_seconds", "Time of an attempt at the target's gate before it ran or was refused.")
 	m.service = newStage("chervilwell_service_seconds", "Time of an attempt at the target.")
+	m.abandoned = prometheus.NewHistogramVec(prometheus.HistogramOpts{
+		Name: "chervilwell_abandoned_call_seconds", Help: "Time that a call remained in the queue, or ran at the target, after its caller had left.", Buckets: stageBuckets,
+	}, []string{"stage", "retryable"})
 	if registerer != nil {
-		registerer.MustRegister(m.requests, m.latency, m.gateOutcomes, m.retries, m.healthChecks, m.hop.vec, m.queue.vec, m.service.vec)
+		registerer.MustRegister(m.abandoned, m.requests, m.latency, m.gateOutcomes, m.retries, m.healthChecks, m.hop.vec, m.queue.vec, m.service.vec)
 	}
 	return m
 }
@@ -98,3 +104,12 @@
 	m.requests.WithLabelValues(kind, status, reason).Inc()
 	m.latency.WithLabelValues(kind).Observe(took.Seconds())
 }
+
+// observeAbandoned observes how long an abandoned call remained in the queue and, if it arrived there, ran at the target.
+func (m *Metrics) observeAbandoned(retryable, arrived bool, queued, ran time.Duration) {
+	label := strconv.FormatBool(retryable)
+	m.abandoned.WithLabelValues("queue", label).Observe(queued.Seconds())
+	if arrived {
+		m.abandoned.WithLabelValues("target", label).Observe(ran.Seconds())
+	}
+}
--- a/proxy/metrics_test.go
+++ b/proxy/metrics_test.go
@@ -5,8 +5,10 @@
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/rs/zerolog"
 
 	"github.com/chervilwell/chervilwell/gate"
+	"github.com/chervilwell/chervilwell/internal/events"
 	"github.com/chervilwell/chervilwell/mesh"
 )
 
@@ -55,3 +57,35 @@
 		t.Errorf("got %v", got)
 	}
 }
+
+func TestAbandonedCallIsSplitByStage(t *testing.T) {
+	registry := prometheus.NewRegistry()
+	k := NewGatekeeper(GatekeeperConfig{Names: names, Log: zerolog.Nop(), LogBudget: events.NewBudget(1), Metrics: NewMetrics(registry)})
+	start := time.Now()
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	call := &call{}
+	ranToEnd := &outcome{run: ran, arrived: true, gatekeeperTime: 1000 * time.Millisecond, took: 500 * time.Millisecond}
+	k.recordAbandoned(call, ranToEnd, start, at(250))
+	k.recordAbandoned(call, ranToEnd, start, at(750))
+	k.recordAbandoned(call, &outcome{run: notRun, gatekeeperTime: 250 * time.Millisecond}, start, at(125))
+	want := map[string]float64{"queue": .25 + 0 + .125, "target": .5 + .25}
+	families, err := registry.Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, family := range families {
+		if family.GetName() != "chervilwell_abandoned_call_seconds" {
+			continue
+		}
+		for _, m := range family.GetMetric() {
+			for _, l := range m.GetLabel() {
+				if sum, ok := want[l.GetValue()]; ok && m.GetHistogram().GetSampleSum() == sum {
+					delete(want, l.GetValue())
+				}
+			}
+		}
+	}
+	if len(want) > 0 {
+		t.Errorf("stages without the expected time: %v", want)
+	}
+}
