--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -190,9 +190,11 @@
 			Peers: NewPeers(port), Names: names, Log: zerolog.Nop(), LogBudget: events.NewBudget(1), StoreAge: func() time.Duration { return 0 }, Metrics: NewMetrics(nil), Rand: rand.New(rand.NewPCG(1, uint64(i))),
 			RetryBudget: retrybudget.Limits{Ratio: 1, Slack: 100, Window: 10 * time.Second},
 		})
-		server := &http.Server{Handler: PeerHandler(n.gatekeeper)}
+		server := c.newServer(PeerHandler(n.gatekeeper))
 		go func() { _ = server.Serve(l) }()
-		n.callers = httptest.NewServer(n.frontend)
+		n.callers = httptest.NewUnstartedServer(nil)
+		n.callers.Config = c.newServer(n.frontend)
+		n.callers.Start()
 		t.Cleanup(func() { n.callers.Close(); server.Close() })
 		c.nodes = append(c.nodes, n)
 		c.replica.Apply(time.Now(), []mesh.Entry{{Key: ip, Revision: uint64(i + 1), Target: &mesh.Target{
@@ -211,6 +213,9 @@
 	return c
 }
 
+// newServer returns a server for the callers or the peers of a process.
+func (c *cluster) newServer(h http.Handler) *http.Server { return &http.Server{Handler: h} }
+
 func (c *cluster) publish() {
 	for _, n := range c.nodes {
 		n.gatekeeper.cfg.Holder.Store(c.replica.State())
