disconnect: notice callers that leave while nothing reads from their connection

Callers that had left were worked for to the end (GONE) if they had sent a byte beyond their request, or while a large body waited for a narrow link. net/http watches a connection by reading one byte from it: not before the handler has read the body, and no longer once a byte has arrived.

disconnect.Monitor polls the connections of the requests in progress ten times a second with one system call for all, without reading from them, and ends the request's context. It covers every wait from the first byte of a request to the end of its response, at both listeners of the node and of the larger product; HTTP/2 connections are always read from.

--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -16,6 +16,7 @@
 	SettingsRefused = "settings refused"
 	ComponentFailed = "part failed"
 	ListenerFailed  = "listener failed"
+	PollFailed      = "connections can't be polled"
 
 	StoreRecovered     = "store answers"
 	StoreNotResponding = "store is silent"
@@ -73,6 +74,7 @@
 	{Reloaded, "the settings file was read again and is valid", nil},
 	{SettingsRefused, "the changed settings file is invalid; the settings in force stay in use", []string{"error"}},
 	{ComponentFailed, "a component of the process failed and is restarted", []string{"detail"}},
+	{PollFailed, "connections cannot be polled for callers that have left; some of them are noticed late until this ends", []string{"error"}},
 	{ListenerFailed, "a listener stopped accepting connections", []string{"listener", "error"}},
 
 	{StoreRecovered, "the store responds again; silent is the time for which it did not", []string{"silent"}},
--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/chervilwell/chervilwell/internal/disconnect"
 	"github.com/chervilwell/chervilwell/internal/logging"
 )
 
@@ -40,8 +41,10 @@
 
 // NewServer returns a server on the listener. config comes from certs.Store.CallerServer; nil means plain HTTP.
 func NewServer(listener net.Listener, config *tls.Config, f *Frontend) *Server {
+	monitor := disconnect.NewMonitor(func(err error) { f.config.Log.Error().Err(err).Msg("clients that leave are noticed late") })
 	return &Server{listener: listener, frontend: f, secure: config != nil, http: &http.Server{
-		Handler:           f,
+		Handler:           monitor.Handler(f),
+		ConnContext:       disconnect.ConnContext,
 		TLSConfig:         config,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       callerIdleTimeout,
--- a/internal/gatekeeper/server.go
+++ b/internal/gatekeeper/server.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/chervilwell/chervilwell/internal/certs"
+	"github.com/chervilwell/chervilwell/internal/disconnect"
 	"github.com/chervilwell/chervilwell/internal/headers"
 	"github.com/chervilwell/chervilwell/internal/linkbudget"
 	"github.com/chervilwell/chervilwell/internal/logging"
@@ -152,8 +153,10 @@
 func NewServer(listener net.Listener, config *tls.Config, g *Gatekeeper) *Server {
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
+	monitor := disconnect.NewMonitor(func(err error) { g.config.Log.Error().Err(err).Msg("frontends that leave are noticed late") })
 	return &Server{listener: listener, http: &http.Server{
-		Handler:           g,
+		Handler:           monitor.Handler(g),
+		ConnContext:       disconnect.ConnContext,
 		TLSConfig:         config,
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       peerIdleTimeout,
--- a/internal/httppool/conn.go
+++ b/internal/httppool/conn.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/chervilwell/chervilwell/internal/socket"
 )
 
 // bufferBytes is the size in bytes of each of a connection's two buffers.
@@ -37,29 +39,13 @@
 }
 
 func newConn(p *Pool, nc net.Conn) *conn {
-	c := &conn{pool: p, net: nc, raw: rawConn(nc)}
+	c := &conn{pool: p, net: nc, raw: socket.Raw(nc)}
 	c.limit = io.LimitedReader{R: nc, N: math.MaxInt64}
 	c.in = bufio.NewReaderSize(&c.limit, bufferBytes)
 	c.out = bufio.NewWriterSize(writeRecorder{c}, bufferBytes)
 	return c
 }
 
-// rawConn returns access to the socket of a plain or TLS connection, or nil if it has none.
-func rawConn(nc net.Conn) syscall.RawConn {
-	if wrapped, ok := nc.(interface{ NetConn() net.Conn }); ok {
-		nc = wrapped.NetConn()
-	}
-	sc, ok := nc.(syscall.Conn)
-	if !ok {
-		return nil
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return nil
-	}
-	return raw
-}
-
 // writeRecorder sets conn.wrote before each write, since even a failed write may have sent bytes.
 type writeRecorder struct{ c *conn }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,6 +19,7 @@
 
 	"github.com/chervilwell/chervilwell/follow"
 	"github.com/chervilwell/chervilwell/internal/clock"
+	"github.com/chervilwell/chervilwell/internal/disconnect"
 	"github.com/chervilwell/chervilwell/internal/events"
 	"github.com/chervilwell/chervilwell/mesh"
 	"github.com/chervilwell/chervilwell/platform"
@@ -141,9 +142,10 @@
 		addr    netip.AddrPort
 		handler http.Handler
 	}
+	monitor := disconnect.NewMonitor(func(err error) { n.log.Error().Err(err).Msg(events.PollFailed) })
 	listeners := []listener{
-		{n.settings.Callers, n.frontend},
-		{n.settings.Peers, n.peerHandler()},
+		{n.settings.Callers, monitor.Handler(n.frontend)},
+		{n.settings.Peers, n.peerHandler(monitor)},
 		{n.settings.Ready, http.HandlerFunc(n.serveReady)},
 	}
 	if port := n.options.MetricsPort; port != 0 {
@@ -156,7 +158,7 @@
 			return errors.Wrapf(err, "cannot listen on %s; release the port or correct the address in the settings", l.addr)
 		}
 		server := &http.Server{
-			Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+			Handler: l.handler, ConnContext: disconnect.ConnContext, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		}
 		n.servers = append(n.servers, server)
 		go func() {
@@ -170,8 +172,8 @@
 
 // peerHandler returns the handler for other processes: it serves their requests for the local target and their queries of the
 // state.
-func (n *Node) peerHandler() http.Handler {
-	calls := proxy.PeerHandler(n.gatekeeper)
+func (n *Node) peerHandler(monitor *disconnect.Monitor) http.Handler {
+	calls := monitor.Handler(proxy.PeerHandler(n.gatekeeper))
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if proxy.IsCall(r) {
 			calls.ServeHTTP(w, r)
--- /dev/null
+++ b/internal/socket/socket.go
@@ -0,0 +1,23 @@
+// Package socket gives access to the sockets of connections.
+package socket
+
+import (
+	"net"
+	"syscall"
+)
+
+// Raw returns access to the socket of a plain or TLS connection, or nil if it has none.
+func Raw(nc net.Conn) syscall.RawConn {
+	if wrapped, ok := nc.(interface{ NetConn() net.Conn }); ok {
+		nc = wrapped.NetConn()
+	}
+	sc, ok := nc.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return nil
+	}
+	return raw
+}
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/chervilwell/chervilwell/internal/disconnect"
 	"github.com/chervilwell/chervilwell/internal/events"
 	"github.com/chervilwell/chervilwell/mesh"
 	"github.com/chervilwell/chervilwell/ratelimit"
@@ -165,13 +166,14 @@
 type cluster struct {
 	nodes   []*node
 	replica *mesh.Replica
+	monitor *disconnect.Monitor
 }
 
 const testService = "s"
 
 func startCluster(t *testing.T, kind mesh.Kind) *cluster {
 	t.Helper()
-	c := &cluster{replica: mesh.NewReplica()}
+	c := &cluster{replica: mesh.NewReplica(), monitor: disconnect.NewMonitor(func(err error) { t.Error(err) })}
 	var port uint16
 	for i := range 2 {
 		ip := fmt.Sprintf("127.0.0.%d", i+1)
@@ -214,7 +216,9 @@
 }
 
 // newServer returns a server for the callers or the peers of a process.
-func (c *cluster) newServer(h http.Handler) *http.Server { return &http.Server{Handler: h} }
+func (c *cluster) newServer(h http.Handler) *http.Server {
+	return &http.Server{Handler: c.monitor.Handler(h), ConnContext: disconnect.ConnContext}
+}
 
 func (c *cluster) publish() {
 	for _, n := range c.nodes {
