proxy, gatekeeper: read the body of a request before it waits for a slot

The gatekeeper left the body unread while the call waited. Over TCP the end of a connection arrives only behind all bytes before it, so that an unread body hides it from any watch.

The body is now read once the gate is about to accept the call, before it waits: bodies of waiting calls may take 16 MB of a process. A call whose body has no room there is not queued (gate.Request.NoWait): it runs or is refused at once. The larger product reads the body of a queued request, except one of unknown length. Reads from a peer end with the call's deadline. A pool resets a connection whose request it gives up while writing it, since a regular close would wait behind the unread part.

--- a/gate/gate.go
+++ b/gate/gate.go
@@ -28,6 +28,8 @@
 	// Start is called once if Offer returned Wait, unless Cancel removes the request: with true when the request may run, with
 	// false if it is refused.
 	Start func(run bool)
+	// NoWait is set for a request that must not be queued: Offer runs or refuses it.
+	NoWait bool
 
 	arrival uint64
 	index   int
@@ -142,8 +144,11 @@
 		g.start(now)
 		return Run, 0
 	}
-	if fits, retryAfter := g.fits(now, r); !fits {
+	fits, retryAfter := g.fits(now, r)
+	if !fits {
 		g.noteRefusal(now, r)
+	}
+	if !fits || r.NoWait {
 		return Refuse, retryAfter
 	}
 	g.arrivals++
--- a/gate/gate_test.go
+++ b/gate/gate_test.go
@@ -268,3 +268,20 @@
 		}
 	}
 }
+
+func TestRequestThatMustNotWaitIsRefused(t *testing.T) {
+	g := New(1)
+	g.SetWarm(epoch)
+	request := func(noWait bool) *Request {
+		return &Request{SoftDeadline: epoch.Add(time.Minute), Deadline: epoch.Add(time.Minute), NoWait: noWait, Start: func(bool) {}}
+	}
+	if verdict, _ := g.Offer(epoch, request(true)); verdict != Run {
+		t.Errorf("with a free slot: verdict %d", verdict)
+	}
+	if verdict, retryAfter := g.Offer(epoch, request(true)); verdict != Refuse || retryAfter <= 0 {
+		t.Errorf("without a free slot: verdict %d, retry-after %v", verdict, retryAfter)
+	}
+	if verdict, _ := g.Offer(epoch, request(false)); verdict != Wait {
+		t.Errorf("a request that may wait: verdict %d", verdict)
+	}
+}
--- a/internal/gatekeeper/gate.go
+++ b/internal/gatekeeper/gate.go
@@ -51,8 +51,9 @@
 	a.apply(a.gate.SetLimits(now, limits))
 }
 
-// acquire waits until a request may run. The context's deadline is the request's deadline.
-func (a *admitter) acquire(ctx context.Context, organisation string, class catalogue.Class) (*permit, *refusal.Refusal) {
+// acquire waits until a request may run. The context's deadline is the request's deadline. A request that is queued calls queued first,
+// and leaves the queue if that refuses it.
+func (a *admitter) acquire(ctx context.Context, organisation string, class catalogue.Class, queued func() *refusal.Refusal) (*permit, *refusal.Refusal) {
 	deadline, _ := ctx.Deadline()
 	id, reasonCh, refused := a.offer(admission.Request{Organisation: organisation, Class: class, Deadline: deadline})
 	if refused != nil {
@@ -61,6 +62,10 @@
 	if reasonCh == nil {
 		return &permit{admitter: a, id: id, started: time.Now()}, nil
 	}
+	if refused := queued(); refused != nil {
+		_ = a.cancel(ctx, id, reasonCh) // the refusal of the body is the reason
+		return nil, refused
+	}
 	select {
 	case reason := <-reasonCh:
 		return a.resolve(id, reason)
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -16,6 +16,7 @@
 	"github.com/chervilwell/chervilwell/admission"
 	"github.com/chervilwell/chervilwell/audit"
 	"github.com/chervilwell/chervilwell/catalogue"
+	"github.com/chervilwell/chervilwell/internal/bodybuffer"
 	"github.com/chervilwell/chervilwell/internal/headers"
 	"github.com/chervilwell/chervilwell/internal/httppool"
 	"github.com/chervilwell/chervilwell/internal/linkbudget"
@@ -70,6 +71,7 @@
 	configMu        sync.Mutex
 	appliedRevision atomic.Uint64
 	admitter        admitter
+	bodies          *bodybuffer.Buffer
 	keys            keyTable
 	crashTracker    crashTracker
 	health          health
@@ -83,7 +85,7 @@
 	if config.Now == nil {
 		config.Now = time.Now
 	}
-	g := &Gatekeeper{config: config}
+	g := &Gatekeeper{config: config, bodies: bodybuffer.New(maxWaitingBodies)}
 	g.keys = keyTable{
 		table: once.New(config.Now(), once.Voter{Instance: config.Instance}, once.DefaultLimits),
 		runs:  map[once.Key]chan struct{}{},
@@ -180,7 +182,12 @@
 	if refused != nil {
 		return nil, refused
 	}
-	permit, refused := g.admitter.acquire(call.Request.Context(), call.Organisation, route.Class)
+	releaseBody := func() {}
+	permit, refused := g.admitter.acquire(call.Request.Context(), call.Organisation, route.Class, func() (refused *refusal.Refusal) {
+		releaseBody, refused = g.bufferBody(call.Request)
+		return refused
+	})
+	releaseBody()
 	if refused != nil {
 		g.endTrial(tracked)
 		return nil, refused
--- a/internal/httppool/conn.go
+++ b/internal/httppool/conn.go
@@ -81,8 +81,9 @@
 	stop func() bool
 	// body is the request body, or nil.
 	body *requestBody
-	// written receives the result of writing the request; it is nil if there is no body.
+	// written receives the result of writing the request; it is nil if there is no body. writing is set until then.
 	written chan error
+	writing atomic.Bool
 	once    sync.Once
 	// For a request with Expect: 100-continue, continued is closed when the server asks for the body, and declined when the
 	// response header has arrived or reading it has failed.
@@ -123,7 +124,7 @@
 func (c *conn) do(req *http.Request) (*http.Response, error) {
 	c.wrote.Store(false)
 	x := &exchange{conn: c, ctx: req.Context()}
-	x.stop = context.AfterFunc(x.ctx, func() { c.net.Close() })
+	x.stop = context.AfterFunc(x.ctx, x.close)
 	if err := x.send(req); err != nil {
 		return nil, x.abort(err)
 	}
@@ -152,16 +153,27 @@
 		out.Body = &continueBody{ReadCloser: x.body, exchange: x}
 	}
 	x.written = make(chan error, 1)
+	x.writing.Store(true)
 	go func() {
 		err := x.write(&out)
 		if x.body.readError() != nil {
-			x.net.Close()
+			x.close()
 		}
+		x.writing.Store(false)
 		x.written <- err
 	}()
 	return nil
 }
 
+// close closes the connection. If the request has not been written completely, it resets the connection: a regular close would arrive
+// only after the server has read what was sent so far, which it may not do for a long time.
+func (x *exchange) close() {
+	if x.writing.Load() {
+		socket.ResetOnClose(x.net)
+	}
+	x.net.Close()
+}
+
 func (x *exchange) write(req *http.Request) error {
 	if err := req.Write(x.out); err != nil {
 		return err
@@ -228,7 +240,7 @@
 // can be written afterwards.
 func (x *exchange) abort(err error) error {
 	x.stop()
-	x.net.Close()
+	x.close()
 	wrote := x.wrote.Load()
 	x.pool.release(x.conn, false)
 	if x.body != nil && x.body.readError() != nil {
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -6,6 +6,17 @@
 	"syscall"
 )
 
+// ResetOnClose makes Close of a plain or TLS connection reset it and discard the bytes that have not been sent. Connections of other
+// kinds are not changed.
+func ResetOnClose(nc net.Conn) {
+	if wrapped, ok := nc.(interface{ NetConn() net.Conn }); ok {
+		nc = wrapped.NetConn()
+	}
+	if tcp, ok := nc.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only on a closed connection
+	}
+}
+
 // Raw returns access to the socket of a plain or TLS connection, or nil if it has none.
 func Raw(nc net.Conn) syscall.RawConn {
 	if wrapped, ok := nc.(interface{ NetConn() net.Conn }); ok {
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -46,6 +46,8 @@
 	body   []byte
 	rest   io.Reader
 	length int64
+	// setReadDeadline sets the deadline of reads from rest. It is set if rest is.
+	setReadDeadline func(time.Time) error
 	// expectContinue delays the body until the peer has confirmed that its link has capacity.
 	expectContinue bool
 
--- a/proxy/gatekeeper.go
+++ b/proxy/gatekeeper.go
@@ -18,6 +18,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/chervilwell/chervilwell/gate"
+	"github.com/chervilwell/chervilwell/internal/bodybuffer"
 	"github.com/chervilwell/chervilwell/internal/clock"
 	"github.com/chervilwell/chervilwell/internal/events"
 	"github.com/chervilwell/chervilwell/internal/httppool"
@@ -69,6 +70,7 @@
 type Gatekeeper struct {
 	cfg     GatekeeperConfig
 	pool    *httppool.Pool
+	bodies  *bodybuffer.Buffer
 	stopped atomic.Bool
 	leaving atomic.Bool
 	active  atomic.Int64
@@ -93,6 +95,7 @@
 // NewGatekeeper returns a gatekeeper that treats its target as cold until the target reports that it is warm.
 func NewGatekeeper(cfg GatekeeperConfig) *Gatekeeper {
 	k := &Gatekeeper{cfg: cfg, gate: gate.New(defaultSlots), inbound: pacer.NewInbound(cfg.LinkRate), noticeLog: rate.NewLimiter(noticeLinesPerSecond, noticeBurstLines)}
+	k.bodies = bodybuffer.New(maxWaitingBodies)
 	k.pool = httppool.New(httppool.Config{
 		Dial:           func(ctx context.Context) (net.Conn, error) { return dial(ctx, cfg.Addr.String(), targetDialTimeout) },
 		MaxConns:       maxTargetConns,
@@ -194,7 +197,9 @@
 	state := k.cfg.Holder.Load()
 	o := k.precheck(state, c)
 	if o == nil {
-		o = k.receiveBody(ctx, c)
+		var release func()
+		release, o = k.receiveBody(ctx, c)
+		defer release()
 	}
 	if o == nil {
 		o = k.admit(ctx, c)
@@ -229,6 +234,7 @@
 func (k *Gatekeeper) admit(ctx context.Context, c *call) *outcome {
 	granted := make(chan bool, 1)
 	req := gateRequest(c)
+	req.NoWait = c.rest != nil
 	req.Start = func(run bool) { granted <- run }
 	k.mu.Lock()
 	verdict, retryAfter := k.gate.Offer(clock.Now(), req)
--- a/proxy/leave_test.go
+++ b/proxy/leave_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
@@ -143,6 +144,26 @@
 	}
 }
 
+// Guards against GONE: a call whose body has no room in memory is queued, where its caller can leave unnoticed.
+func TestCallWithUnreadBodyIsNotQueued(t *testing.T) {
+	for i, name := range bothTargets {
+		t.Run(name, func(t *testing.T) {
+			c, release := startBusyCluster(t, mesh.Upload, i)
+			defer release()
+			caller := c.caller(t)
+			caller.send("second", maxWaitingBodies+1)
+			start := time.Now()
+			resp, err := http.ReadResponse(bufio.NewReader(caller), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			if resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" || time.Since(start) > leaveTimeout {
+				t.Errorf("status %d, Retry-After %q after %v", resp.StatusCode, resp.Header.Get("Retry-After"), time.Since(start))
+			}
+		})
+	}
+}
+
 // Guards against GONE: bytes beyond a request hide that its caller has left, so that the target works on.
 func TestCallerLeavesAfterExtraBytes(t *testing.T) {
 	for i, name := range bothTargets {
--- a/proxy/peers.go
+++ b/proxy/peers.go
@@ -118,7 +118,7 @@
 		delete(r.Header, hopHeader)
 		delete(r.Header, "Expect")
 		if r.ContentLength != 0 {
-			c.rest = r.Body
+			c.rest, c.setReadDeadline = r.Body, http.NewResponseController(w).SetReadDeadline
 		}
 		o := k.do(r.Context(), c)
 		if err := writeOutcome(w, o); err != nil {
--- a/proxy/receive.go
+++ b/proxy/receive.go
@@ -2,20 +2,69 @@
 
 import (
 	"context"
-	"io"
 	"time"
 
+	"github.com/pkg/errors"
+
+	"github.com/chervilwell/chervilwell/internal/bodybuffer"
 	"github.com/chervilwell/chervilwell/internal/clock"
 	"github.com/chervilwell/chervilwell/internal/periodic"
 	"github.com/chervilwell/chervilwell/pacer"
 )
 
-// receiveBody reads a large body over a narrow link within the time reserved for it, and returns the outcome if the call is
-// refused, or nil. Until then the caller's process delays the body, so that a refused call uses no bandwidth of the link.
-func (k *Gatekeeper) receiveBody(ctx context.Context, c *call) *outcome {
-	if c.rest == nil || c.length < pacer.LargeMessageBytes || !k.inbound.Bounded() {
-		return nil
+// maxWaitingBodies is the total size in bytes of the request bodies that a gatekeeper holds in memory. Calls with further ones are
+// refused unless they can run at once.
+const maxWaitingBodies = 16 << 20
+
+// receiveBody reads the body of a call before the call waits for a slot: the end of its connection can be noticed only behind the
+// body. It leaves c.rest if there is no room for the body. It returns the outcome if the call is refused, or nil. The caller must call release.
+func (k *Gatekeeper) receiveBody(ctx context.Context, c *call) (release func(), o *outcome) {
+	release = func() {}
+	if c.rest == nil || c.length <= 0 {
+		return release, nil
+	}
+	if c.length >= pacer.LargeMessageBytes && k.inbound.Bounded() {
+		if o := k.waitForLink(ctx, c); o != nil {
+			return release, o
+		}
+	} else if !k.fits(c) {
+		return release, nil // the gate is about to refuse the call
+	}
+	if err := c.setReadDeadline(time.Now().Add(remaining(c.deadline))); err != nil {
+		return release, bodyFailure(ctx, err)
+	}
+	body, releaseBody, err := k.bodies.Read(c.rest, c.length)
+	if errors.Is(err, bodybuffer.ErrFull) {
+		return release, nil
 	}
+	if err != nil {
+		return release, bodyFailure(ctx, err)
+	}
+	c.body, c.rest = body, nil
+	if err := c.setReadDeadline(time.Time{}); err != nil {
+		return releaseBody, bodyFailure(ctx, err)
+	}
+	return releaseBody, nil
+}
+
+// bodyFailure returns the outcome of a call whose body could not be read.
+func bodyFailure(ctx context.Context, err error) *outcome {
+	o := noResponse(notRun, failureReason(ctx, reasonCancelled))
+	o.err = err
+	return o
+}
+
+// fits reports whether the gate would accept a call now.
+func (k *Gatekeeper) fits(c *call) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	fits, _ := k.gate.Fits(clock.Now(), gateRequest(c))
+	return fits
+}
+
+// waitForLink waits until a large body may be received over a narrow link, and returns the outcome if the call is refused, or nil.
+// Until then the caller's process delays the body, so that a refused call uses no bandwidth of the link.
+func (k *Gatekeeper) waitForLink(ctx context.Context, c *call) *outcome {
 	wait, o := k.reserveLink(c)
 	if o != nil {
 		return o
@@ -23,13 +72,6 @@
 	if err := periodic.Sleep(ctx, wait); err != nil {
 		return noResponse(notRun, failureReason(ctx, reasonCancelled))
 	}
-	body := make([]byte, c.length)
-	if _, err := io.ReadFull(c.rest, body); err != nil {
-		o := noResponse(notRun, failureReason(ctx, reasonCancelled))
-		o.err = err
-		return o
-	}
-	c.body, c.rest = body, nil
 	return nil
 }
 
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -24,6 +24,8 @@
 	body         []byte
 	rest         io.Reader
 	length       int64
+	// setReadDeadline sets the deadline of reads from rest. It is set if rest is.
+	setReadDeadline func(time.Time) error
 	// tried holds the IDs of the targets of all attempts. arrivals counts the attempts that reached a target, refusals those
 	// that did not.
 	tried      []string
@@ -63,7 +65,8 @@
 	if r.ContentLength == 0 {
 		return nil
 	}
-	if err := http.NewResponseController(w).SetReadDeadline(time.Now().Add(remaining(req.deadline))); err != nil {
+	req.setReadDeadline = http.NewResponseController(w).SetReadDeadline
+	if err := req.setReadDeadline(time.Now().Add(remaining(req.deadline))); err != nil {
 		return err
 	}
 	if r.ContentLength > maxBufferedBody {
@@ -85,7 +88,7 @@
 	if err != nil {
 		return err
 	}
-	return http.NewResponseController(w).SetReadDeadline(time.Time{})
+	return req.setReadDeadline(time.Time{})
 }
 
 // recordAttempt records the outcome of an attempt that did not end the request.
@@ -126,7 +129,8 @@
 	}
 	return &call{
 		method: req.incoming.Method, uri: req.incoming.RequestURI, host: req.incoming.Host, header: h, body: req.body, rest: req.rest, length: req.length,
-		targetID: t.ID, startedMs: t.StartedMs, route: req.route.Name, priority: req.route.Priority,
+		setReadDeadline: req.setReadDeadline,
+		targetID:        t.ID, startedMs: t.StartedMs, route: req.route.Name, priority: req.route.Priority,
 		retryable: req.route.Kind.Retryable(), caller: f.cfg.Service, softDeadline: req.softDeadline, deadline: req.deadline,
 	}
 }
