proxy, gatekeeper: send nothing for a caller that left just before

The frontend looks at the caller before its first attempt, the gatekeeper after the wait in the queue, and httppool.DoConnected once it has a connection. From the first byte on, a request that may run only once runs to its end as before; one that was not sent is answered as not run. The larger product's admitter has the same race and the same check.

--- a/internal/gatekeeper/gate.go
+++ b/internal/gatekeeper/gate.go
@@ -68,6 +68,10 @@
 	}
 	select {
 	case reason := <-reasonCh:
+		if reason == granted && ctx.Err() != nil {
+			reasonCh <- reason
+			return nil, a.cancel(ctx, id, reasonCh)
+		}
 		return a.resolve(id, reason)
 	case <-ctx.Done():
 		return nil, a.cancel(ctx, id, reasonCh)
--- a/internal/httppool/pool.go
+++ b/internal/httppool/pool.go
@@ -65,12 +65,22 @@
 // If the context of the request ends, the request is aborted, even while the body is being read. If no byte of the request was
 // written, errors.Is(err, ErrNotWritten) holds; after any other error the request may have run.
 func (p *Pool) Do(req *http.Request) (*http.Response, error) {
-	ctx := req.Context()
-	c, err := p.acquire(ctx)
+	return p.DoConnected(req.Context(), req)
+}
+
+// DoConnected is like Do, but waits for a connection only until connect ends. From then on, only the context of the request can
+// abort it.
+func (p *Pool) DoConnected(connect context.Context, req *http.Request) (*http.Response, error) {
+	c, err := p.acquire(connect)
 	if err != nil {
 		closeBody(req)
 		return nil, &notWrittenError{cause: err}
 	}
+	if err := connect.Err(); err != nil {
+		closeBody(req)
+		p.release(c, true)
+		return nil, &notWrittenError{cause: err}
+	}
 	return c.do(req)
 }
 
--- a/proxy/frontend.go
+++ b/proxy/frontend.go
@@ -152,6 +152,9 @@
 
 func (f *Frontend) tryTargets(ctx context.Context, req *request) *outcome {
 	last := noResponse(notRun, reasonNoTarget)
+	if ctx.Err() != nil { // the caller left before its request was read
+		return noResponse(notRun, failureReason(ctx, reasonCancelled))
+	}
 	for {
 		choice, ok := f.pick(req)
 		if !ok {
--- a/proxy/gatekeeper.go
+++ b/proxy/gatekeeper.go
@@ -252,7 +252,7 @@
 		}
 	case gate.Run:
 	}
-	if o := k.recheck(c); o != nil {
+	if o := k.recheck(ctx, c); o != nil {
 		k.release(req, -1)
 		return o
 	}
@@ -319,9 +319,12 @@
 	return reasonRateLimited
 }
 
-// recheck repeats the precheck after a wait, since the target may have begun to leave. A call that was admitted before Stop
-// still runs.
-func (k *Gatekeeper) recheck(c *call) *outcome {
+// recheck repeats the precheck after a wait, since the target may have begun to leave, or the caller have left. A call that was
+// admitted before Stop still runs.
+func (k *Gatekeeper) recheck(ctx context.Context, c *call) *outcome {
+	if ctx.Err() != nil {
+		return noResponse(notRun, failureReason(ctx, reasonCancelled))
+	}
 	if o := k.precheck(k.cfg.Holder.Load(), c); o != nil && !k.stopped.Load() {
 		return o
 	}
@@ -360,13 +363,19 @@
 
 // run sends a call to the target and classifies the response.
 func (k *Gatekeeper) run(ctx context.Context, c *call) *outcome {
+	connect, cancelConnect := context.WithTimeout(ctx, remaining(c.deadline)+deadlineSlack)
+	defer cancelConnect()
 	if !c.retryable {
 		// Cancelling would not undo the request, and the caller's next attempt could not know that it had started.
 		ctx = context.WithoutCancel(ctx)
 	}
 	ctx, cancel := context.WithTimeout(ctx, remaining(c.deadline)+deadlineSlack)
 	sent := clock.Now()
-	resp, err := k.pool.Do(k.targetRequest(ctx, c))
+	resp, err := k.pool.DoConnected(connect, k.targetRequest(ctx, c))
+	if errors.Is(err, httppool.ErrNotWritten) {
+		defer cancel()
+		return k.targetFailure(connect, err)
+	}
 	if err != nil {
 		defer cancel()
 		return k.targetFailure(ctx, err)
