proxy: send requests without an ID on a new connection to the target

A caller whose request has no ID got 503, 'not run', for a request that the target ran: the target had written an earlier refusal, also without an ID, once more on the kept connection as the request arrived. The response to a request with an ID is told from others by the ID that it echoes; without one, any response without an ID was taken for it.

httppool now runs a request that is not identifiable on a new connection, on which no earlier request can have a response. Health checks have no ID either and do the same: a repeated response can no longer report a cold target as warm.

--- a/internal/httppool/connect_test.go
+++ b/internal/httppool/connect_test.go
@@ -48,3 +48,33 @@
 	}
 	resp.Body.Close()
 }
+
+func TestRequestThatIsNotIdentifiableUsesNewConnection(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer server.Close()
+	dials := 0
+	p := New(Config{
+		Dial: func(context.Context) (net.Conn, error) {
+			dials++
+			return net.Dial("tcp", server.Listener.Addr().String())
+		},
+		MaxConns: 1, MaxIdle: 4, IdleTimeout: time.Minute, MaxHeaderBytes: 8 << 10,
+		Identifiable: func(req *http.Request) bool { return req.Header.Get("X-Id") != "" },
+	})
+	defer p.Close()
+	for i, test := range []struct {
+		id    string
+		dials int
+	}{{"1", 1}, {"2", 1}, {"", 2}, {"3", 2}, {"", 3}} {
+		req := newRequest(t, t.Context(), http.MethodGet, nil)
+		req.Header.Set("X-Id", test.id)
+		resp, err := p.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		if dials != test.dials {
+			t.Errorf("request %d: %d connections were opened, want %d", i, dials, test.dials)
+		}
+	}
+}
--- a/internal/httppool/pool.go
+++ b/internal/httppool/pool.go
@@ -31,6 +31,9 @@
 	// MatchesRequest reports whether a response belongs to the request; nil accepts all. Other responses are read and discarded: a
 	// server may have sent a second response to an earlier request.
 	MatchesRequest func(*http.Request, *http.Response) bool
+	// Identifiable reports whether MatchesRequest can tell the response to a request from those to others; nil means always. Other
+	// requests run on a new connection, on which no earlier request can have a response.
+	Identifiable func(*http.Request) bool
 }
 
 // Errors returned by Pool.Do.
@@ -71,7 +74,7 @@
 // DoConnected is like Do, but waits for a connection only until connect ends. From then on, only the context of the request can
 // abort it.
 func (p *Pool) DoConnected(connect context.Context, req *http.Request) (*http.Response, error) {
-	c, err := p.acquire(connect)
+	c, err := p.acquire(connect, p.config.Identifiable == nil || p.config.Identifiable(req))
 	if err != nil {
 		closeBody(req)
 		return nil, &notWrittenError{cause: err}
@@ -102,21 +105,23 @@
 	}
 }
 
-// acquire returns an idle connection that is still open, or a new one. It waits while MaxConns connections are in use.
-func (p *Pool) acquire(ctx context.Context) (*conn, error) {
+// acquire returns an idle connection that is still open, if reuse is set, or a new one. It waits while MaxConns connections are in
+// use.
+func (p *Pool) acquire(ctx context.Context, reuse bool) (*conn, error) {
 	if err := p.inUse.Acquire(ctx, 1); err != nil {
 		return nil, err
 	}
-	for {
+	for reuse {
 		c := p.popIdle()
 		if c == nil {
-			return p.dial(ctx)
+			break
 		}
 		if c.usable() {
 			return c, nil
 		}
 		c.net.Close()
 	}
+	return p.dial(ctx)
 }
 
 // popIdle removes and returns the most recently used idle connection, or nil.
--- a/proxy/gatekeeper.go
+++ b/proxy/gatekeeper.go
@@ -103,6 +103,7 @@
 		IdleTimeout:    targetIdleTimeout,
 		MaxHeaderBytes: maxResponseHeaderBytes,
 		MatchesRequest: k.matchesRequest,
+		Identifiable:   func(req *http.Request) bool { return req.Header.Get(cfg.Names.RequestID) != "" },
 	})
 	k.gate.SetCold(clock.Now(), defaultColdRate)
 	return k
@@ -112,7 +113,7 @@
 // apply to all callers together.
 const maxTargetConns = 64
 
-// matchesRequest reports whether resp echoes the request ID of req. Health checks have none.
+// matchesRequest reports whether resp echoes the request ID of req. Health checks, and requests of some callers, have none.
 func (k *Gatekeeper) matchesRequest(req *http.Request, resp *http.Response) bool {
 	name := k.cfg.Names.RequestID
 	return req.Header.Get(name) == resp.Header.Get(name)
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -160,6 +160,8 @@
 	gatekeeper *Gatekeeper
 	target     *fakeTarget
 	callers    *httptest.Server
+	// peerAddr is the address for calls from the other process.
+	peerAddr string
 }
 
 // cluster consists of two processes with one target each, on separate loopback addresses.
@@ -182,7 +184,7 @@
 			t.Fatal(err)
 		}
 		port = uint16(l.Addr().(*net.TCPAddr).Port)
-		n := &node{target: startFakeTarget(t, ip)}
+		n := &node{target: startFakeTarget(t, ip), peerAddr: l.Addr().String()}
 		holder := &mesh.Holder{}
 		n.gatekeeper = NewGatekeeper(GatekeeperConfig{
 			Addr: n.target.addr, Service: testService, Holder: holder, Names: names, DecodeNotice: decodeNotice, Log: zerolog.Nop(), LogBudget: events.NewBudget(1), Metrics: NewMetrics(nil),
