--- a/proxy/frontend.go
+++ b/proxy/frontend.go
@@ -77,8 +77,9 @@
 
 // Limits of the frontend.
 const (
-	// defaultDeadline applies to requests without a deadline.
+	// defaultDeadline applies to requests without a deadline, maxDeadline to those with a longer one.
 	defaultDeadline = 10 * time.Second
+	maxDeadline     = time.Hour
 	// maxRefusals is the number of attempts that did not reach a target, such as refusals by a gate, after which the request
 	// is refused.
 	maxRefusals = 4
--- a/proxy/health.go
+++ b/proxy/health.go
@@ -145,9 +145,24 @@
 	if resp.StatusCode != http.StatusOK {
 		return "", 0, errors.Wrapf(ErrUnhealthy, "status %d", resp.StatusCode)
 	}
-	ms, err := strconv.ParseFloat(resp.Header.Get(k.cfg.Names.ColdFor), 64)
-	if err != nil {
-		ms = 0 // a warm target may omit the header
+	cold, err = parseColdPeriod(resp.Header.Get(k.cfg.Names.ColdFor))
+	return resp.Header.Get(k.cfg.Names.TargetID), cold, err
+}
+
+// maxColdPeriod is the longest cold period that a target may report.
+const maxColdPeriod = 24 * time.Hour
+
+// ErrColdPeriod is returned if a target reports a cold period that is no number or out of range.
+var ErrColdPeriod = errors.New("target reports an invalid cold period; correct the target")
+
+// parseColdPeriod parses the cold period, in milliseconds, of the response to a health check. A warm target may omit it.
+func parseColdPeriod(text string) (time.Duration, error) {
+	if text == "" {
+		return 0, nil
+	}
+	ms, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(ms <= float64(maxColdPeriod.Milliseconds())) {
+		return 0, errors.Wrapf(ErrColdPeriod, "%.80q", text)
 	}
-	return resp.Header.Get(k.cfg.Names.TargetID), time.Duration(ms * float64(time.Millisecond)), nil
+	return time.Duration(max(ms, 0) * float64(time.Millisecond)), nil
 }
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -17,6 +17,7 @@
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 
 	"github.com/chervilwell/chervilwell/internal/disconnect"
@@ -529,3 +530,32 @@
 		t.Errorf("got %d and %d bytes of %d", resp.StatusCode, len(body), len(long))
 	}
 }
+
+// Guards against a deadline of a caller that overflows, so that its request fails at once.
+func TestHugeDeadlineIsBounded(t *testing.T) {
+	for _, deadline := range []string{"1e300", "Inf", "9223372036854775807"} {
+		c := startCluster(t, mesh.Once)
+		req := httptest.NewRequest(http.MethodGet, "/x/", nil)
+		req.Host = "h.example"
+		req.Header.Set("X-Deadline", deadline)
+		planned := &request{incoming: req, arrived: time.Now(), state: c.replica.State(), route: c.replica.State().Config.Match("h.example", "/x/")}
+		c.nodes[0].frontend.plan(planned)
+		if left := planned.deadline.Sub(planned.arrived); left != planned.route.Timeout {
+			t.Errorf("deadline %s: %v are left, want the route's timeout of %v", deadline, left, planned.route.Timeout)
+		}
+	}
+}
+
+// Guards against a cold period that overflows, and one that can't be read and is taken for warm.
+func TestColdPeriodIsChecked(t *testing.T) {
+	for text, want := range map[string]time.Duration{"": 0, "0": 0, "-5": 0, "1500.5": 1500500 * time.Microsecond} {
+		if got, err := parseColdPeriod(text); err != nil || got != want {
+			t.Errorf("%q: got %v, %v", text, got, err)
+		}
+	}
+	for _, text := range []string{"1e300", "Inf", "NaN", "cold"} {
+		if _, err := parseColdPeriod(text); !errors.Is(err, ErrColdPeriod) {
+			t.Errorf("%q: got %v", text, err)
+		}
+	}
+}
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -44,7 +44,7 @@
 func (f *Frontend) plan(req *request) {
 	timeout := defaultDeadline
 	if ms, err := strconv.ParseFloat(req.incoming.Header.Get(f.cfg.Names.Deadline), 64); err == nil && ms > 0 {
-		timeout = time.Duration(ms * float64(time.Millisecond))
+		timeout = time.Duration(min(ms, float64(maxDeadline.Milliseconds())) * float64(time.Millisecond))
 	}
 	req.deadline = req.arrived.Add(min(timeout, req.route.Timeout))
 	f.mu.Lock()
