pacer, proxy: release the link when a caller leaves before its body is sent

A large body over a narrow link reserves the link when its call arrives. The link stayed idle for them while others waited or were refused.

TestCallerThatLeavesReleasesLink, TestCancelledReservationsMoveOthersUp and TestReservationsDoNotOverlap (random histories) test it.

--- a/pacer/inbound.go
+++ b/pacer/inbound.go
@@ -1,6 +1,9 @@
 package pacer
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Limits of inbound messages.
 const (
@@ -18,12 +21,33 @@
 // Inbound schedules large messages that arrive over a machine's link one after the other, so that small messages do not
 // queue behind them. Senders ask for permission before they send. It is not safe for concurrent use. The zero value has no
 // limit.
+//
+// Invariant: the link carries at most one reserved message at a time, in the order of the reservations, except that each is sent
+// up to window early.
 type Inbound struct {
 	rate float64
 	// freeAt is the time at which the link will have carried all admitted messages.
 	freeAt time.Time
+	// waiting holds the reservations whose messages may not be sent yet, in order.
+	waiting []*Reservation
+}
+
+// Reservation is the turn of a message on a link.
+type Reservation struct {
+	// begin is the time at which the link is free for the message, transfer how long it carries it.
+	begin    time.Time
+	transfer time.Duration
+	moved    chan struct{}
 }
 
+// Wait returns the time after which the message may be sent.
+func (r *Reservation) Wait(now time.Time) time.Duration {
+	return max(r.begin.Sub(now), window) - window
+}
+
+// Moved returns a channel that receives a value after Wait has become shorter.
+func (r *Reservation) Moved() <-chan struct{} { return r.moved }
+
 // NewInbound returns an Inbound for a link with the given rate in bytes per second. It has no limit if rate is unknown (0)
 // or at least WideLinkRate.
 func NewInbound(rate float64) *Inbound {
@@ -39,20 +63,55 @@
 // Wait returns the time after which a message announced now may be sent.
 func (i *Inbound) Wait(now time.Time) time.Duration { return max(i.freeAt.Sub(now), window) - window }
 
-// Reserve reserves the link for a message of the given size in bytes and returns the time after which it may be sent. If the
-// message would not have arrived by latest, it reserves nothing and returns false with the time after which to ask again.
-func (i *Inbound) Reserve(now time.Time, bytes int64, latest time.Time) (time.Duration, bool) {
+// Reserve reserves the link for a message of the given size in bytes and returns the reservation, with the time after which the
+// message may be sent. If the message would not have arrived by latest, Reserve reserves nothing and returns false, with the time
+// after which to ask again.
+func (i *Inbound) Reserve(now time.Time, bytes int64, latest time.Time) (*Reservation, time.Duration, bool) {
 	if !i.Bounded() || bytes < LargeMessageBytes {
-		return 0, true
+		return &Reservation{begin: now}, 0, true
 	}
 	wait := i.Wait(now)
 	transfer := time.Duration(float64(bytes) / i.rate * float64(time.Second))
 	if now.Add(wait + transfer).After(latest) {
-		return wait, false
+		return nil, wait, false
 	}
 	if i.freeAt.Before(now) {
 		i.freeAt = now
 	}
+	r := &Reservation{begin: i.freeAt, transfer: transfer, moved: make(chan struct{}, 1)}
 	i.freeAt = i.freeAt.Add(transfer)
-	return wait, true
+	i.dropStarted(now)
+	if wait > 0 {
+		i.waiting = append(i.waiting, r)
+	}
+	return r, wait, true
+}
+
+// Cancel gives up a reservation and moves the later ones up. It has no effect once the message may be sent.
+func (i *Inbound) Cancel(now time.Time, r *Reservation) {
+	i.dropStarted(now)
+	at := slices.Index(i.waiting, r)
+	if at < 0 {
+		return
+	}
+	i.waiting = slices.Delete(i.waiting, at, at+1)
+	next := r.begin
+	for _, later := range i.waiting[at:] {
+		later.begin = next
+		next = next.Add(later.transfer)
+		select {
+		case later.moved <- struct{}{}:
+		default: // a value is already there
+		}
+	}
+	i.freeAt = next
+}
+
+// dropStarted drops the reservations whose messages may be sent from the list of those that wait.
+func (i *Inbound) dropStarted(now time.Time) {
+	n := 0
+	for n < len(i.waiting) && i.waiting[n].Wait(now) == 0 {
+		n++
+	}
+	i.waiting = slices.Delete(i.waiting, 0, n)
 }
--- a/pacer/inbound_test.go
+++ b/pacer/inbound_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	"pgregory.net/rapid"
 )
 
 // Load pattern: link saturation at one machine. Uploads of 60 KB are offered at twice the rate that a link of 10 Mbit/s
@@ -14,7 +16,7 @@
 	admitted, refused := 0, 0
 	var longest time.Duration
 	for range 400 {
-		wait, ok := i.Reserve(now, body, now.Add(500*time.Millisecond))
+		_, wait, ok := i.Reserve(now, body, now.Add(500*time.Millisecond))
 		if ok {
 			admitted++
 			longest = max(longest, wait)
@@ -40,10 +42,10 @@
 	i := NewInbound(10e6 / 8)
 	now := epoch
 	for range 50 {
-		if wait, ok := i.Reserve(now, 60_000, now.Add(time.Second)); !ok || wait > 0 {
+		if _, wait, ok := i.Reserve(now, 60_000, now.Add(time.Second)); !ok || wait > 0 {
 			t.Fatalf("upload waits %v", wait)
 		}
-		if wait, ok := i.Reserve(now, LargeMessageBytes-1, now); !ok || wait > 0 {
+		if _, wait, ok := i.Reserve(now, LargeMessageBytes-1, now); !ok || wait > 0 {
 			t.Fatalf("small message waits %v", wait)
 		}
 		now = now.Add(100 * time.Millisecond)
@@ -54,9 +56,72 @@
 	for _, rate := range []float64{0, 125e6} {
 		i := NewInbound(rate)
 		for range 1000 {
-			if wait, ok := i.Reserve(epoch, 1<<20, epoch); i.Bounded() || !ok || wait > 0 {
+			if _, wait, ok := i.Reserve(epoch, 1<<20, epoch); i.Bounded() || !ok || wait > 0 {
 				t.Fatalf("link of %.0f bytes per second is bounded", rate)
 			}
 		}
 	}
 }
+
+// Load pattern: callers leave while their bodies wait for the link. The bodies behind them move up, and the link does not idle.
+func TestCancelledReservationsMoveOthersUp(t *testing.T) {
+	const body = 60_000
+	i := NewInbound(10e6 / 8)
+	var waiting []*Reservation
+	for range 4 {
+		r, _, ok := i.Reserve(epoch, body, epoch.Add(time.Minute))
+		if !ok {
+			t.Fatal("refused")
+		}
+		waiting = append(waiting, r)
+	}
+	second, last := waiting[1].Wait(epoch), i.Wait(epoch)
+	i.Cancel(epoch, waiting[1])
+	i.Cancel(epoch, waiting[1])
+	i.Cancel(epoch, waiting[0]) // may be sent already
+	if got := waiting[2].Wait(epoch); got != second {
+		t.Errorf("the third waits %v, want %v as the second did", got, second)
+	}
+	for n, r := range waiting[2:] {
+		select {
+		case <-r.Moved():
+		default:
+			t.Errorf("reservation %d is not told that it moved", n+2)
+		}
+	}
+	if got, want := i.Wait(epoch), last-waiting[1].transfer; got != want {
+		t.Errorf("the next one waits %v, want %v", got, want)
+	}
+}
+
+// TestReservationsDoNotOverlap checks the invariant of Inbound with random reservations and cancellations.
+func TestReservationsDoNotOverlap(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		i := NewInbound(10e6 / 8)
+		now := epoch
+		var kept []*Reservation
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 80).Draw(t, "ms")) * time.Millisecond)
+			if n := len(kept); n > 0 && rapid.Bool().Draw(t, "cancel") {
+				at := rapid.IntRange(0, n-1).Draw(t, "reservation")
+				r := kept[at]
+				if started := r.Wait(now) == 0; !started {
+					kept = append(kept[:at:at], kept[at+1:]...)
+				}
+				i.Cancel(now, r)
+				continue
+			}
+			if r, _, ok := i.Reserve(now, int64(rapid.IntRange(LargeMessageBytes, 400_000).Draw(t, "bytes")), now.Add(2*time.Second)); ok {
+				kept = append(kept, r)
+			}
+		}
+		for n := 1; n < len(kept); n++ {
+			if end := kept[n-1].begin.Add(kept[n-1].transfer); kept[n].begin.Before(end) {
+				t.Fatalf("message %d begins %v before the end of the one ahead", n, end.Sub(kept[n].begin))
+			}
+		}
+		if n := len(kept); n > 0 && kept[n-1].begin.Add(kept[n-1].transfer).After(i.freeAt) {
+			t.Fatal("the link is taken for free before its last message has arrived")
+		}
+	})
+}
--- a/proxy/leave_test.go
+++ b/proxy/leave_test.go
@@ -288,3 +288,28 @@
 		t.Errorf("the call still waits %v after its caller has left", leaveTimeout)
 	}
 }
+
+// Guards against a link that stays reserved for the body of a caller that has left, so that other bodies are refused or wait for nothing.
+func TestCallerThatLeavesReleasesLink(t *testing.T) {
+	c := startNarrowLinkCluster(t)
+	c.setTimeouts(t, mesh.Upload, 5*time.Second)
+	k := c.nodes[1].gatekeeper
+	freeAt := func() time.Time {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		now := time.Now()
+		return now.Add(k.inbound.Wait(now))
+	}
+	k.mu.Lock()
+	now := time.Now()
+	k.inbound.Reserve(now, 1_000_000, now.Add(time.Minute))
+	k.mu.Unlock()
+	before := freeAt()
+	caller := c.caller(t)
+	caller.send("second", 400_000) // some 0.45 s of the link
+	waitFor(t, "the call to reserve the link", func() bool { return freeAt().After(before.Add(100 * time.Millisecond)) })
+	caller.Close()
+	if !holdsWithin(leaveTimeout, func() bool { return freeAt().Before(before.Add(10 * time.Millisecond)) }) {
+		t.Errorf("the link is reserved until %v after it would be free", freeAt().Sub(before))
+	}
+}
--- a/proxy/receive.go
+++ b/proxy/receive.go
@@ -8,7 +8,6 @@
 
 	"github.com/chervilwell/chervilwell/internal/bodybuffer"
 	"github.com/chervilwell/chervilwell/internal/clock"
-	"github.com/chervilwell/chervilwell/internal/periodic"
 	"github.com/chervilwell/chervilwell/pacer"
 )
 
@@ -65,32 +64,55 @@
 // waitForLink waits until a large body may be received over a narrow link, and returns the outcome if the call is refused, or nil.
 // Until then the caller's process delays the body, so that a refused call uses no bandwidth of the link.
 func (k *Gatekeeper) waitForLink(ctx context.Context, c *call) *outcome {
-	wait, o := k.reserveLink(c)
+	r, o := k.reserveLink(c)
 	if o != nil {
 		return o
 	}
-	if err := periodic.Sleep(ctx, wait); err != nil {
-		return noResponse(notRun, failureReason(ctx, reasonCancelled))
+	for {
+		wait := k.linkWait(r)
+		if wait <= 0 {
+			return nil
+		}
+		timer := time.NewTimer(wait)
+		select {
+		case <-timer.C:
+		case <-r.Moved():
+		case <-ctx.Done():
+			timer.Stop()
+			k.releaseLink(r)
+			return noResponse(notRun, failureReason(ctx, reasonCancelled))
+		}
+		timer.Stop()
 	}
-	return nil
 }
 
-// reserveLink reserves the link for the body of a call and returns the time to wait before it is read. It returns a refusal
-// if the call could not run in time afterwards.
-func (k *Gatekeeper) reserveLink(c *call) (time.Duration, *outcome) {
+func (k *Gatekeeper) linkWait(r *pacer.Reservation) time.Duration {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return r.Wait(clock.Now())
+}
+
+func (k *Gatekeeper) releaseLink(r *pacer.Reservation) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.inbound.Cancel(clock.Now(), r)
+}
+
+// reserveLink reserves the link for the body of a call. It returns a refusal if the call could not run in time afterwards.
+func (k *Gatekeeper) reserveLink(c *call) (*pacer.Reservation, *outcome) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	now, req := clock.Now(), gateRequest(c)
 	if fits, retryAfter := k.gate.Fits(now, req); !fits {
 		o := noResponse(notRun, reasonBusy)
 		o.retryAfter = retryAfter
-		return 0, o
+		return nil, o
 	}
-	wait, ok := k.inbound.Reserve(now, c.length, req.LastStart())
+	r, wait, ok := k.inbound.Reserve(now, c.length, req.LastStart())
 	if !ok {
 		o := noResponse(notRun, reasonLinkBusy)
 		o.retryAfter = wait
-		return 0, o
+		return nil, o
 	}
-	return wait, nil
+	return r, nil
 }
