proxy: name a late body a timeout; field names of the abandoned call

From reading the diff: a body that does not arrive until the call's deadline was reported as a caller that left; 'after' meant two things in 'caller left' and 'call was abandoned'. TestLateBodyIsReportedAsTimeout.

--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -114,8 +114,8 @@
 	{ResponseIncomplete, "the response could not be sent completely; the caller's connection was closed", []string{"request", "error"}},
 	{CallRefused, "the admission gate of the local target refused a request", []string{"request", "route", "priority", "reason", "running", "waiting", "slots", "wait", "cold", "left", "back", "revision"}},
 	{CallFailed, "the local target did not send a complete response", []string{"request", "route", "reason", "arrived", "took", "left", "error"}},
-	{CallerLeft, "the caller closed its connection before the response; took is the time from the arrival of the request until then, after the time for which this process still worked on it", []string{"request", "route", "kind", "service", "tried", "took", "after"}},
-	{CallAbandoned, "the caller of a call left, or its frontend no longer needed the response; after is the time from its arrival until then, queued and ran how long it remained in the queue and at the target; a call that is not retryable runs to its end once it has started", []string{"request", "route", "retryable", "arrived", "after", "queued", "ran"}},
+	{CallerLeft, "the caller closed its connection before the response; took is the time from the arrival of the request until then, after how long this process still worked on it", []string{"request", "route", "kind", "service", "tried", "took", "after"}},
+	{CallAbandoned, "the caller of a call left, or its frontend no longer needed the response; took is the time from its arrival until then, queued and ran are how long it remained in the queue and at the target after that; a call that is not retryable runs to its end once it has started", []string{"request", "route", "retryable", "arrived", "took", "queued", "ran"}},
 }
 
 // Limits of the log lines about requests, per process.
--- a/internal/gatekeeper/gate.go
+++ b/internal/gatekeeper/gate.go
@@ -51,8 +51,8 @@
 	a.apply(a.gate.SetLimits(now, limits))
 }
 
-// acquire waits until a request may run. The context's deadline is the request's deadline. A request that is queued calls queued first,
-// and leaves the queue if that refuses it.
+// acquire waits until a request may run. The context's deadline is the request's deadline. If the request is queued, acquire calls
+// queued, and takes it out of the queue if queued refuses it.
 func (a *admitter) acquire(ctx context.Context, organisation string, class catalogue.Class, queued func() *refusal.Refusal) (*permit, *refusal.Refusal) {
 	deadline, _ := ctx.Deadline()
 	id, reasonCh, refused := a.offer(admission.Request{Organisation: organisation, Class: class, Deadline: deadline})
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -158,7 +158,8 @@
 			return errors.Wrapf(err, "cannot listen on %s; release the port or correct the address in the settings", l.addr)
 		}
 		server := &http.Server{
-			Handler: l.handler, ConnContext: disconnect.ConnContext, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+			Handler: l.handler, ConnContext: disconnect.ConnContext,
+			ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
 		}
 		n.servers = append(n.servers, server)
 		go func() {
--- a/proxy/leave_test.go
+++ b/proxy/leave_test.go
@@ -7,11 +7,14 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"runtime"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/chervilwell/chervilwell/mesh"
 )
 
@@ -313,3 +316,12 @@
 		t.Errorf("the link is reserved until %v after it would be free", freeAt().Sub(before))
 	}
 }
+
+// Guards against a body that does not arrive in time and is reported as a caller that left.
+func TestLateBodyIsReportedAsTimeout(t *testing.T) {
+	for err, want := range map[error]string{os.ErrDeadlineExceeded: reasonTimeout, io.ErrUnexpectedEOF: reasonCancelled} {
+		if o := bodyFailure(t.Context(), errors.Wrap(err, "read")); o.run != notRun || o.reason != want {
+			t.Errorf("%v: run %v, reason %q, want %q", err, runNames[o.run], o.reason, want)
+		}
+	}
+}
--- a/proxy/log.go
+++ b/proxy/log.go
@@ -120,7 +120,7 @@
 		return
 	}
 	k.cfg.Log.Info().Str("request", k.requestID(c)).Str("route", c.route).Bool("retryable", c.retryable).Bool("arrived", o.arrived).
-		Dur("after", at.Sub(start)).Dur("queued", queued).Dur("ran", ran).Msg(events.CallAbandoned)
+		Dur("took", at.Sub(start)).Dur("queued", queued).Dur("ran", ran).Msg(events.CallAbandoned)
 }
 
 // requestID returns the ID of the request of a call, or "" if it has none.
--- a/proxy/receive.go
+++ b/proxy/receive.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 	"time"
 
 	"github.com/pkg/errors"
@@ -16,7 +17,8 @@
 const maxWaitingBodies = 16 << 20
 
 // receiveBody reads the body of a call before the call waits for a slot: the end of its connection can be noticed only behind the
-// body. It leaves c.rest if there is no room for the body. It returns the outcome if the call is refused, or nil. The caller must call release.
+// body. If there is no room for the body, it stays in c.rest. receiveBody returns the outcome if the call is refused, or nil. The
+// caller must call release.
 func (k *Gatekeeper) receiveBody(ctx context.Context, c *call) (release func(), o *outcome) {
 	release = func() {}
 	if c.rest == nil || c.length <= 0 {
@@ -48,7 +50,11 @@
 
 // bodyFailure returns the outcome of a call whose body could not be read.
 func bodyFailure(ctx context.Context, err error) *outcome {
-	o := noResponse(notRun, failureReason(ctx, reasonCancelled))
+	reason := reasonCancelled
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		reason = reasonTimeout
+	}
+	o := noResponse(notRun, failureReason(ctx, reason))
 	o.err = err
 	return o
 }
