origin: decode the entries of an instance list one by one

The report on odd entries in the larger product: an entry with a field of another type failed the whole list as 'not valid JSON', so that its readers no longer followed it; two entries of one name failed the document made of it; a port of 0 or 70000 was taken. An entry that can't be decoded, or has no name, service, known state or address, is now reported and left out.

TestPlatformOverHTTP published an instance without service, state and addresses, which is such an entry; it publishes a whole one now, with the same checks.

--- a/internal/daemon/parts.go
+++ b/internal/daemon/parts.go
@@ -26,6 +26,7 @@
 	if err != nil {
 		return err
 	}
+	source.OnInvalid = func(err error) { d.log.Warn().Err(err).Msg("entry of an instance list is not used") }
 	d.agent = agent.New(agent.Config{
 		Self:         d.self(),
 		Region:       s.Region,
--- a/internal/standin/platform_test.go
+++ b/internal/standin/platform_test.go
@@ -50,7 +50,9 @@
 	if v := <-got; string(v.Data) != "two" || v.Tag == first.Tag {
 		t.Fatalf("watch: %+v", v)
 	}
-	p.PutInstance(origin.Instance{Name: "i1", FailureDomain: "d"})
+	p.PutInstance(origin.Instance{
+		Name: "i1", FailureDomain: "d", Service: "s", PeerAddr: "192.0.2.1:1", RequestAddr: "192.0.2.1:2", State: origin.Live,
+	})
 	list, err := src.Instances(ctx, "d", 0)
 	if err != nil || list.Version != 1 || len(list.Instances) != 1 {
 		t.Fatalf("instances: %+v %v", list, err)
--- a/origin/http.go
+++ b/origin/http.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -39,8 +40,11 @@
 
 // HTTP is a Source that reads from the platform over HTTP. It is safe for concurrent use.
 type HTTP struct {
-	base   *url.URL
-	client *http.Client
+	// OnInvalid is called with the error of each entry of an instance list that is not used; it may be nil. It must not be
+	// changed after the first call of a method.
+	OnInvalid func(error)
+	base      *url.URL
+	client    *http.Client
 }
 
 // NewHTTP returns a source for the platform at the URL base, such as "http://192.0.2.7:8500". If client is nil,
@@ -102,8 +106,8 @@
 	if err != nil || !resp.changed {
 		return InstanceList{}, false, err
 	}
-	var list InstanceList
-	if err := json.Unmarshal(resp.body, &list); err != nil {
+	list, err := h.decodeList(resp.body)
+	if err != nil {
 		return InstanceList{}, false, errors.Wrapf(ErrUnavailable, "instance list of failure domain %q is not valid JSON: %v", failureDomain, err)
 	}
 	if list.FailureDomain != failureDomain {
@@ -112,6 +116,67 @@
 	return list, true, nil
 }
 
+// decodeList decodes an instance list. Its entries are decoded one by one, so that an invalid one does not affect the others.
+func (h *HTTP) decodeList(body []byte) (InstanceList, error) {
+	var wire struct {
+		FailureDomain string            `json:"failureDomain"`
+		Version       uint64            `json:"version"`
+		Instances     []json.RawMessage `json:"instances"`
+	}
+	if err := json.Unmarshal(body, &wire); err != nil {
+		return InstanceList{}, err
+	}
+	list := InstanceList{FailureDomain: wire.FailureDomain, Version: wire.Version}
+	listed := map[string]bool{}
+	for _, raw := range wire.Instances {
+		inst, err := decodeInstance(raw)
+		if err == nil && listed[inst.Name] {
+			err = errors.Wrapf(ErrInstance, "%.80q is listed twice", inst.Name)
+		}
+		if err != nil {
+			if h.OnInvalid != nil {
+				h.OnInvalid(errors.Wrap(err, wire.FailureDomain))
+			}
+			continue
+		}
+		listed[inst.Name] = true
+		list.Instances = append(list.Instances, inst)
+	}
+	return list, nil
+}
+
+// ErrInstance is reported for an invalid entry of an instance list. Other entries are not affected.
+var ErrInstance = errors.New("entry of the instance list is invalid; correct or remove it")
+
+func decodeInstance(raw json.RawMessage) (Instance, error) {
+	var inst Instance
+	if err := json.Unmarshal(raw, &inst); err != nil {
+		return Instance{}, errors.Wrapf(ErrInstance, "%.80q: %v", inst.Name, err)
+	}
+	switch {
+	case inst.Name == "" || inst.Service == "":
+		return Instance{}, errors.Wrapf(ErrInstance, "%.80q has no name or no service", inst.Name)
+	case inst.State != Live && inst.State != Leaving:
+		return Instance{}, errors.Wrapf(ErrInstance, "%.80q has the unknown state %.80q", inst.Name, inst.State)
+	}
+	for _, addr := range []string{inst.PeerAddr, inst.RequestAddr} {
+		if !validAddr(addr) {
+			return Instance{}, errors.Wrapf(ErrInstance, "%.80q has the address %.80q, which is not host:port", inst.Name, addr)
+		}
+	}
+	return inst, nil
+}
+
+// validAddr reports whether addr is a host and a port above 0.
+func validAddr(addr string) bool {
+	host, text, err := net.SplitHostPort(addr)
+	if err != nil || host == "" {
+		return false
+	}
+	port, err := strconv.ParseUint(text, 10, 16)
+	return err == nil && port > 0
+}
+
 // response is a successful response; changed is false for status 304.
 type response struct {
 	body    []byte
