frontend: count the run before the repeated refusal is written in its test

TestRepeatedRefusalIsNotReportedAsNotRun failed once in 8 runs beside load: 'ran 0 times'. The test's target counted the run after it had written the refusal, which the caller could read, and compare the count, before. With a pause of 20 ms between the two it failed in 6 of 6 cases. The target now counts first; the check is the same.

--- a/internal/frontend/stray_test.go
+++ b/internal/frontend/stray_test.go
@@ -39,11 +39,11 @@
 				_, _ = io.WriteString(conn, refusal)
 				return true
 			}
+			runs.Add(1)
 			if number > 0 {
 				repeated.Add(1)
 				_, _ = io.WriteString(conn, refusal)
 			}
-			runs.Add(1)
 			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nran")
 			return false
 		})
