--- a/internal/frontend/cut_test.go
+++ b/internal/frontend/cut_test.go
@@ -11,7 +11,7 @@
 	"github.com/chervilwell/chervilwell/internal/headers"
 )
 
-// Guards against MIXED: a response that breaks off, in its head or after it, reaches the caller as a complete success.
+// Guards against a response that breaks off, in its head or after it, and reaches the caller as a complete success.
 func TestResponseCutAtAnyByteIsNotReportedComplete(t *testing.T) {
 	for _, response := range []string{
 		"HTTP/1.1 200 OK\r\nX-A: b\r\nContent-Length: 5\r\n\r\nhello",
--- a/internal/frontend/leave_test.go
+++ b/internal/frontend/leave_test.go
@@ -39,7 +39,7 @@
 	return condition()
 }
 
-// Guards against GONE: a request whose body is unread waits on in the target's queue after its caller has left, and then runs.
+// Guards against a request with an unread body that waits on in the target's queue after its caller has left, and then runs.
 func TestCallerLeavesQueuedRequest(t *testing.T) {
 	for _, bodyBytes := range []int{0, 5, 40_000, 1 << 20} {
 		t.Run(fmt.Sprintf("body of %d bytes", bodyBytes), func(t *testing.T) {
@@ -87,7 +87,7 @@
 	}
 }
 
-// Guards against GONE: bytes beyond a request hide that its caller has left, so that the target works on.
+// Guards against a target that works on for a caller that has left, hidden by bytes beyond the request.
 func TestCallerLeavesAfterExtraBytes(t *testing.T) {
 	running, ended := make(chan struct{}, 1), make(chan struct{}, 1)
 	blockUntilCancelled := func(int) http.Handler {
--- a/internal/frontend/stray_test.go
+++ b/internal/frontend/stray_test.go
@@ -28,8 +28,8 @@
 	})
 }
 
-// Guards against REFUSED and TWICE: a refusal that a target writes once more on a kept connection is reported as "not run" to the
-// caller of the next request, or makes that run again.
+// Guards against a refusal that a target writes once more on a kept connection, and that is reported as "not run" to the caller of
+// the next request, or makes that run again.
 func TestRepeatedRefusalIsNotReportedAsNotRun(t *testing.T) {
 	const refusal = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n" + headers.Run + ": not-run\r\n\r\n"
 	var runs, repeated atomic.Int64
--- a/internal/gatekeeper/gate_test.go
+++ b/internal/gatekeeper/gate_test.go
@@ -11,7 +11,7 @@
 	"github.com/chervilwell/chervilwell/internal/refusal"
 )
 
-// Guards against GONE: a request whose slot is granted as its caller leaves runs, or keeps the slot.
+// Guards against a request that runs, or keeps its slot, if the slot is granted as its caller leaves.
 func TestGrantCrossesDepartureOfQueuedRequest(t *testing.T) {
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1)) // the request does not continue between the grant and the departure
 	a := &admitter{}
--- a/internal/httppool/connect_test.go
+++ b/internal/httppool/connect_test.go
@@ -12,7 +12,7 @@
 	"github.com/pkg/errors"
 )
 
-// Guards against GONE: a request that waits for a connection is sent although its caller has left meanwhile.
+// Guards against a request that is sent although its caller has left while it waited for a connection.
 func TestRequestIsNotSentAfterConnectEnds(t *testing.T) {
 	var arrived atomic.Int64
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/origin/http_test.go
+++ b/origin/http_test.go
@@ -11,7 +11,7 @@
 	"github.com/pkg/errors"
 )
 
-// Guards against LOST: one odd entry of an instance list fails the whole list, so that its readers no longer follow it.
+// Guards against one odd entry of an instance list that fails the whole list, so that its readers no longer follow it.
 func TestOddInstanceCostsOnlyItself(t *testing.T) {
 	const valid = `{"name":"i-1","failureDomain":"d","service":"s","peerAddr":"192.0.2.1:1","requestAddr":"192.0.2.1:2","state":"live"}`
 	odd := []string{
--- a/proxy/cut_test.go
+++ b/proxy/cut_test.go
@@ -12,7 +12,7 @@
 	"github.com/chervilwell/chervilwell/mesh"
 )
 
-// Guards against MIXED: a response that breaks off, in its head or after it, reaches the caller as a complete success.
+// Guards against a response that breaks off, in its head or after it, and reaches the caller as a complete success.
 func TestResponseCutAtAnyByteIsNotComplete(t *testing.T) {
 	head := "HTTP/1.1 200 OK\r\nX-Id: cut\r\n" + signed
 	for _, response := range []string{
@@ -77,7 +77,7 @@
 	return l
 }
 
-// Guards against MIXED: the same for a connection between two instances that breaks off.
+// Guards against the same on a connection between two instances that breaks off.
 func TestPeerResponseCutAtAnyByteIsNotComplete(t *testing.T) {
 	c := startCluster(t, mesh.Once)
 	c.markLeaving(0)
--- a/proxy/leave_test.go
+++ b/proxy/leave_test.go
@@ -117,7 +117,7 @@
 
 var bothTargets = []string{"local target", "remote target"}
 
-// Guards against GONE: a call whose body is unread waits on in the queue after its caller has left, and then reaches the target.
+// Guards against a call with an unread body that waits on in the queue after its caller has left, and then reaches the target.
 func TestCallerLeavesQueuedCall(t *testing.T) {
 	for i, name := range bothTargets {
 		for _, kind := range []mesh.Kind{mesh.Safe, mesh.Once, mesh.Upload} {
@@ -147,7 +147,7 @@
 	}
 }
 
-// Guards against GONE: a call whose body has no room in memory is queued, where its caller can leave unnoticed.
+// Guards against a queued call whose caller can leave unnoticed, since there is no room for its body in memory.
 func TestCallWithUnreadBodyIsNotQueued(t *testing.T) {
 	for i, name := range bothTargets {
 		t.Run(name, func(t *testing.T) {
@@ -167,7 +167,7 @@
 	}
 }
 
-// Guards against GONE: bytes beyond a request hide that its caller has left, so that the target works on.
+// Guards against a target that works on for a caller that has left, hidden by bytes beyond the request.
 func TestCallerLeavesAfterExtraBytes(t *testing.T) {
 	for i, name := range bothTargets {
 		for _, extra := range []string{"\r\n", "GET /next/ HTTP/1.1\r\nHost: h.example\r\n\r\n"} {
@@ -200,7 +200,7 @@
 	}
 }
 
-// Guards against GONE: a request that is read only after its caller has left is sent to a target.
+// Guards against a request that is sent to a target although it was read only after its caller had left.
 func TestCallerLeftBeforeRequestIsRead(t *testing.T) {
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1)) // as in the daemon
 	for i, name := range bothTargets {
@@ -231,7 +231,7 @@
 	}
 }
 
-// Guards against GONE: a call whose slot is granted as its caller leaves reaches the target, or keeps the slot.
+// Guards against a call that reaches the target, or keeps its slot, if the slot is granted as its caller leaves.
 func TestGrantCrossesDeparture(t *testing.T) {
 	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1)) // the call does not continue between the grant and the departure
 	c := startCluster(t, mesh.Once)
@@ -273,7 +273,7 @@
 	}
 }
 
-// Guards against GONE: a call whose large body waits for a narrow link goes on waiting after its caller has left.
+// Guards against a call that goes on waiting for a narrow link after its caller has left.
 func TestCallerLeavesCallThatWaitsForLink(t *testing.T) {
 	c := startNarrowLinkCluster(t)
 	c.setTimeouts(t, mesh.Upload, 5*time.Second)
--- a/proxy/stray_test.go
+++ b/proxy/stray_test.go
@@ -31,8 +31,8 @@
 	return resp.StatusCode, string(data), err == nil
 }
 
-// Guards against REFUSED and TWICE: a refusal that a target writes once more on a kept connection is taken for the response to the
-// next request, which the target runs.
+// Guards against a refusal that a target writes once more on a kept connection, and that is taken for the response to the next
+// request, which the target runs.
 func TestRepeatedRefusalIsNotResponseToNextRequest(t *testing.T) {
 	for i, name := range bothTargets {
 		for _, test := range []struct{ name, repeated, id string }{
