proxy: let calls with small bodies wait beside large ones

From reading the diff: the room for waiting bodies is shared, so that one caller that declares 16 MB and sends slowly took all of it until its deadline; calls with a body of 5 bytes were then refused instead of queued. Bodies below pacer.LargeMessageBytes need no room now; large ones do, as before. release in Gatekeeper.do is freeBody, beside release of a slot.

TestCallWithSmallBodyWaitsBesideLargeBodies failed before.

--- a/proxy/gatekeeper.go
+++ b/proxy/gatekeeper.go
@@ -198,9 +198,9 @@
 	state := k.cfg.Holder.Load()
 	o := k.precheck(state, c)
 	if o == nil {
-		var release func()
-		release, o = k.receiveBody(ctx, c)
-		defer release()
+		var freeBody func()
+		freeBody, o = k.receiveBody(ctx, c)
+		defer freeBody()
 	}
 	if o == nil {
 		o = k.admit(ctx, c)
--- a/proxy/leave_test.go
+++ b/proxy/leave_test.go
@@ -167,6 +167,29 @@
 	}
 }
 
+// Guards against large bodies that arrive slowly and take all room, so that calls with small bodies can't wait.
+func TestCallWithSmallBodyWaitsBesideLargeBodies(t *testing.T) {
+	c, release := startBusyCluster(t, mesh.Once, 1)
+	k := c.nodes[1].gatekeeper
+	slow, end := io.Pipe()
+	defer end.Close()
+	go func() { _, _, _ = k.bodies.Read(slow, maxWaitingBodies) }()
+	if _, err := end.Write([]byte("x")); err != nil { // returns once the byte is read, with the room taken
+		t.Fatal(err)
+	}
+	caller := c.caller(t)
+	caller.send("second", 5)
+	waitFor(t, "the second request to be queued", func() bool { return k.waiting() == 1 })
+	release()
+	resp, err := http.ReadResponse(bufio.NewReader(caller), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		t.Errorf("status %d", resp.StatusCode)
+	}
+}
+
 // Guards against a target that works on for a caller that has left, hidden by bytes beyond the request.
 func TestCallerLeavesAfterExtraBytes(t *testing.T) {
 	for i, name := range bothTargets {
--- a/proxy/receive.go
+++ b/proxy/receive.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"os"
 	"time"
 
@@ -12,40 +13,51 @@
 	"github.com/chervilwell/chervilwell/pacer"
 )
 
-// maxWaitingBodies is the total size in bytes of the request bodies that a gatekeeper holds in memory. Calls with further ones are
-// refused unless they can run at once.
+// maxWaitingBodies is the total size in bytes of the large request bodies that a gatekeeper holds in memory. Calls with further
+// ones are refused unless they can run at once.
 const maxWaitingBodies = 16 << 20
 
 // receiveBody reads the body of a call before the call waits for a slot: the end of its connection can be noticed only behind the
-// body. If there is no room for the body, it stays in c.rest. receiveBody returns the outcome if the call is refused, or nil. The
-// caller must call release.
-func (k *Gatekeeper) receiveBody(ctx context.Context, c *call) (release func(), o *outcome) {
-	release = func() {}
+// body. If there is no room for a large body, it stays in c.rest. receiveBody returns the outcome if the call is refused, or nil.
+// The caller must call freeBody.
+func (k *Gatekeeper) receiveBody(ctx context.Context, c *call) (freeBody func(), o *outcome) {
+	freeBody = func() {}
 	if c.rest == nil || c.length <= 0 {
-		return release, nil
+		return freeBody, nil
 	}
 	if c.length >= pacer.LargeMessageBytes && k.inbound.Bounded() {
 		if o := k.waitForLink(ctx, c); o != nil {
-			return release, o
+			return freeBody, o
 		}
 	} else if !k.fits(c) {
-		return release, nil // the gate is about to refuse the call
+		return freeBody, nil // the gate is about to refuse the call
 	}
 	if err := c.setReadDeadline(time.Now().Add(remaining(c.deadline))); err != nil {
-		return release, bodyFailure(ctx, err)
+		return freeBody, bodyFailure(ctx, err)
 	}
-	body, releaseBody, err := k.bodies.Read(c.rest, c.length)
+	body, free, err := k.readBody(c)
 	if errors.Is(err, bodybuffer.ErrFull) {
-		return release, nil
+		return freeBody, nil
 	}
 	if err != nil {
-		return release, bodyFailure(ctx, err)
+		return freeBody, bodyFailure(ctx, err)
 	}
 	c.body, c.rest = body, nil
 	if err := c.setReadDeadline(time.Time{}); err != nil {
-		return releaseBody, bodyFailure(ctx, err)
+		return free, bodyFailure(ctx, err)
 	}
-	return releaseBody, nil
+	return free, nil
+}
+
+// readBody reads the body of a call. A small one needs no room among the large ones, so that these can't keep it out. The caller
+// must call free.
+func (k *Gatekeeper) readBody(c *call) (body []byte, free func(), err error) {
+	if c.length >= pacer.LargeMessageBytes {
+		return k.bodies.Read(c.rest, c.length)
+	}
+	body = make([]byte, c.length)
+	_, err = io.ReadFull(c.rest, body)
+	return body, func() {}, err
 }
 
 // bodyFailure returns the outcome of a call whose body could not be read.
