node, shutdown: accept a request while stopping only if it ends within the grace period

Cause: a stopping process refused callers from one cutoff on, the grace period less the longest timeout of the routes in force at the signal, but 2.5 s at the earliest. With timeouts over GraceS - 2.9 s, or with a later configuration that allows longer ones, requests were accepted and passed on that could end only after the process had closed their connections. The gatekeeper passed on until 2.5 s whatever time a call had left, and a request that arrived between the last look at the active requests and the end was cut.

Change: package shutdown decides for each request by its deadline, at the frontend and the gatekeeper. While callers cannot know of the stop, a request that could take longer gets the end of the window as its deadline, which its target is told, if twice its objective is left; otherwise it is refused with 503 and a return time. Connections are closed only when they have no request in progress (http.Server.Shutdown), and requests that still run 250 ms before the end get a response.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -25,6 +26,7 @@
 	"github.com/chervilwell/chervilwell/platform"
 	"github.com/chervilwell/chervilwell/proxy"
 	"github.com/chervilwell/chervilwell/retrybudget"
+	"github.com/chervilwell/chervilwell/shutdown"
 )
 
 // Limits and intervals of the process.
@@ -39,13 +41,12 @@
 	retryShare = 0.35
 	// assumedProcesses is the number of processes that share the slack of the retry budget.
 	assumedProcesses = 64
-	// callerDrainTime is the time after the stop signal within which the platform stops sending callers: it probes readiness
-	// every second and reacts to the second failure.
-	callerDrainTime = 2500 * time.Millisecond
 	// idlePeriod is the time without active requests after which a stopping process exits.
 	idlePeriod = 300 * time.Millisecond
-	// cancelLead is the time before the end of the grace period at which requests that still run are cancelled.
-	cancelLead = 200 * time.Millisecond
+	// endLead is the time before the end of the grace period at which requests that still run are ended, closeLead the one at which
+	// connections are closed. The time between them is for the responses.
+	endLead   = 250 * time.Millisecond
+	closeLead = 100 * time.Millisecond
 	stopTick   = 50 * time.Millisecond
 )
 
@@ -127,9 +128,6 @@
 	<-ctx.Done()
 	n.stop()
 	cancel()
-	for _, s := range n.servers {
-		s.Close()
-	}
 	if err := <-done; err != nil && !errors.Is(err, context.Canceled) {
 		return errors.Wrap(err, "supervisor")
 	}
@@ -197,44 +195,66 @@
 	w.WriteHeader(http.StatusOK)
 }
 
-// stop sends callers and peers to other processes and waits until no requests are active or the grace period is about to end.
+// stop sends callers and peers to other processes, and closes all connections once no requests are active or the grace period is about
+// to end. Requests that arrive until then are served or refused.
 func (n *Node) stop() {
 	start := clock.Now()
+	window := shutdown.NewWindow(start, n.settings.StopGrace)
 	n.log.Info().Int64("active", n.active()).Msg(events.Stopping)
 	n.leaving.Store(true)
-	n.frontend.StartDraining()
-	n.gatekeeper.AnnounceLeaving()
-	lastActive, cutoff := start, n.callerCutoff()
-	for {
-		time.Sleep(stopTick)
-		now := clock.Now()
+	n.frontend.StartDraining(window)
+	n.gatekeeper.StartDraining(window)
+	end := start.Add(n.settings.StopGrace - endLead)
+	n.waitIdle(window.Drained(), end)
+	closing, closeNow := context.WithTimeout(context.Background(), start.Add(n.settings.StopGrace-closeLead).Sub(clock.Now()))
+	defer closeNow()
+	closed := n.closeServers(closing)
+	go func() {
+		n.waitIdle(clock.Now(), end) // a request may have arrived while the listeners were closed
+		n.frontend.End()
+		n.gatekeeper.End()
+		if n.active() == 0 {
+			closeNow() // connections without a request
+		}
+	}()
+	<-closed
+	n.log.Info().Dur("took", clock.Now().Sub(start)).Int64("active", n.active()).Msg(events.Stopped)
+}
+
+// waitIdle waits until callers are drained and no requests have been active for idlePeriod, but not longer than until end.
+func (n *Node) waitIdle(drained, end time.Time) {
+	lastActive := clock.Now()
+	for now := clock.Now(); now.Before(end); now = clock.Now() {
 		if n.active() > 0 {
 			lastActive = now
 		}
-		elapsed := now.Sub(start)
-		if elapsed >= callerDrainTime {
+		if !now.Before(drained) {
 			n.gatekeeper.Stop()
+			if now.Sub(lastActive) >= idlePeriod {
+				return
+			}
 		}
-		if elapsed >= cutoff {
-			n.frontend.Stop()
-		}
-		if elapsed >= callerDrainTime && now.Sub(lastActive) >= idlePeriod || elapsed >= n.settings.StopGrace-cancelLead {
-			n.log.Info().Dur("took", elapsed).Int64("active", n.active()).Msg(events.Stopped)
-			return
-		}
+		time.Sleep(stopTick)
 	}
 }
 
-// callerCutoff returns the time after the stop signal from which callers are refused, so that requests accepted earlier finish
-// within the grace period. Some callers continue to send requests if few other processes are left.
-func (n *Node) callerCutoff() time.Duration {
-	var longest time.Duration
-	if c := n.holder.Load().Config; c != nil {
-		for _, r := range c.Routes {
-			longest = max(longest, r.Timeout)
-		}
+// closeServers closes the listeners, and each connection once it has no request in progress, at the latest when ctx ends. It closes the
+// channel that it returns when all of them are closed.
+func (n *Node) closeServers(ctx context.Context) <-chan struct{} {
+	var servers sync.WaitGroup
+	for _, s := range n.servers {
+		servers.Go(func() {
+			if err := s.Shutdown(ctx); err != nil {
+				s.Close()
+			}
+		})
 	}
-	return max(n.settings.StopGrace-2*cancelLead-longest, callerDrainTime)
+	closed := make(chan struct{})
+	go func() {
+		servers.Wait()
+		close(closed)
+	}()
+	return closed
 }
 
 func (n *Node) active() int64 { return n.frontend.Active() + n.gatekeeper.Active() }
--- a/proxy/frontend.go
+++ b/proxy/frontend.go
@@ -18,6 +18,7 @@
 	"github.com/chervilwell/chervilwell/internal/headers"
 	"github.com/chervilwell/chervilwell/mesh"
 	"github.com/chervilwell/chervilwell/retrybudget"
+	"github.com/chervilwell/chervilwell/shutdown"
 )
 
 // FrontendConfig is the configuration of a Frontend.
@@ -43,10 +44,13 @@
 
 // Frontend serves the callers of one instance. It is safe for concurrent use.
 type Frontend struct {
-	cfg     FrontendConfig
-	leaving atomic.Bool
-	stopped atomic.Bool
-	active  atomic.Int64
+	cfg    FrontendConfig
+	active atomic.Int64
+	// window is set once the process stops.
+	window atomic.Pointer[shutdown.Window]
+	// running ends when the requests in progress have to end.
+	running context.Context
+	end     context.CancelFunc
 
 	mu        sync.Mutex
 	balancer  *balance.Balancer
@@ -59,6 +63,7 @@
 // NewFrontend returns a frontend that uses cfg.
 func NewFrontend(cfg FrontendConfig) *Frontend {
 	f := &Frontend{cfg: cfg, budgets: map[string]*retrybudget.Budget{}, splits: map[string]*split{}, links: links{}, deadlines: callerDeadlines{}}
+	f.running, f.end = context.WithCancel(context.Background())
 	f.balancer = balance.New(balance.Location{FailureDomain: cfg.FailureDomain, Region: cfg.Region, IsLocal: f.isLocal}, cfg.Rand)
 	return f
 }
@@ -66,11 +71,12 @@
 // isLocal reports whether t is the local target.
 func (f *Frontend) isLocal(t *mesh.Target) bool { return t.Addr == f.cfg.Gatekeeper.cfg.Addr }
 
-// StartDraining makes the frontend close each caller's connection after the next response on it.
-func (f *Frontend) StartDraining() { f.leaving.Store(true) }
+// StartDraining makes the frontend close each caller's connection after the next response on it, and refuse the requests that could
+// not end within the window.
+func (f *Frontend) StartDraining(w *shutdown.Window) { f.window.Store(w) }
 
-// Stop makes the frontend refuse new requests; those in progress continue.
-func (f *Frontend) Stop() { f.stopped.Store(true) }
+// End ends the requests that are still in progress with a response that promises nothing.
+func (f *Frontend) End() { f.end() }
 
 // Active returns the number of requests in progress.
 func (f *Frontend) Active() int64 { return f.active.Load() }
@@ -100,14 +106,11 @@
 func (f *Frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	f.active.Add(1)
 	defer f.active.Add(-1)
-	if f.leaving.Load() {
+	window := f.window.Load()
+	if window != nil {
 		w.Header().Set("Connection", "close")
 	}
 	req := &request{incoming: r, arrived: clock.Now(), state: f.cfg.Holder.Load()}
-	if f.stopped.Load() {
-		f.refuse(w, req, noResponse(notRun, reasonLeaving))
-		return
-	}
 	if req.state.Config == nil {
 		o := noResponse(notRun, reasonNoConfig)
 		o.retryAfter = noConfigRetryAfter
@@ -131,6 +134,14 @@
 		return
 	}
 	f.plan(req)
+	if window != nil {
+		deadline, ok := window.Admit(req.arrived, req.deadline, req.route.Objective)
+		if !ok {
+			f.refuse(w, req, noResponse(notRun, reasonLeaving))
+			return
+		}
+		req.deadline = deadline
+	}
 	if err := f.readBody(w, req); err != nil {
 		f.cfg.Log.Debug().Err(err).Str("request", r.Header.Get(f.cfg.Names.RequestID)).Msg(events.RequestBodyIncomplete)
 		f.refuse(w, req, noResponse(notRun, reasonCancelled))
@@ -148,7 +159,8 @@
 // forward tries targets until one responds or no further attempt is allowed.
 func (f *Frontend) forward(ctx context.Context, req *request) *outcome {
 	ctx, cancel := context.WithTimeout(ctx, remaining(req.deadline)+responseSlack)
-	return f.tryTargets(ctx, req).onClose(cancel)
+	stop := context.AfterFunc(f.running, cancel)
+	return f.tryTargets(ctx, req).onClose(func() { stop(); cancel() })
 }
 
 func (f *Frontend) tryTargets(ctx context.Context, req *request) *outcome {
--- a/proxy/gatekeeper.go
+++ b/proxy/gatekeeper.go
@@ -26,6 +26,7 @@
 	"github.com/chervilwell/chervilwell/mesh"
 	"github.com/chervilwell/chervilwell/pacer"
 	"github.com/chervilwell/chervilwell/ratelimit"
+	"github.com/chervilwell/chervilwell/shutdown"
 )
 
 // Limits and intervals of the gatekeeper.
@@ -72,8 +73,12 @@
 	pool    *httppool.Pool
 	bodies  *bodybuffer.Buffer
 	stopped atomic.Bool
-	leaving atomic.Bool
 	active  atomic.Int64
+	// window is set once the process stops.
+	window atomic.Pointer[shutdown.Window]
+	// running ends when the calls in progress have to end.
+	running context.Context
+	end     context.CancelFunc
 	// leavingTarget is the last incarnation of the target that stated that it is leaving, or nil.
 	leavingTarget atomic.Pointer[incarnation]
 
@@ -96,6 +101,7 @@
 func NewGatekeeper(cfg GatekeeperConfig) *Gatekeeper {
 	k := &Gatekeeper{cfg: cfg, gate: gate.New(defaultSlots), inbound: pacer.NewInbound(cfg.LinkRate), noticeLog: rate.NewLimiter(noticeLinesPerSecond, noticeBurstLines)}
 	k.bodies = bodybuffer.New(maxWaitingBodies)
+	k.running, k.end = context.WithCancel(context.Background())
 	k.pool = httppool.New(httppool.Config{
 		Dial:           func(ctx context.Context) (net.Conn, error) { return dial(ctx, cfg.Addr.String(), targetDialTimeout) },
 		MaxConns:       maxTargetConns,
@@ -119,8 +125,12 @@
 	return req.Header.Get(name) == resp.Header.Get(name)
 }
 
-// AnnounceLeaving makes the gatekeeper announce to frontends that it is going to stop; it continues to serve.
-func (k *Gatekeeper) AnnounceLeaving() { k.leaving.Store(true) }
+// StartDraining makes the gatekeeper announce to frontends that it is going to stop, and refuse the calls that could not end within the
+// window.
+func (k *Gatekeeper) StartDraining(w *shutdown.Window) { k.window.Store(w) }
+
+// End ends the calls that are still in progress.
+func (k *Gatekeeper) End() { k.end() }
 
 // Stop makes the gatekeeper refuse new and waiting requests; those in progress continue.
 func (k *Gatekeeper) Stop() {
@@ -170,7 +180,7 @@
 
 // precheck returns the outcome of a call that has to be refused whatever the load, or nil.
 func (k *Gatekeeper) precheck(state *mesh.State, c *call) *outcome {
-	if k.stopped.Load() {
+	if window := k.window.Load(); k.stopped.Load() || window != nil && !window.Fits(c.deadline) {
 		return noResponse(notRun, reasonLeaving)
 	}
 	if k.isLeaving(c.incarnation()) {
@@ -206,7 +216,7 @@
 		o = k.admit(ctx, c)
 	}
 	load := k.load()
-	o.load, o.leaving, o.targetLeaving, o.revision = &load, k.leaving.Load(), k.isLeaving(c.incarnation()), state.Position.Revision
+	o.load, o.leaving, o.targetLeaving, o.revision = &load, k.window.Load() != nil, k.isLeaving(c.incarnation()), state.Position.Revision
 	o.gatekeeperTime = clock.Now().Sub(start)
 	k.cfg.Metrics.countGateOutcome(o)
 	k.logCall(c, o)
@@ -370,7 +380,9 @@
 		// Cancelling would not undo the request, and the caller's next attempt could not know that it had started.
 		ctx = context.WithoutCancel(ctx)
 	}
-	ctx, cancel := context.WithTimeout(ctx, remaining(c.deadline)+deadlineSlack)
+	ctx, cancelCall := context.WithTimeout(ctx, remaining(c.deadline)+deadlineSlack)
+	stop := context.AfterFunc(k.running, cancelCall)
+	cancel := func() { stop(); cancelCall() }
 	sent := clock.Now()
 	resp, err := k.pool.DoConnected(connect, k.targetRequest(ctx, c))
 	if errors.Is(err, httppool.ErrNotWritten) {
