mesh: a listing removes entries that are not in effect yet

Cause: an entry of a restored copy that is known to have been removed takes effect only after a grace period. A full listing or state that lacked it meanwhile removed only entries in effect, so that it came into effect afterwards, for good, at processes that followed by full states: a failure domain out of service, or a target, that the store no longer has.

Change: Replace removes such entries too.

--- a/mesh/replica.go
+++ b/mesh/replica.go
@@ -134,6 +134,11 @@
 			entries = append(entries, Entry{Key: key, Revision: at.Revision, ExpiresIn: expiresIn})
 		}
 	}
+	for key := range r.held {
+		if !listed[key] {
+			entries = append(entries, Entry{Key: key, Revision: at.Revision})
+		}
+	}
 	return r.applyAll(now, entries, at)
 }
 
--- a/mesh/restore_test.go
+++ b/mesh/restore_test.go
@@ -178,3 +178,18 @@
 		t.Error("a target that the store does not list is kept after the second grace period")
 	}
 }
+
+// Guards against an entry of a restored copy that takes effect although the store has removed it again: a listing that lacks it arrives
+// while it is not in effect yet.
+func TestListingRemovesEntryNotInEffectYet(t *testing.T) {
+	r := NewReplica()
+	r.Apply(epoch, []Entry{{Key: "a", Revision: 1, Target: target("a", false)}, {Key: "out/d", Revision: 2, OutOfService: "d"}}, at(2))
+	r.Apply(epoch, []Entry{{Key: "out/d", Revision: 3}}, at(3))
+	copied := []Entry{{Key: "a", Revision: 1, Target: target("a", false)}, {Key: "out/d", Revision: 2, OutOfService: "d"}}
+	r.Replace(epoch, copied, restored(2))
+	r.Replace(epoch.Add(time.Second), copied[:1], restored(3)) // removed at revision 3
+	r.Expire(epoch.Add(ExpiryGrace))
+	if r.State().OutOfService["d"] {
+		t.Error("an entry that the store does not have is in effect")
+	}
+}
