mesh: pass on a removal that was received with a full state before it takes effect

Cause: a full state sends a target whose removal is pending with the time until then. The receiver did not record the removal among its changes, so that processes that got only the changes from it kept the target for good.

Change: the removal is recorded when it is received.

Found by reading, on the trace of the listing fault; TestPendingRemovalOfFullStateIsPassedOn failed before.

--- a/mesh/replica.go
+++ b/mesh/replica.go
@@ -219,6 +219,7 @@
 		return current.present()
 	}
 	if e.ExpiresIn > 0 {
+		r.recordRemoval(e.Key, e.Revision) // for processes that get the changes from this one
 		r.expiring[e.Key] = now.Add(e.ExpiresIn)
 		e.ExpiresIn = 0
 	}
--- a/mesh/restore_test.go
+++ b/mesh/restore_test.go
@@ -193,3 +193,37 @@
 		t.Error("an entry that the store does not have is in effect")
 	}
 }
+
+// Guards against a removal that never reaches the processes that follow this one: it was received with a full state, before it takes
+// effect.
+func TestPendingRemovalOfFullStateIsPassedOn(t *testing.T) {
+	source, middle, follower := NewReplica(), NewReplica(), NewReplica()
+	listing := []Entry{{Key: "a", Revision: 1, Target: target("a", false)}, {Key: "b", Revision: 2, Target: target("b", false)}}
+	for _, r := range []*Replica{source, middle, follower} {
+		r.Apply(epoch, listing, at(2))
+	}
+	source.StoreRecovered(epoch)
+	source.Apply(epoch, []Entry{{Key: "b", Revision: 3}}, at(3)) // may be an expiry
+	full, _ := source.Since(epoch, Position{})
+	middle.Replace(epoch, entriesOf(full), source.Position())
+	changes, isFull := middle.Since(epoch, follower.Position())
+	if isFull {
+		t.Fatal("the test needs changes, not the full state")
+	}
+	follower.Apply(epoch, entriesOf(changes), middle.Position())
+	for name, r := range map[string]*Replica{"source": source, "middle": middle, "follower": follower} {
+		r.Expire(epoch.Add(ExpiryGrace))
+		if got := r.State().ready(); got != "a" {
+			t.Errorf("%s: %q are ready after the removal, want a", name, got)
+		}
+	}
+}
+
+// entriesOf returns the entries of changes.
+func entriesOf(changes []Change) []Entry {
+	out := make([]Entry, 0, len(changes))
+	for _, c := range changes {
+		out = append(out, c.Entry)
+	}
+	return out
+}
