mesh: look up the failure domain of an instance in a map

Cause: State.FailureDomainOf searched all targets, and the search for a region's standby calls it for one instance after the other: up to the square of the number of targets for each poll.

Change: the state holds a map of the instances. Regions lists the regions that have targets.

--- a/mesh/state.go
+++ b/mesh/state.go
@@ -1,6 +1,7 @@
 package mesh
 
 import (
+	"maps"
 	"net/netip"
 	"slices"
 	"strings"
@@ -40,6 +41,8 @@
 	OutOfService map[string]bool
 	byService    map[string][]*Target
 	byAddr       map[netip.AddrPort]*Target
+	// domains maps the addresses of instances to their failure domains.
+	domains map[netip.Addr]string
 }
 
 // Targets returns the targets of a service in order of their IDs, including those that are leaving. The caller must not modify
@@ -65,16 +68,18 @@
 	return slices.Compact(out)
 }
 
-// FailureDomainOf returns the failure domain of the instance at an address, or "" if it has no target.
-func (s *State) FailureDomainOf(instance netip.Addr) string {
-	for addr, t := range s.byAddr {
-		if addr.Addr() == instance {
-			return t.FailureDomain
-		}
+// Regions returns the regions that have targets, in ascending order.
+func (s *State) Regions() []string {
+	seen := map[string]bool{}
+	for _, t := range s.byAddr {
+		seen[t.Region] = true
 	}
-	return ""
+	return slices.Sorted(maps.Keys(seen))
 }
 
+// FailureDomainOf returns the failure domain of the instance at an address, or "" if it has no target.
+func (s *State) FailureDomainOf(instance netip.Addr) string { return s.domains[instance] }
+
 // supersedes reports whether t replaces other, an entry with the same address.
 func supersedes(t, other *Target) bool {
 	switch {
@@ -87,7 +92,7 @@
 }
 
 func newState(position Position, config *Config, targets map[string]*Target, outOfService map[string]bool) *State {
-	s := &State{Position: position, Config: config, OutOfService: outOfService, byService: map[string][]*Target{}, byAddr: map[netip.AddrPort]*Target{}}
+	s := &State{Position: position, Config: config, OutOfService: outOfService, byService: map[string][]*Target{}, byAddr: map[netip.AddrPort]*Target{}, domains: map[netip.Addr]string{}}
 	for _, t := range targets {
 		if other := s.byAddr[t.Addr]; other == nil || supersedes(t, other) {
 			s.byAddr[t.Addr] = t
@@ -95,6 +100,7 @@
 	}
 	// An earlier incarnation at an address can't be reached any more, but its entry may take seconds to expire.
 	for _, t := range s.byAddr {
+		s.domains[t.Addr.Addr()] = t.FailureDomain
 		s.byService[t.Service] = append(s.byService[t.Service], t)
 	}
 	for _, list := range s.byService {
