follow: processes away from the store follow those beside it, and read it in turn

From 10 to 29 s almost nothing arrives (0 to 0.5 MB/s), since calls are given up after 1.5 s while their responses of some 200 KB still cross, and each of 43 processes asks again: 40 to 120 new connections to the store a second.

Change: a region's root away from the store long-polls the root of the store's region, which sends patches of some hundred bytes, and its standby after that.

--- a/follow/exchange.go
+++ b/follow/exchange.go
@@ -66,6 +66,8 @@
 	HeldUs int64 `cbor:"6,keyasint,omitempty"`
 	// Epoch is the epoch of Revision.
 	Epoch uint64 `cbor:"7,keyasint,omitempty"`
+	// Away is set if the store is in another region than the process that sends the update.
+	Away bool `cbor:"8,keyasint,omitempty"`
 }
 
 // format is the layout version of stateUpdate that this code reads and writes.
@@ -131,6 +133,7 @@
 		Age: time.Duration(age) * time.Millisecond,
 	})
 	update := f.updateSince(after)
+	update.Away = f.cfg.Source.Remote()
 	update.HeldUs = clock.Now().Sub(received).Microseconds()
 	data, err := update.encode()
 	if err != nil {
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -1,10 +1,10 @@
 // Package follow keeps the mesh state of a process up to date with the store.
 //
 // The processes of a region form a relay tree in rendezvous order, which is the same for all processes with the same list of
-// instances. The root of the tree watches the store. The others long-poll their parent, which sends changes as patches. If the
-// root does not respond, its standby, the first process in that order from another failure domain, reads the store, and the
-// others poll the standby. A process reads the store itself if none of its ancestors nor the standby responds, or if their
-// state is too old.
+// instances. The root of the tree watches the store, or, if the store is in another region, long-polls the root there. The others
+// long-poll their parent. All polls are answered with patches, which are much smaller than the entries that the store sends. If the
+// root does not respond, its standby, the first process in that order from another failure domain, takes its place, and the
+// others poll the standby. If none of these responds, or if their state is too old, the other processes read the store in turn.
 //
 // These steps are taken one after the other, each with a time-out of its own. The time within which a change arrives does not
 // depend on their sum: once the last known contact with the store is too old, a process also reads the store and random peers, at
@@ -87,6 +87,8 @@
 	stalePollShare = 0.33
 	// ejectionTime is the time for which a parent is not polled after a failure.
 	ejectionTime = 3 * time.Second
+	// awayTime is the time for which another region is known to be away from the store.
+	awayTime = time.Minute
 	// fanout is the number of children of a parent. Each child sends it one request per waitShare.
 	fanout = 24
 	// watchPause is the pause after a watch that ended early before the next one, which batches further changes and bounds the
@@ -152,11 +154,16 @@
 	emptyReplies int
 	// ejected maps parents that failed to the end of their ejection.
 	ejected map[netip.Addr]time.Time
+	// awayUntil maps the regions that are away from the store to the time until which they are assumed to be.
+	awayUntil map[string]time.Time
+	// lastReply is the time of the last response of another process, at first the time of New.
+	lastReply time.Time
 }
 
 // New returns a follower with an empty state.
 func New(cfg Config) *Follower {
-	f := &Follower{cfg: cfg, replica: mesh.NewReplica(), changed: make(chan struct{}), unavailableSince: clock.Now(), ejected: map[netip.Addr]time.Time{}}
+	f := &Follower{cfg: cfg, replica: mesh.NewReplica(), changed: make(chan struct{}), unavailableSince: clock.Now(), ejected: map[netip.Addr]time.Time{}, awayUntil: map[string]time.Time{}}
+	f.lastReply = f.unavailableSince
 	f.lastContact = f.unavailableSince.Add(-f.maxAge()) // no peer follows a process without contact with the store
 	return f
 }
@@ -175,6 +182,10 @@
 			continue
 		}
 		wasSynced := f.synced.Load()
+		if wasSynced && !f.mayReadStore() {
+			_ = periodic.Sleep(ctx, f.share(refreshIntervalShare)) // the refresher polls other processes meanwhile
+			continue
+		}
 		err := f.readStore(ctx)
 		switch {
 		case err == nil && wasSynced:
@@ -219,6 +230,7 @@
 	if err != nil {
 		return nil, err
 	}
+	f.noteReply()
 	update, err := decodeStateUpdate(data)
 	if err != nil {
 		return nil, err
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -60,10 +60,21 @@
 		return e, nil
 	}
 	addr := netip.AddrPortFrom(netip.MustParseAddr(key), 80)
-	e.Target = &mesh.Target{ID: key, Service: "s", Addr: addr, FailureDomain: "d", Region: "r", Slots: 1}
+	e.Target = &mesh.Target{ID: key, Service: "s", Addr: addr, FailureDomain: "d", Region: regionOf(addr.Addr()), Slots: 1}
 	return e, nil
 }
 
+// regionOf returns the region of an instance: that of the store for the addresses of homeAddr.
+func regionOf(addr netip.Addr) string {
+	if addr.As4()[2] > 0 {
+		return "home"
+	}
+	return "r"
+}
+
+// homeAddr returns the address of an instance in the region of the store.
+func homeAddr(i int) netip.Addr { return netip.AddrFrom4([4]byte{10, 0, 1, byte(i + 1)}) }
+
 func (s *store) put(key string, raw string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -215,6 +226,38 @@
 	applyWithin time.Duration
 	// startGap is the time between the starts of two followers, of which the root is the last.
 	startGap time.Duration
+	// home is the number of instances in the region of the store, beside those of the region "r".
+	home int
+	// link, if not nil, is the link between the two regions.
+	link *sharedLink
+}
+
+// sharedLink carries messages one after the other, also those that nobody waits for any more.
+type sharedLink struct {
+	mu       sync.Mutex
+	freeAt   time.Time
+	transfer time.Duration
+	// busy is the total time for which the link has carried store responses.
+	busy time.Duration
+}
+
+// send queues a store response and returns the time until it has arrived.
+func (l *sharedLink) send() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now := time.Now(); l.freeAt.Before(now) {
+		l.freeAt = now
+	}
+	l.freeAt = l.freeAt.Add(l.transfer)
+	l.busy += l.transfer
+	return time.Until(l.freeAt)
+}
+
+// delay returns the time for which a small message waits.
+func (l *sharedLink) delay() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return max(time.Until(l.freeAt), 0)
 }
 
 // storeResponseTime is the time in which the store responds to a watch for which it has changes, or no history.
@@ -246,7 +289,15 @@
 	return l.store.Targets(ctx)
 }
 
-func (l endpoint) Remote() bool { return l.store.Remote() }
+func (l endpoint) Remote() bool { return l.store.Remote() || l.link != nil && regionOf(l.self) == "r" }
+
+// crossing returns the link between the regions if a message to the callee, or from the store, crosses it, or nil.
+func (l endpoint) crossing(callee netip.Addr) *sharedLink {
+	if l.link == nil || callee.IsValid() && regionOf(callee) == regionOf(l.self) || !callee.IsValid() && regionOf(l.self) == "home" {
+		return nil
+	}
+	return l.link
+}
 
 func (l endpoint) Watch(ctx context.Context, after mesh.Position, wait time.Duration) ([]mesh.Entry, mesh.Position, error) {
 	if l.storeUnreachable() {
@@ -260,6 +311,11 @@
 	var position mesh.Position
 	err := l.exchange(ctx, netip.Addr{}, storeConnectTimeout, func() (err error) {
 		entries, position, err = l.store.Watch(ctx, after, wait)
+		if link := l.crossing(netip.Addr{}); link != nil && len(entries) > 0 {
+			if err := periodic.Sleep(ctx, link.send()); err != nil {
+				return err
+			}
+		}
 		return err
 	})
 	if errors.Is(err, ErrCompacted) {
@@ -283,6 +339,9 @@
 	lost := isCut()
 	l.mu.Lock()
 	roundTrip := max(l.roundTrip[l.self], l.roundTrip[callee])
+	if link := l.crossing(callee); link != nil {
+		roundTrip += link.delay()
+	}
 	idle := l.open[key] > 0
 	if idle {
 		l.open[key]--
@@ -405,12 +464,16 @@
 	for _, f := range setUp {
 		f(fl)
 	}
+	for i := range fl.home {
+		fl.store.put(homeAddr(i).String(), "first")
+		fl.followers[homeAddr(i)] = nil
+	}
 	order := fl.ranked()
 	slices.Reverse(order)
 	for i, addr := range order {
 		link := endpoint{fl, addr}
 		f := New(Config{
-			Source: link, Peers: link, Holder: &mesh.Holder{}, Decode: decode, Self: addr, Region: "r", ApplyWithin: fl.applyWithin,
+			Source: link, Peers: link, Holder: &mesh.Holder{}, Decode: decode, Self: addr, Region: regionOf(addr), ApplyWithin: fl.applyWithin,
 			Log: zerolog.Nop(), Rand: rand.New(rand.NewPCG(1, uint64(i))),
 		})
 		fl.mu.Lock()
@@ -458,14 +521,19 @@
 // root returns the process that watches the store.
 func (fl *fleet) root() netip.Addr { return fl.ranked()[0] }
 
-// ranked returns the addresses of the fleet in rank order: the root, then its children.
-func (fl *fleet) ranked() []netip.Addr {
+// ranked returns the addresses of the region "r" in rank order, the root, then its children; and then those of the region of the store.
+func (fl *fleet) ranked() []netip.Addr { return append(fl.rankedIn("r"), fl.rankedIn("home")...) }
+
+// rankedIn returns the addresses of a region in rank order.
+func (fl *fleet) rankedIn(region string) []netip.Addr {
 	var names []string
 	for addr := range fl.followers {
-		names = append(names, addr.String())
+		if regionOf(addr) == region {
+			names = append(names, addr.String())
+		}
 	}
 	var out []netip.Addr
-	for _, name := range rank.Sort("r", names) {
+	for _, name := range rank.Sort(region, names) {
 		out = append(out, netip.MustParseAddr(name))
 	}
 	return out
--- a/follow/refresh.go
+++ b/follow/refresh.go
@@ -23,7 +23,7 @@
 	// refreshSpreadShare is the time over which processes that become stale at the same time spread their first store reads, so
 	// that most of them get the state from a peer that has read it.
 	refreshSpreadShare = 0.15
-	// storeReadShare is the time after which the store is read again although the last read has not returned.
+	// storeReadShare is the time after which the store is first read again although the last read has not returned.
 	storeReadShare = 0.25
 	// maxStoreReads and maxPeerReads bound the calls of the refresher at any time.
 	maxStoreReads = 2
@@ -48,19 +48,27 @@
 			continue
 		}
 		nextStoreRead := clock.Now().Add(f.randomUpTo(f.share(refreshSpreadShare)))
-		for backoff := minBackoff; ctx.Err() == nil && f.Age() >= f.share(refreshShare); {
-			if now := clock.Now(); now.Before(nextStoreRead) {
+		for backoff := f.share(storeReadShare); ctx.Err() == nil && f.Age() >= f.share(refreshShare); {
+			if now := clock.Now(); now.Before(nextStoreRead) || !f.mayReadStore() {
 				peerReads.TryGo(func() error { f.refreshFromPeer(ctx); return nil })
 			} else {
 				storeReads.TryGo(func() error { f.refreshFromStore(ctx); return nil })
-				nextStoreRead = now.Add(f.jitter(max(backoff, f.share(storeReadShare))))
-				backoff = min(2*backoff, maxBackoff)
+				nextStoreRead = now.Add(f.jitter(backoff))
+				backoff = min(2*backoff, f.maxReadBackoff())
 			}
 			_ = periodic.Sleep(ctx, f.jitter(f.share(refreshIntervalShare)))
 		}
 	}
 }
 
+// maxReadBackoff returns the longest pause between two reads of the store. A process to which no other responds depends on the store.
+func (f *Follower) maxReadBackoff() time.Duration {
+	if f.isolated() {
+		return f.share(storeReadShare)
+	}
+	return f.share(maxReadBackoffShare)
+}
+
 // refreshFromStore reads the changes of the store, or all of it if the changes are no longer available.
 func (f *Follower) refreshFromStore(ctx context.Context) {
 	err := f.watch(ctx)
--- a/follow/tree.go
+++ b/follow/tree.go
@@ -34,8 +34,8 @@
 	return min(1, len(order)-1)
 }
 
-// parent returns the nearest ancestor in the relay tree of the region that is not ejected, or else the root's standby. It
-// returns false if this process has to read the store.
+// parent returns the nearest ancestor in the relay tree of the region that is not ejected, or else the root's standby, or else a gateway.
+// It returns false if this process has to read the store.
 func (f *Follower) parent() (netip.Addr, bool) {
 	if f.cfg.Peers == nil || !f.synced.Load() {
 		return netip.Addr{}, false
@@ -47,8 +47,12 @@
 	if standby := f.standby(order); position > 0 && position != standby {
 		candidates = append(candidates, standby)
 	}
+	names := make([]string, 0, len(candidates)+2)
 	for _, candidate := range candidates {
-		addr, err := netip.ParseAddr(order[candidate])
+		names = append(names, order[candidate])
+	}
+	for _, name := range append(names, f.gateways()...) {
+		addr, err := netip.ParseAddr(name)
 		if err == nil && now.After(f.ejected[addr]) {
 			return addr, true
 		}
@@ -56,6 +60,41 @@
 	return netip.Addr{}, false
 }
 
+// gateways returns the root and its standby of each other region if the store is in another region: the changes that a process sends are
+// much smaller than the entries that the store sends. Regions away from the store are left out.
+func (f *Follower) gateways() []string {
+	if !f.cfg.Source.Remote() {
+		return nil
+	}
+	var out []string
+	state, now := f.cfg.Holder.Load(), clock.Now()
+	for _, region := range state.Regions() {
+		if region == f.cfg.Region || now.Before(f.awayUntil[region]) {
+			continue
+		}
+		var names []string
+		for _, addr := range state.InstanceAddrs(region) {
+			names = append(names, addr.String())
+		}
+		order := rank.Sort(region, names)
+		out = append(out, order[0])
+		if standby := f.standby(order); standby > 0 {
+			out = append(out, order[standby])
+		}
+	}
+	return out
+}
+
+// noteAway records that a process of another region is away from the store too.
+func (f *Follower) noteAway(peer netip.Addr) {
+	state := f.cfg.Holder.Load()
+	for _, region := range state.Regions() {
+		if slices.Contains(state.InstanceAddrs(region), peer) {
+			f.awayUntil[region] = clock.Now().Add(awayTime)
+		}
+	}
+}
+
 // order ranks the instances of the region together with this one, which addrs may or may not contain.
 func (f *Follower) order(addrs []netip.Addr) []string {
 	names := []string{f.cfg.Self.String()}
@@ -145,6 +184,9 @@
 // contact with the store when it was sent. The caller ejects the parent on an error.
 func (f *Follower) acceptUpdate(ctx context.Context, parent netip.Addr, q PollRequest, update *stateUpdate, took, contactAge time.Duration) error {
 	before := f.Position()
+	if update.Away && slices.Contains(f.gateways(), parent.String()) {
+		f.noteAway(parent)
+	}
 	if update.age() >= f.maxAge() || update.Epoch < before.Epoch {
 		return ErrStale
 	}
