follow, platform: starting processes get the state from a tree of peers

Cause: after a return of all, 141 of 151 processes in the store's region listed the store, and each process of the other region listed all targets over the link between the regions before it could wait for the first one there.

Change: a process reads a sample of about one in eight targets, from a stale read that costs a tenth. The members of the sample in its region form a tree; the first one lists the store, the others get the state from their ancestors, and processes outside the sample from members without children. A process whose listing fails says so at once, and joins again before it lists again.

--- a/follow/exchange.go
+++ b/follow/exchange.go
@@ -157,7 +157,7 @@
 }
 
 // waitForChange waits until the position is after q.After, there is a contact with the store that is newer than the requester's,
-// the state becomes too old to be followed, or q.Wait has passed. Returning at each contact keeps the age of the state the same
+// the state becomes too old to be followed, there is none because the store could not be listed, or q.Wait has passed. Returning at each contact keeps the age of the state the same
 // at every depth of the tree.
 func (f *Follower) waitForChange(ctx context.Context, q PollRequest) {
 	timer := time.NewTimer(q.Wait)
@@ -173,12 +173,13 @@
 		f.mu.Lock()
 		position, changed := f.replica.Position(), f.changed
 		contacted := f.lastContact.After(contactBefore)
+		failed := position.Revision == 0 && f.listFailed
 		untilStale := f.maxAge() - f.age(clock.Now())
 		f.mu.Unlock()
 		if q.WaitIfStale {
 			untilStale = q.Wait
 		}
-		if position.After(q.After) || contacted || untilStale <= 0 {
+		if position.After(q.After) || contacted || failed || untilStale <= 0 {
 			return
 		}
 		staleTimer := time.NewTimer(untilStale)
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -42,8 +42,9 @@
 type Source interface {
 	// List returns all entries, and the position to watch from.
 	List(ctx context.Context) ([]mesh.Entry, mesh.Position, error)
-	// Targets returns only the entries of targets. These are short and name the peers that can supply the rest.
-	Targets(ctx context.Context) ([]mesh.Entry, error)
+	// Sample returns the entries of a part of the targets, the same part for all processes, or of all if these are few. They name
+	// peers that can supply the rest. The entries may be some seconds old.
+	Sample(ctx context.Context) ([]mesh.Entry, error)
 	// Remote reports whether the store called so far is in another region.
 	Remote() bool
 	// Watch returns the entries changed after a position as soon as there are any, or none after wait, and the position
@@ -150,6 +151,8 @@
 	synced atomic.Bool
 	// joinTried is set once this process has tried to take the full state from a peer instead of the store.
 	joinTried bool
+	// listFailed is set while this process has no state because the store could not be listed.
+	listFailed bool
 	// emptyReplies counts consecutive replies of the parent without waiting and without changes.
 	emptyReplies int
 	// ejected maps parents that failed to the end of their ejection.
@@ -204,6 +207,7 @@
 			// The listing did not help, and the next one may not either.
 		default:
 			f.storeFailed(err)
+			f.joinTried = false
 		}
 		_ = periodic.Sleep(ctx, f.jitter(backoff))
 		backoff = min(2*backoff, maxBackoff)
@@ -452,6 +456,10 @@
 func (f *Follower) storeFailed(err error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if f.replica.Position().Revision == 0 && !f.listFailed {
+		f.listFailed = true
+		f.notify()
+	}
 	if f.unavailableSince.IsZero() {
 		f.unavailableSince = clock.Now()
 		f.cfg.Log.Warn().Uint64("revision", f.replica.Position().Revision).Err(err).Msg(events.StoreNotResponding)
--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -42,10 +42,10 @@
 	// dropEvents makes Watch return no changes.
 	dropEvents bool
 	calls      int
-	// remote makes Remote return true. listDelay is the duration of List, targetsDelay that of Targets.
-	remote                  bool
-	listDelay, targetsDelay time.Duration
-	lists                   int
+	// remote makes Remote return true. listDelay is the duration of List, sampleDelay that of Sample.
+	remote                 bool
+	listDelay, sampleDelay time.Duration
+	lists                  int
 	// readsBy counts the calls per instance.
 	readsBy map[netip.Addr]int
 	changed chan struct{}
@@ -66,14 +66,14 @@
 
 // regionOf returns the region of an instance: that of the store for the addresses of homeAddr.
 func regionOf(addr netip.Addr) string {
-	if addr.As4()[2] > 0 {
+	if addr.As4()[1] > 0 {
 		return "home"
 	}
 	return "r"
 }
 
 // homeAddr returns the address of an instance in the region of the store.
-func homeAddr(i int) netip.Addr { return netip.AddrFrom4([4]byte{10, 0, 1, byte(i + 1)}) }
+func homeAddr(i int) netip.Addr { return netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}) }
 
 func (s *store) put(key string, raw string) {
 	s.mu.Lock()
@@ -106,21 +106,29 @@
 	s.notify()
 }
 
-func (s *store) Targets(context.Context) ([]mesh.Entry, error) {
-	time.Sleep(s.targetsDelay)
+func (s *store) Sample(context.Context) ([]mesh.Entry, error) {
+	time.Sleep(s.sampleDelay)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
 	if s.down {
 		return nil, ErrUnavailable
 	}
-	var out []mesh.Entry
-	for _, f := range s.entries {
-		if f.Target != nil {
-			out = append(out, f)
+	const parts, least = 8, 8
+	var sample, all []mesh.Entry
+	for key, f := range s.entries {
+		if f.Target == nil {
+			continue
 		}
+		all = append(all, f)
+		if rank.Score("sample", key)%parts == 0 {
+			sample = append(sample, f)
+		}
+	}
+	if len(sample) < least {
+		return all, nil
 	}
-	return out, nil
+	return sample, nil
 }
 
 func (s *store) Remote() bool { return s.remote }
@@ -230,6 +238,24 @@
 	home int
 	// link, if not nil, is the link between the two regions.
 	link *sharedLink
+	// fullState, if not 0, is the time for which a full state occupies the link of the process, or of the store, that sends it.
+	fullState time.Duration
+	// uplinks holds the links by sender; that of the store is at the zero Addr. It is guarded by mu.
+	uplinks map[netip.Addr]*sharedLink
+	// stateAt holds the time at which a process first had a state.
+	stateAt map[netip.Addr]time.Time
+}
+
+// sendFullState waits until a full state has left the link of its sender.
+func (fl *fleet) sendFullState(ctx context.Context, sender netip.Addr) error {
+	fl.mu.Lock()
+	link := fl.uplinks[sender]
+	if link == nil {
+		link = &sharedLink{transfer: fl.fullState}
+		fl.uplinks[sender] = link
+	}
+	fl.mu.Unlock()
+	return periodic.Sleep(ctx, link.send())
 }
 
 // sharedLink carries messages one after the other, also those that nobody waits for any more.
@@ -279,14 +305,18 @@
 		return nil, mesh.Position{}, ErrUnavailable
 	}
 	l.store.countRead(l.self)
-	return l.store.List(ctx)
+	entries, position, err := l.store.List(ctx)
+	if err == nil && l.fullState > 0 {
+		err = l.sendFullState(ctx, netip.Addr{})
+	}
+	return entries, position, err
 }
 
-func (l endpoint) Targets(ctx context.Context) ([]mesh.Entry, error) {
+func (l endpoint) Sample(ctx context.Context) ([]mesh.Entry, error) {
 	if l.storeUnreachable() {
 		return nil, ErrUnavailable
 	}
-	return l.store.Targets(ctx)
+	return l.store.Sample(ctx)
 }
 
 func (l endpoint) Remote() bool { return l.store.Remote() || l.link != nil && regionOf(l.self) == "r" }
@@ -442,6 +472,9 @@
 	err := l.exchange(ctx, addr, cmp.Or(q.ConnectWithin, peerConnectTimeout), func() error {
 		r := httptest.NewRequest(http.MethodGet, q.target(), nil).WithContext(ctx)
 		f.ServeHTTP(w, r)
+		if l.fullState > 0 && q.After.Revision == 0 && f.Position().Revision > 0 {
+			return l.sendFullState(ctx, addr)
+		}
 		return nil
 	})
 	if err != nil {
@@ -454,7 +487,7 @@
 	fl := &fleet{
 		store: newStore(), followers: map[netip.Addr]*Follower{}, noStore: map[netip.Addr]bool{}, unreachable: map[netip.Addr]bool{},
 		stub: map[netip.Addr]func() []byte{}, cut: map[netip.Addr]bool{}, roundTrip: map[netip.Addr]time.Duration{},
-		open: map[[2]netip.Addr]int{}, applyWithin: applyWithin,
+		open: map[[2]netip.Addr]int{}, applyWithin: applyWithin, uplinks: map[netip.Addr]*sharedLink{}, stateAt: map[netip.Addr]time.Time{},
 	}
 	for i := range size {
 		addr := instanceAddr(i)
@@ -474,7 +507,7 @@
 		link := endpoint{fl, addr}
 		f := New(Config{
 			Source: link, Peers: link, Holder: &mesh.Holder{}, Decode: decode, Self: addr, Region: regionOf(addr), ApplyWithin: fl.applyWithin,
-			Log: zerolog.Nop(), Rand: rand.New(rand.NewPCG(1, uint64(i))),
+			Changed: func(*mesh.State) { fl.noteState(addr) }, Log: zerolog.Nop(), Rand: rand.New(rand.NewPCG(1, uint64(i))),
 		})
 		fl.mu.Lock()
 		fl.followers[addr] = f
@@ -493,7 +526,18 @@
 	return fl
 }
 
-func instanceAddr(i int) netip.Addr { return netip.AddrFrom4([4]byte{10, 0, 0, byte(i + 1)}) }
+func instanceAddr(i int) netip.Addr {
+	return netip.AddrFrom4([4]byte{10, 0, byte((i + 1) >> 8), byte(i + 1)})
+}
+
+// noteState records when a process first has a state.
+func (fl *fleet) noteState(addr netip.Addr) {
+	fl.mu.Lock()
+	defer fl.mu.Unlock()
+	if _, ok := fl.stateAt[addr]; !ok {
+		fl.stateAt[addr] = time.Now()
+	}
+}
 
 // withoutDomain returns the followers whose state does not list the failure domain as out of service.
 func (fl *fleet) withoutDomain(domain string) (out []netip.Addr) {
@@ -688,7 +732,7 @@
 				ctx, cancel := context.WithCancel(t.Context())
 				fl := newFleet(ctx, 40, func(fl *fleet) {
 					fl.store.remote, fl.store.listDelay, fl.startGap = true, time.Second, test.startGap
-					fl.store.targetsDelay = 40 * test.startGap // all have started when the first one joins
+					fl.store.sampleDelay = 40 * test.startGap // all have started when the first one joins
 					if test.unreachableReaders > 0 {
 						fl.unreachable[fl.root()], fl.noStore[fl.root()] = true, true
 					}
--- a/follow/join.go
+++ b/follow/join.go
@@ -13,8 +13,8 @@
 
 // Limits of joining.
 const (
-	// joinFanout is the number of starting processes that fetch the full state from one peer. It is smaller than fanout,
-	// because each of them costs the peer's link a full configuration.
+	// joinFanout is the number of members that fetch the full state from one member of the tree of a start. It is smaller than
+	// fanout, because each of them costs the peer's link a full configuration.
 	joinFanout = 4
 	// joinWait is the time to wait for a peer that may be starting too. It covers some reads of a long configuration over
 	// narrow links, one after the other.
@@ -23,27 +23,28 @@
 	joinConnectTimeout = 300 * time.Millisecond
 )
 
-// join fetches the full state from a process of this region if the store is in another one: otherwise all processes that start
-// together would fill the link between the regions with the same configuration. It reports whether it succeeded, and does
-// nothing if called again.
+// join fetches the full state from a process of this region: if all processes that start together read the store, they would wait for
+// its link, and for the one between the regions, which carry the same entries for each of them. A sample of the targets names the
+// members of a tree that supplies the state; the first of them lists the store. join reports whether it succeeded. It does nothing if
+// called again before a listing of the store has failed.
 func (f *Follower) join(ctx context.Context) bool {
 	if f.cfg.Peers == nil || f.joinTried || !f.empty() {
 		return false
 	}
 	f.joinTried = true
-	targets, err := f.cfg.Source.Targets(ctx)
-	if err != nil || !f.cfg.Source.Remote() {
+	sample, err := f.cfg.Source.Sample(ctx)
+	if err != nil {
 		return false // the caller lists the store, which returns the error
 	}
-	var addrs []netip.Addr
-	for _, t := range targets {
+	var members []string
+	for _, t := range sample {
 		if t.Target != nil && t.Target.Region == f.cfg.Region {
-			addrs = append(addrs, t.Target.Addr.Addr())
+			members = append(members, t.Target.Addr.Addr().String())
 		}
 	}
-	order := slices.Compact(f.order(addrs)) // an instance may have entries of several incarnations
-	for _, ancestor := range rank.Ancestors(slices.Index(order, f.cfg.Self.String()), joinFanout) {
-		addr, err := netip.ParseAddr(order[ancestor])
+	members = slices.Compact(rank.Sort(f.cfg.Region, members)) // an instance may have entries of several incarnations
+	for _, supplier := range suppliers(members, f.cfg.Self.String()) {
+		addr, err := netip.ParseAddr(supplier)
 		if err == nil && f.joinFrom(ctx, addr) {
 			return true
 		}
@@ -51,6 +52,24 @@
 	return false
 }
 
+// suppliers returns the members of the tree, in rank order, from which a process fetches the full state, nearest first. It is empty for the
+// first member. A process that is no member fetches it from a member that has no other members to supply.
+func suppliers(members []string, self string) []string {
+	var positions []int
+	if position := slices.Index(members, self); position >= 0 {
+		positions = rank.Ancestors(position, joinFanout)
+	} else if len(members) > 0 {
+		leaf := rank.Parent(len(members)-1, joinFanout) + 1
+		leaf += int(rank.Score("join", self) % uint64(len(members)-leaf))
+		positions = append([]int{leaf}, rank.Ancestors(leaf, joinFanout)...)
+	}
+	out := make([]string, 0, len(positions))
+	for _, p := range positions {
+		out = append(out, members[p])
+	}
+	return out
+}
+
 // joinFrom waits until the process at addr has the full state and applies it. It reports whether it succeeded.
 func (f *Follower) joinFrom(ctx context.Context, addr netip.Addr) bool {
 	start := clock.Now()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -47,7 +47,7 @@
 	// connections are closed. The time between them is for the responses.
 	endLead   = 250 * time.Millisecond
 	closeLead = 100 * time.Millisecond
-	stopTick   = 50 * time.Millisecond
+	stopTick  = 50 * time.Millisecond
 )
 
 // Node is one process of the mesh.
