--- a/follow/exchange.go
+++ b/follow/exchange.go
@@ -58,11 +58,9 @@
 	Format   int    `cbor:"1,keyasint"`
 	Revision uint64 `cbor:"2,keyasint"`
 	// AgeUs is the time in microseconds since the last known contact with the store.
-	AgeUs int64 `cbor:"3,keyasint"`
-	Full  bool  `cbor:"4,keyasint,omitempty"`
-	// Packed holds Entries as CBOR in an S2 block. Configurations are repetitive, and a parent with a narrow link sends each of its
-	// children the same.
-	Packed []byte `cbor:"5,keyasint,omitempty"`
+	AgeUs   int64       `cbor:"3,keyasint"`
+	Full    bool        `cbor:"4,keyasint,omitempty"`
+	Entries []wireEntry `cbor:"5,keyasint,omitempty"`
 	// HeldUs is the time in microseconds for which the request was held open. The requester's time beyond it was spent on the
 	// way.
 	HeldUs int64 `cbor:"6,keyasint,omitempty"`
@@ -70,57 +68,37 @@
 	Epoch uint64 `cbor:"7,keyasint,omitempty"`
 	// Away is set if the store is in another region than the process that sends the update.
 	Away bool `cbor:"8,keyasint,omitempty"`
-
-	Entries []wireEntry `cbor:"-"`
 }
 
 // format is the layout version of stateUpdate that this code reads and writes.
-const format = 4
-
-// pack encodes the entries of the update, unless they are already.
-func (u *stateUpdate) pack() error {
-	if u.Packed != nil || len(u.Entries) == 0 {
-		return nil
-	}
-	data, err := cbor.Marshal(u.Entries)
-	if err != nil {
-		return errors.Wrap(err, "encode entries of a state update")
-	}
-	u.Packed = s2.Encode(nil, data)
-	return nil
-}
+const format = 3
 
-// encode returns the update as CBOR.
+// encode returns the update as CBOR in an S2 block. Configurations are repetitive, and a parent with a narrow link sends each
+// of its children the same.
 func (u *stateUpdate) encode() ([]byte, error) {
-	if err := u.pack(); err != nil {
-		return nil, err
-	}
 	data, err := cbor.Marshal(u)
-	return data, errors.Wrap(err, "encode state update")
+	if err != nil {
+		return nil, errors.Wrap(err, "encode state update")
+	}
+	return s2.Encode(nil, data), nil
 }
 
 // decodeStateUpdate decodes the reply of a peer. The error wraps ErrFormat.
 func decodeStateUpdate(data []byte) (*stateUpdate, error) {
-	var u stateUpdate
-	if err := cbor.Unmarshal(data, &u); err != nil {
-		return nil, errors.Wrap(ErrFormat, err.Error())
-	}
-	if u.Format != format {
-		return nil, ErrFormat
-	}
-	if u.Packed == nil {
-		return &u, nil
-	}
-	if size, err := s2.DecodedLen(u.Packed); err != nil || size > maxExchange {
+	if size, err := s2.DecodedLen(data); err != nil || size > maxExchange {
 		return nil, ErrFormat
 	}
-	plain, err := s2.Decode(nil, u.Packed)
+	plain, err := s2.Decode(nil, data)
 	if err != nil {
 		return nil, errors.Wrap(ErrFormat, err.Error())
 	}
-	if err := cbor.Unmarshal(plain, &u.Entries); err != nil {
+	var u stateUpdate
+	if err := cbor.Unmarshal(plain, &u); err != nil {
 		return nil, errors.Wrap(ErrFormat, err.Error())
 	}
+	if u.Format != format {
+		return nil, ErrFormat
+	}
 	return &u, nil
 }
 
@@ -154,11 +132,7 @@
 		After: after, Wait: min(time.Duration(wait)*time.Millisecond, maxExchangeWait), WaitIfStale: query.Get("patient") == "true",
 		Age: time.Duration(age) * time.Millisecond,
 	})
-	update, err := f.updateSince(after)
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusInternalServerError)
-		return
-	}
+	update := f.updateSince(after)
 	update.Away = f.cfg.Source.Remote()
 	update.HeldUs = clock.Now().Sub(received).Microseconds()
 	data, err := update.encode()
@@ -224,54 +198,31 @@
 }
 
 // updateSince returns the changes after a position, or the full state if the history does not reach back that far.
-func (f *Follower) updateSince(after mesh.Position) (*stateUpdate, error) {
+func (f *Follower) updateSince(after mesh.Position) *stateUpdate {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	now := clock.Now()
 	position := f.replica.Position()
 	update := &stateUpdate{Format: format, Epoch: position.Epoch, Revision: position.Revision, AgeUs: f.age(now).Microseconds()}
 	if !position.After(after) {
-		return update, nil
-	}
-	// Processes that start together all ask for the same full state.
-	cacheable := after.Revision == 0 && f.replica.NextExpiry().IsZero()
-	if cacheable && f.fullState.at == position && f.fullState.packed != nil {
-		update.Full, update.Packed = true, f.fullState.packed
-		return update, nil
+		return update
 	}
 	var changes []mesh.Change
 	changes, update.Full = f.replica.Since(now, after)
 	for _, c := range changes {
-		update.Entries = append(update.Entries, wireEntryOf(c))
-	}
-	if cacheable {
-		if err := update.pack(); err != nil {
-			return nil, err
+		e := wireEntry{Key: c.Key, Revision: c.Revision, ExpiresInUs: c.ExpiresIn.Microseconds(), EffectiveInUs: c.EffectiveIn.Microseconds()}
+		switch {
+		case c.Raw == nil:
+			e.Removed = true
+		case c.Base != nil:
+			p := diff(c.Base.Raw, c.Raw)
+			e.Patch = &p
+		default:
+			e.Raw = c.Raw
 		}
-		f.fullState = packedState{position, update.Packed}
-	}
-	return update, nil
-}
-
-// wireEntryOf returns a change as it is sent to other processes.
-func wireEntryOf(c mesh.Change) wireEntry {
-	e := wireEntry{Key: c.Key, Revision: c.Revision, ExpiresInUs: c.ExpiresIn.Microseconds(), EffectiveInUs: c.EffectiveIn.Microseconds()}
-	switch {
-	case c.Raw == nil:
-		e.Removed = true
-	case c.Base != nil:
-		p := diff(c.Base.Raw, c.Raw)
-		e.Patch = &p
-	default:
-		e.Raw = c.Raw
+		update.Entries = append(update.Entries, e)
 	}
-	return e
-}
-
-// packedState is the full state at a position, as stateUpdate.Packed.
-type packedState struct {
-	at     mesh.Position
-	packed []byte
+	return update
 }
 
 // PeerClient fetches state updates from other processes over HTTP. It implements Peers.
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -138,8 +138,6 @@
 
 	mu      sync.Mutex
 	replica *mesh.Replica
-	// fullState is the full state as last sent to another process.
-	fullState packedState
 	// changed is closed and replaced at each change of the state and each contact with the store.
 	changed chan struct{}
 	// lastContact is the time of the last known contact with the store, of this process or the peers that it follows: the state is
