follow: a starting process repeats refused calls to its suppliers for a moment

Cause: processes that start together open their listeners within some tenths of a second.

Change: refused calls are repeated for 0.3 s in all, every 25 ms.

Measured: TestColdStartReadsRemoteStoreOnce, 40 processes that start 3 ms after one another and refuse calls before: 40 listings of the store before, 1 after.

--- a/follow/follow_test.go
+++ b/follow/follow_test.go
@@ -458,7 +458,10 @@
 	if stub != nil {
 		return stub(), nil
 	}
-	if unreachable || f == nil {
+	if f == nil && !unreachable {
+		return nil, errors.New("connection refused") // the process has not started
+	}
+	if unreachable {
 		if q.After.Revision > 0 { // a connection is open already
 			time.Sleep(q.timeout())
 		} else {
@@ -732,7 +735,6 @@
 				ctx, cancel := context.WithCancel(t.Context())
 				fl := newFleet(ctx, 40, func(fl *fleet) {
 					fl.store.remote, fl.store.listDelay, fl.startGap = true, time.Second, test.startGap
-					fl.store.sampleDelay = 40 * test.startGap // all have started when the first one joins
 					if test.unreachableReaders > 0 {
 						fl.unreachable[fl.root()], fl.noStore[fl.root()] = true, true
 					}
--- a/follow/join.go
+++ b/follow/join.go
@@ -8,6 +8,7 @@
 
 	"github.com/chervilwell/chervilwell/internal/clock"
 	"github.com/chervilwell/chervilwell/internal/events"
+	"github.com/chervilwell/chervilwell/internal/periodic"
 	"github.com/chervilwell/chervilwell/rank"
 )
 
@@ -21,6 +22,10 @@
 	joinWait = 2500 * time.Millisecond
 	// joinConnectTimeout is the time allowed for a connection to such a peer, before the next one is tried.
 	joinConnectTimeout = 300 * time.Millisecond
+	// joinRetryTime is the time for which refused calls to such peers are repeated, every joinRetryInterval: processes that start
+	// together open their listeners within some tenths of a second.
+	joinRetryTime     = 300 * time.Millisecond
+	joinRetryInterval = 25 * time.Millisecond
 )
 
 // join fetches the full state from a process of this region: if all processes that start together read the store, they would wait for
@@ -43,9 +48,10 @@
 		}
 	}
 	members = slices.Compact(rank.Sort(f.cfg.Region, members)) // an instance may have entries of several incarnations
+	retryUntil := clock.Now().Add(joinRetryTime)
 	for _, supplier := range suppliers(members, f.cfg.Self.String()) {
 		addr, err := netip.ParseAddr(supplier)
-		if err == nil && f.joinFrom(ctx, addr) {
+		if err == nil && f.joinFrom(ctx, addr, retryUntil) {
 			return true
 		}
 	}
@@ -70,10 +76,15 @@
 	return out
 }
 
-// joinFrom waits until the process at addr has the full state and applies it. It reports whether it succeeded.
-func (f *Follower) joinFrom(ctx context.Context, addr netip.Addr) bool {
-	start := clock.Now()
-	update, err := f.fetch(ctx, addr, PollRequest{Wait: joinWait, WaitIfStale: true, ConnectWithin: joinConnectTimeout})
+// joinFrom waits until the process at addr has the full state and applies it. It reports whether it succeeded. A call that fails is
+// repeated until retryUntil, since the process may be about to start.
+func (f *Follower) joinFrom(ctx context.Context, addr netip.Addr, retryUntil time.Time) bool {
+	start, q := clock.Now(), PollRequest{Wait: joinWait, WaitIfStale: true, ConnectWithin: joinConnectTimeout}
+	update, err := f.fetch(ctx, addr, q)
+	for err != nil && ctx.Err() == nil && clock.Now().Before(retryUntil) {
+		_ = periodic.Sleep(ctx, f.jitter(joinRetryInterval))
+		update, err = f.fetch(ctx, addr, q)
+	}
 	if err == nil && (update.Revision == 0 || update.age() >= f.maxAge()) {
 		err = ErrStale
 	}
