node, follow: read once more

Cause: the end of requests in progress could also reach one that arrived just as the process was found idle. Change: requests are ended only at the end of the grace period. Comments rewrapped. Measured: TestPlannedStopCutsNoRequest passes.

--- a/follow/exchange.go
+++ b/follow/exchange.go
@@ -157,8 +157,8 @@
 }
 
 // waitForChange waits until the position is after q.After, there is a contact with the store that is newer than the requester's,
-// the state becomes too old to be followed, there is none because the store could not be listed, or q.Wait has passed. Returning at each contact keeps the age of the state the same
-// at every depth of the tree.
+// the state becomes too old to be followed, there is none because the store could not be listed, or q.Wait has passed. Returning at
+// each contact keeps the age of the state the same at every depth of the tree.
 func (f *Follower) waitForChange(ctx context.Context, q PollRequest) {
 	timer := time.NewTimer(q.Wait)
 	defer timer.Stop()
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -165,7 +165,10 @@
 
 // New returns a follower with an empty state.
 func New(cfg Config) *Follower {
-	f := &Follower{cfg: cfg, replica: mesh.NewReplica(), changed: make(chan struct{}), unavailableSince: clock.Now(), ejected: map[netip.Addr]time.Time{}, awayUntil: map[string]time.Time{}}
+	f := &Follower{
+		cfg: cfg, replica: mesh.NewReplica(), changed: make(chan struct{}), unavailableSince: clock.Now(),
+		ejected: map[netip.Addr]time.Time{}, awayUntil: map[string]time.Time{},
+	}
 	f.lastReply = f.unavailableSince
 	f.lastContact = f.unavailableSince.Add(-f.maxAge()) // no peer follows a process without contact with the store
 	return f
--- a/follow/join_test.go
+++ b/follow/join_test.go
@@ -20,7 +20,9 @@
 		size, unreachable, maxLists int
 		within                      time.Duration
 	}{
-		{13, 0, 2, within}, {300, 0, 2, within}, {1000, 0, 2, within},
+		{13, 0, 2, within},
+		{300, 0, 2, within},
+		{1000, 0, 2, within},
 		{300, 1, 2 * (1 + joinFanout), within + joinConnectTimeout},
 	} {
 		t.Run(fmt.Sprintf("%d processes, %d unreachable members", test.size, test.unreachable), func(t *testing.T) {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -210,12 +210,15 @@
 	defer closeNow()
 	closed := n.closeServers(closing)
 	go func() {
-		n.waitIdle(clock.Now(), end) // a request may have arrived while the listeners were closed
+		for clock.Now().Before(end) {
+			n.waitIdle(clock.Now(), end) // a request may have arrived while the listeners were closed
+			if n.active() == 0 {
+				closeNow() // connections without a request
+				return
+			}
+		}
 		n.frontend.End()
 		n.gatekeeper.End()
-		if n.active() == 0 {
-			closeNow() // connections without a request
-		}
 	}()
 	<-closed
 	n.log.Info().Dur("took", clock.Now().Sub(start)).Int64("active", n.active()).Msg(events.Stopped)
--- a/shutdown/shutdown.go
+++ b/shutdown/shutdown.go
@@ -7,9 +7,9 @@
 
 // Limits of the stop of a process.
 const (
-	// CallerDrainTime is the time after the stop signal for which callers may not know of the stop: the platform probes readiness
+	// callerDrainTime is the time after the stop signal for which callers may not know of the stop: the platform probes readiness
 	// every second and reacts to the second failure.
-	CallerDrainTime = 2500 * time.Millisecond
+	callerDrainTime = 2500 * time.Millisecond
 	// endLead is the time before the end of the grace period by which all accepted requests have ended. It covers the response on
 	// its way to the caller and the end of the process.
 	endLead = 400 * time.Millisecond
@@ -26,7 +26,7 @@
 // NewWindow returns the window of a process that was told to stop at start and is ended by force after grace.
 func NewWindow(start time.Time, grace time.Duration) *Window {
 	end := start.Add(max(grace-endLead, 0))
-	drained := start.Add(CallerDrainTime)
+	drained := start.Add(callerDrainTime)
 	if end.Before(drained) {
 		drained = end
 	}
