--- a/internal/gatekeeper/crash.go
+++ b/internal/gatekeeper/crash.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -40,18 +41,15 @@
 type crashTracker struct {
 	mu   sync.Mutex
 	list *quarantine.List
-	// lastCrash is when the last crash was detected. It covers all requests that began before.
-	lastCrash time.Time
 	// trial is a semaphore held by the one suspect that runs or is about to.
 	trial chan struct{}
 }
 
 // trackedRun is the crash-tracking state of one request.
 type trackedRun struct {
-	fingerprint quarantine.Fingerprint
-	atHome      bool
-	onTrial     bool
-	startedAt   time.Time
+	quarantine.Run
+	atHome  bool
+	onTrial bool
 }
 
 // withLock calls f with c.mu held, passing the list and the current time.
@@ -67,12 +65,12 @@
 	if refused != nil {
 		return nil, refused
 	}
-	run := &trackedRun{fingerprint: quarantine.FingerprintOf(quarantine.Request{
+	run := &trackedRun{Run: quarantine.Run{Fingerprint: quarantine.FingerprintOf(quarantine.Request{
 		Organisation: call.Organisation, Route: route.Name, Method: call.Request.Method, Target: call.Request.URL.RequestURI(),
 		Key: call.Request.Header.Get(headers.IdempotencyKey), BodyDigest: digest,
-	})}
+	})}}
 	var verdict quarantine.Verdict
-	g.crashTracker.withLock(func(l *quarantine.List, now time.Time) { verdict = l.Lookup(now, run.fingerprint) })
+	g.crashTracker.withLock(func(l *quarantine.List, now time.Time) { verdict = l.Lookup(now, run.Fingerprint) })
 	switch verdict {
 	case quarantine.Quarantined:
 		return nil, refusal.New(refusal.Quarantined, "the request crashed its targets")
@@ -84,7 +82,7 @@
 
 // awaitTrial waits until the suspect may run if this instance is its home, and refuses it otherwise.
 func (g *Gatekeeper) awaitTrial(ctx context.Context, route *snapshot.Route, run *trackedRun) *refusal.Refusal {
-	if home := g.homeInstance(route, run.fingerprint); home != g.config.Instance {
+	if home := g.homeInstance(route, run.Fingerprint); home != g.config.Instance {
 		refused := refusal.New(refusal.Suspected, "the request was in flight when a target crashed; it runs at %q only", home)
 		refused.Holder = home
 		return refused
@@ -145,8 +143,7 @@
 // beginRun counts an admitted request as in flight. It refuses the request if a crash made it a suspect in the meantime.
 func (g *Gatekeeper) beginRun(run *trackedRun) *refusal.Refusal {
 	var verdict quarantine.Verdict
-	run.startedAt = time.Now()
-	g.crashTracker.withLock(func(l *quarantine.List, now time.Time) { verdict = l.Begin(now, run.fingerprint, run.atHome) })
+	g.crashTracker.withLock(func(l *quarantine.List, now time.Time) { verdict = l.Begin(now, &run.Run, run.atHome) })
 	if verdict == quarantine.Unsuspected || (verdict == quarantine.Suspect && run.atHome) {
 		return nil
 	}
@@ -156,7 +153,7 @@
 // endRun ends a request that was counted as in flight.
 func (g *Gatekeeper) endRun(run *trackedRun, result admission.Result) {
 	var notice quarantine.Notice
-	g.crashTracker.withLock(func(l *quarantine.List, now time.Time) { notice = l.End(now, run.fingerprint, result == admission.OK) })
+	g.crashTracker.withLock(func(l *quarantine.List, now time.Time) { notice = l.End(now, &run.Run, result == admission.OK) })
 	g.endTrial(run)
 	if !notice.Empty() {
 		go g.broadcast(notice)
@@ -175,18 +172,17 @@
 // it sends a notice to the service's instances before the caller gets a response.
 func (g *Gatekeeper) handleBrokenConn(run *trackedRun) {
 	g.crashTracker.mu.Lock()
-	if run.startedAt.Before(g.crashTracker.lastCrash) || !g.targetDown() {
+	if run.Crashed() || !g.targetDown() {
 		g.crashTracker.mu.Unlock()
 		return
 	}
-	now := time.Now()
-	g.crashTracker.lastCrash = now
-	notice := g.crashTracker.list.Crashed(now)
+	notice := g.crashTracker.list.Crashed(time.Now(), rand.Uint64(), g.config.Instance)
 	g.crashTracker.mu.Unlock()
 	if g.config.Trail != nil {
+		quarantined := len(notice.Quarantined())
 		g.config.Trail.Add(audit.Record{
 			Kind: audit.Quarantine, Subject: "target of instance " + g.config.Instance,
-			Detail: fmt.Sprintf("crashed; %d requests suspected, %d quarantined", len(notice.Suspects), len(notice.Quarantined)),
+			Detail: fmt.Sprintf("crashed; %d requests suspected, %d quarantined", len(notice.Records)-quarantined, quarantined),
 			Remedy: "look for the cause in the target's log",
 		})
 	}
--- a/quarantine/example_test.go
+++ b/quarantine/example_test.go
@@ -12,16 +12,18 @@
 	list := quarantine.New("obb-muc-1")
 	f := quarantine.FingerprintOf(quarantine.Request{Organisation: "haulier-a", Route: "order", Method: "POST", Target: "/orders", Key: "k1"})
 
-	list.Begin(now, f, false)
-	notice := list.Crashed(now)
-	list.End(now, f, false)
-	fmt.Println(len(notice.Suspects), list.Lookup(now, f) == quarantine.Suspect)
+	run := &quarantine.Run{Fingerprint: f}
+	list.Begin(now, run, false)
+	notice := list.Crashed(now, 1, "obb-muc-1")
+	list.End(now, run, false)
+	fmt.Println(len(notice.Records), list.Lookup(now, f) == quarantine.Suspect)
 
 	now = now.Add(time.Second)
-	list.Begin(now, f, true)
-	notice = list.Crashed(now)
-	list.End(now, f, false)
-	fmt.Println(len(notice.Quarantined), list.Lookup(now, f).Remedy())
+	run = &quarantine.Run{Fingerprint: f}
+	list.Begin(now, run, true)
+	notice = list.Crashed(now, 2, "obb-muc-1")
+	list.End(now, run, false)
+	fmt.Println(len(notice.Quarantined()), list.Lookup(now, f).Remedy())
 	// Output:
 	// 1 true
 	// 1 do not send the request again; it crashed its targets
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -1,25 +1,32 @@
 // Package quarantine finds requests that crash their targets and prevents them from running again.
 //
-// A request is identified by its fingerprint. The requests in flight when a target crashes are suspects. A suspect runs
-// only at one instance, its home, and there only one suspect runs at a time (its trial). If the target crashes during the
-// trial, the suspect is taken as the cause and is quarantined at all instances. If the request succeeds, it is cleared at
-// all instances.
+// A request is identified by its fingerprint. The requests in flight when a target crashes are suspects, except for those that
+// the target has answered shortly before. A suspect runs only at one target, its home, and there only one suspect runs at a time
+// (its trial). If the target crashes during the trial, the suspect is taken as the cause and is quarantined. If the target
+// answers the request, the suspicion is cleared.
 //
 // List does no I/O: time is passed in as an argument, notices to other instances are arguments and results, and the caller
-// serializes the calls. Send the notice of a crash to the service's instances before the callers of the crashed requests
-// get their responses, so that a resent request reaches only instances that have the notice.
+// serializes the calls. Send a notice to the service's instances before the callers of the requests concerned get their
+// responses, so that a resent request reaches only instances that have the notice.
+//
+// Notices contain no points in time, so that the clocks of instances need not agree: crashes have IDs, and a clearance names the
+// crashes that it covers.
 //
 // Invariants:
-//   - If all instances receive the notices and agree on homes, a request crashes at most two targets until its quarantine
-//     ends.
+//   - If all instances receive the notices and agree on homes, a request that runs at one target at a time crashes at most two
+//     until its quarantine ends. If several targets run it at the same moment, it is quarantined after the third crash at the
+//     latest.
 //   - A request that ran beside a suspect on trial is not made a suspect by the crash.
-//   - Notices may be lost, duplicated or delayed: an older suspicion never undoes a clearance, and a clearance never undoes
-//     a quarantine.
+//   - Notices may be lost, duplicated, reordered or delayed: a suspicion never undoes a clearance of the same crash, and a
+//     clearance never undoes a quarantine.
 //   - At most MaxEntries fingerprints are kept.
 package quarantine
 
 import (
+	"cmp"
 	"encoding/binary"
+	"fmt"
+	"maps"
 	"slices"
 	"time"
 
@@ -32,22 +39,42 @@
 	SuspicionTTL = 10 * time.Minute
 	// QuarantineTTL is the time for which a request stays quarantined.
 	QuarantineTTL = time.Hour
-	// clearanceTTL is the time for which a clearance overrides older suspicions that arrive late.
+	// clearanceTTL is the time for which a clearance overrides suspicions that arrive late.
 	clearanceTTL = time.Minute
+	// answeredTTL is the time for which an answered request is not made a suspect by a crash.
+	answeredTTL = 10 * time.Second
+	// unansweredTTL is the time for which a request that ended without an answer counts as in flight: its target may still be
+	// working on it.
+	unansweredTTL = time.Second
+	// downTTL is the time after its crash for which a target is not chosen as a home. Until then it has usually been removed from
+	// the list of targets, or replaced by a new incarnation with another name.
+	downTTL = 5 * time.Second
+	// crashesToConvict is the number of crashes after which a request is quarantined even if others were in flight each time.
+	crashesToConvict = 3
 	// MaxEntries is the maximum number of fingerprints kept. Beyond it the entry that expires first is evicted.
 	MaxEntries = 4096
-	// MaxNotice is the maximum number of fingerprints of each kind in a notice.
+	// MaxNotice is the maximum number of records in a notice.
 	MaxNotice = 256
+	// maxCrashes is the maximum number of crashes kept for a fingerprint, and maxDown the maximum number of crashed targets.
+	maxCrashes = 8
+	maxDown    = 1024
+	// maxLabelBytes is the maximum length of a label.
+	maxLabelBytes = 256
 )
 
 // Fingerprint is a hash that identifies a request.
 type Fingerprint uint64
 
+// String returns the fingerprint as 16 hexadecimal digits.
+func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
+
 // Request holds the properties from which a fingerprint is computed.
 type Request struct {
-	Organisation string
-	Route        string
-	Method       string
+	// Organisation is the organisation that sent the request, and Service the service on whose behalf it was sent. Either may be empty.
+	Organisation, Service string
+	// Route is the name of the route, or the host if routes have no lasting names.
+	Route  string
+	Method string
 	// Target is the path and query.
 	Target string
 	// Key is the idempotency key, or empty.
@@ -60,7 +87,7 @@
 func FingerprintOf(r Request) Fingerprint {
 	var d xxhash.Digest
 	d.Reset()
-	for _, part := range []string{r.Organisation, r.Route, r.Method, r.Target, r.Key} {
+	for _, part := range [...]string{r.Organisation, r.Route, r.Method, r.Target, r.Key, r.Service} {
 		_, _ = d.WriteString(part)
 		_, _ = d.Write([]byte{0})
 	}
@@ -114,160 +141,367 @@
 	return ""
 }
 
-// Notice informs the other instances of the service of a crash or a clearance. Times are nanoseconds since the Unix epoch.
-type Notice struct {
-	// From is the sending instance; At is the time of the crash or clearance.
-	From        string        `cbor:"1,keyasint"`
-	At          int64         `cbor:"2,keyasint"`
-	Suspects    []Fingerprint `cbor:"3,keyasint,omitempty"`
-	Quarantined []Fingerprint `cbor:"4,keyasint,omitempty"`
-	Cleared     []Fingerprint `cbor:"5,keyasint,omitempty"`
+// Crash is one crash of a target, as evidence against a request that was in flight.
+type Crash struct {
+	// ID is the same at all instances.
+	ID uint64 `cbor:"1,keyasint"`
+	// Alone is set if no other request can have been the cause: this one was on trial, or alone in flight.
+	Alone bool `cbor:"2,keyasint,omitempty"`
+	// Cleared is set if a target has answered the request since.
+	Cleared bool `cbor:"3,keyasint,omitempty"`
 }
 
-// Empty reports whether the notice contains no fingerprints.
-func (n Notice) Empty() bool { return len(n.Suspects)+len(n.Quarantined)+len(n.Cleared) == 0 }
+// Record is what is known of one request.
+type Record struct {
+	Fingerprint Fingerprint `cbor:"1,keyasint"`
+	Crashes     []Crash     `cbor:"2,keyasint,omitempty"`
+	Quarantined bool        `cbor:"3,keyasint,omitempty"`
+	// ExpiresInMs is the time in milliseconds for which the record remains valid.
+	ExpiresInMs int64 `cbor:"4,keyasint"`
+	// Label describes the request to operators. It may be empty.
+	Label string `cbor:"5,keyasint,omitempty"`
+}
+
+// Notice informs other instances of crashes and clearances.
+type Notice struct {
+	// From is the sending instance.
+	From    string   `cbor:"1,keyasint"`
+	Records []Record `cbor:"2,keyasint,omitempty"`
+	// Down holds the names of targets that have crashed.
+	Down []string `cbor:"3,keyasint,omitempty"`
+}
 
-type state uint8
+// Empty reports whether the notice contains nothing.
+func (n Notice) Empty() bool { return len(n.Records)+len(n.Down) == 0 }
 
-const (
-	suspected state = iota + 1
-	quarantined
-	cleared
-)
+// Quarantined returns the records of quarantined requests.
+func (n Notice) Quarantined() []Record {
+	var out []Record
+	for _, r := range n.Records {
+		if r.Quarantined {
+			out = append(out, r)
+		}
+	}
+	return out
+}
 
+// entry is what an instance knows of one request.
 type entry struct {
-	state state
-	at    time.Time
-	until time.Time
+	crashes     []Crash
+	quarantined bool
+	since       time.Time
+	until       time.Time
+	label       string
+}
+
+// suspected returns the number of crashes that are not cleared, and whether one of them was caused by no other request.
+func (e *entry) suspected() (crashes int, alone bool) {
+	for _, c := range e.crashes {
+		if !c.Cleared {
+			crashes++
+			alone = alone || c.Alone
+		}
+	}
+	return crashes, alone
+}
+
+// Run is one run of a request at the local target.
+type Run struct {
+	// Fingerprint identifies the request; Label describes it to operators and may be nil.
+	Fingerprint Fingerprint
+	Label       fmt.Stringer
+	// blamed is set once a crash of the target has ended the run.
+	blamed bool
+}
+
+// Crashed reports whether the run was ended by a crash of the target that has been recorded.
+func (r *Run) Crashed() bool { return r.blamed }
+
+// ending is a run that ended without an answer.
+type ending struct {
+	run *Run
+	at  time.Time
 }
 
 // List holds the suspected, quarantined and cleared requests known to one instance. Create it with New. It is not safe for
 // concurrent use.
 type List struct {
 	self    string
-	entries map[Fingerprint]entry
-	running map[Fingerprint]int
-	// trial is the suspect that runs here; valid if onTrial is true.
-	trial   Fingerprint
-	onTrial bool
+	entries map[Fingerprint]*entry
+	running map[*Run]struct{}
+	// trial is the suspect that runs here, or nil.
+	trial *Run
+	// unanswered holds the runs that ended without an answer, oldest first.
+	unanswered []ending
+	// answered holds the requests answered in the present period of answeredTTL, answeredBefore those of the one before.
+	answered, answeredBefore map[Fingerprint]struct{}
+	answeredSince            time.Time
+	// down holds the end of downTTL for each target that has crashed.
+	down map[string]time.Time
 }
 
 // New returns an empty list for the named instance.
 func New(self string) *List {
-	return &List{self: self, entries: map[Fingerprint]entry{}, running: map[Fingerprint]int{}}
+	return &List{
+		self: self, entries: map[Fingerprint]*entry{}, running: map[*Run]struct{}{},
+		answered: map[Fingerprint]struct{}{}, answeredBefore: map[Fingerprint]struct{}{}, down: map[string]time.Time{},
+	}
 }
 
 // Lookup returns the state of a request for a frontend: Unsuspected, Suspect or Quarantined.
 func (l *List) Lookup(now time.Time, f Fingerprint) Verdict {
-	if len(l.entries) == 0 {
+	e := l.entry(now, f)
+	if e == nil {
 		return Unsuspected
 	}
-	e, ok := l.entries[f]
-	if !ok || now.After(e.until) {
-		return Unsuspected
+	if e.quarantined {
+		return Quarantined
 	}
-	switch e.state {
-	case suspected:
+	if crashes, _ := e.suspected(); crashes > 0 {
 		return Suspect
-	case quarantined:
-		return Quarantined
 	}
 	return Unsuspected
 }
 
+// entry returns the entry of a request, or nil if there is none or it has expired.
+func (l *List) entry(now time.Time, f Fingerprint) *entry {
+	if len(l.entries) == 0 {
+		return nil
+	}
+	e := l.entries[f]
+	if e == nil || now.After(e.until) {
+		return nil
+	}
+	return e
+}
+
+// Home returns the target at which a suspect runs. Targets that have crashed lately are used only if there is no other.
+func (l *List) Home(now time.Time, f Fingerprint, targets []string) string {
+	up := slices.DeleteFunc(slices.Clone(targets), func(name string) bool { return now.Before(l.down[name]) })
+	if len(up) == 0 {
+		up = targets
+	}
+	return Home(f, up)
+}
+
 // Begin asks to run a request at this instance's target. The request may run if the verdict is Unsuspected, or Suspect with
-// home set. End must then be called.
-func (l *List) Begin(now time.Time, f Fingerprint, home bool) Verdict {
-	v := l.Lookup(now, f)
+// home set. End must then be called with the run.
+func (l *List) Begin(now time.Time, r *Run, home bool) Verdict {
+	v := l.Lookup(now, r.Fingerprint)
 	switch {
 	case v == Quarantined || (v == Suspect && !home):
 		return v
-	case v == Suspect && l.onTrial:
+	case v == Suspect && l.trial != nil:
 		return Busy
 	case v == Suspect:
-		l.trial, l.onTrial = f, true
+		l.trial = r
 	}
-	l.running[f]++
+	l.running[r] = struct{}{}
 	return v
 }
 
-// End records that a request ended and whether it succeeded. The returned notice announces a clearance; send it unless it
+// End records that a run ended and whether the target answered. The returned notice announces a clearance; send it unless it
 // is Empty.
-func (l *List) End(now time.Time, f Fingerprint, succeeded bool) Notice {
-	if l.running[f]--; l.running[f] <= 0 {
-		delete(l.running, f)
+func (l *List) End(now time.Time, r *Run, answered bool) Notice {
+	delete(l.running, r)
+	if l.trial == r {
+		l.trial = nil
 	}
-	if l.onTrial && l.trial == f {
-		l.onTrial = false
+	if !answered {
+		if !r.blamed {
+			l.addUnanswered(now, r)
+		}
+		return Notice{}
 	}
-	if !succeeded || l.Lookup(now, f) != Suspect {
+	l.addAnswered(now, r.Fingerprint)
+	if l.Lookup(now, r.Fingerprint) != Suspect {
 		return Notice{}
 	}
-	l.put(now, f, entry{cleared, now, now.Add(clearanceTTL)})
-	return Notice{From: l.self, At: now.UnixNano(), Cleared: []Fingerprint{f}}
+	l.clear(now, r.Fingerprint)
+	return Notice{From: l.self, Records: []Record{l.record(now, r.Fingerprint)}}
 }
 
-// Crashed records a crash of the instance's target. Call it once for each crash, before End of the requests that the crash
-// ended. The notice quarantines the suspect on trial, or else makes all requests in flight suspects.
-func (l *List) Crashed(now time.Time) Notice {
-	n := Notice{From: l.self, At: now.UnixNano()}
-	if l.onTrial {
-		n.Quarantined = []Fingerprint{l.trial}
+// clear clears all known crashes of a request.
+func (l *List) clear(now time.Time, f Fingerprint) {
+	e := l.entries[f]
+	for i := range e.crashes {
+		e.crashes[i].Cleared = true
+	}
+	e.until = now.Add(clearanceTTL)
+}
+
+// addUnanswered remembers a run that ended without an answer.
+func (l *List) addUnanswered(now time.Time, r *Run) {
+	expired := 0
+	for expired < len(l.unanswered) && now.Sub(l.unanswered[expired].at) >= unansweredTTL {
+		expired++
+	}
+	if len(l.unanswered)-expired >= MaxNotice {
+		expired++
+	}
+	l.unanswered = append(l.unanswered[expired:], ending{r, now})
+}
+
+// addAnswered remembers an answered request.
+func (l *List) addAnswered(now time.Time, f Fingerprint) {
+	if age := now.Sub(l.answeredSince); age >= answeredTTL {
+		l.answeredSince = now
+		l.answered, l.answeredBefore = l.answeredBefore, l.answered
+		clear(l.answered)
+		if age >= 2*answeredTTL {
+			clear(l.answeredBefore)
+		}
+	}
+	if len(l.answered) < MaxEntries {
+		l.answered[f] = struct{}{}
+	}
+}
+
+// answeredLately reports whether the local target has answered a request within answeredTTL, or a little longer ago: at most twice
+// that.
+func (l *List) answeredLately(now time.Time, f Fingerprint) bool {
+	age := now.Sub(l.answeredSince)
+	_, present := l.answered[f]
+	_, before := l.answeredBefore[f]
+	return present && age < 2*answeredTTL || before && age < answeredTTL
+}
+
+// Crashed records a crash of the instance's target, which has the given name. The ID must be different for each crash. Call it
+// once for each crash, before End of the requests that the crash ended. The suspect on trial is quarantined; without a trial all
+// requests in flight become suspects.
+func (l *List) Crashed(now time.Time, id uint64, target string) Notice {
+	suspects := map[Fingerprint]*Run{}
+	for r := range l.running {
+		r.blamed = true
+		if l.trial == nil && !l.answeredLately(now, r.Fingerprint) {
+			suspects[r.Fingerprint] = r
+		}
+	}
+	if l.trial != nil {
+		suspects[l.trial.Fingerprint] = l.trial
+		l.trial = nil
 	} else {
-		n.Suspects = l.inFlight()
+		for _, u := range l.unanswered {
+			if now.Sub(u.at) < unansweredTTL && !l.answeredLately(now, u.run.Fingerprint) {
+				suspects[u.run.Fingerprint] = u.run
+			}
+		}
 	}
+	l.unanswered = nil
+	clear(l.running)
+	n := Notice{From: l.self, Down: []string{target}}
+	for f, r := range suspects {
+		record := Record{Fingerprint: f, Crashes: []Crash{{ID: id, Alone: len(suspects) == 1}}, ExpiresInMs: SuspicionTTL.Milliseconds()}
+		if r.Label != nil {
+			record.Label = r.Label.String()
+		}
+		n.Records = append(n.Records, record)
+	}
+	slices.SortFunc(n.Records, func(a, b Record) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
+	n.Records = n.Records[:min(len(n.Records), MaxNotice)]
 	l.Apply(now, n)
+	for i, r := range n.Records {
+		n.Records[i] = l.record(now, r.Fingerprint)
+	}
 	return n
 }
 
-func (l *List) inFlight() []Fingerprint {
-	out := make([]Fingerprint, 0, len(l.running))
-	for f := range l.running {
-		out = append(out, f)
+// record returns the record of a known request.
+func (l *List) record(now time.Time, f Fingerprint) Record {
+	e := l.entries[f]
+	return Record{
+		Fingerprint: f, Crashes: slices.Clone(e.crashes), Quarantined: e.quarantined, ExpiresInMs: e.until.Sub(now).Milliseconds(), Label: e.label,
 	}
-	slices.Sort(out)
-	return out[:min(len(out), MaxNotice)]
 }
 
-// Apply processes a notice of this or another instance.
-func (l *List) Apply(now time.Time, n Notice) {
-	at := time.Unix(0, n.At)
-	for _, f := range truncate(n.Cleared) {
-		if e, ok := l.entries[f]; !ok || (e.state != quarantined && e.at.Before(at)) {
-			l.put(now, f, entry{cleared, at, at.Add(clearanceTTL)})
+// Apply processes a notice of this or another instance, and reports whether it contained news.
+func (l *List) Apply(now time.Time, n Notice) bool {
+	news := false
+	for _, r := range n.Records[:min(len(n.Records), MaxNotice)] {
+		news = l.merge(now, r) || news
+	}
+	for _, name := range n.Down[:min(len(n.Down), MaxNotice)] {
+		if !now.Before(l.down[name]) {
+			l.addDown(now, name)
+			news = true
 		}
 	}
-	for _, f := range truncate(n.Suspects) {
-		l.addSuspect(now, f, at, len(n.Suspects) == 1)
+	return news
+}
+
+// merge adds what a record says to what is known, and reports whether it contained news.
+func (l *List) merge(now time.Time, r Record) bool {
+	expiresIn := time.Duration(min(r.ExpiresInMs, QuarantineTTL.Milliseconds())) * time.Millisecond
+	if expiresIn <= 0 || (len(r.Crashes) == 0 && !r.Quarantined) {
+		return false
+	}
+	known := l.entry(now, r.Fingerprint)
+	e := known
+	if e == nil {
+		e = &entry{since: now, label: r.Label[:min(len(r.Label), maxLabelBytes)]}
+	}
+	news := false
+	for _, c := range r.Crashes[:min(len(r.Crashes), maxCrashes)] {
+		news = e.addCrash(c) || news
 	}
-	for _, f := range truncate(n.Quarantined) {
-		l.put(now, f, entry{quarantined, at, at.Add(QuarantineTTL)})
+	crashes, alone := e.suspected()
+	if !e.quarantined && (r.Quarantined || crashes >= crashesToConvict || crashes > 1 && alone) {
+		e.quarantined, news = true, true
+	}
+	if !news {
+		return false
+	}
+	ttl := clearanceTTL
+	switch {
+	case e.quarantined:
+		ttl = QuarantineTTL
+	case crashes > 0:
+		ttl = SuspicionTTL
 	}
+	if known != nil || !r.Quarantined && e.quarantined {
+		expiresIn = ttl
+	}
+	e.until = now.Add(min(ttl, expiresIn))
+	if known == nil {
+		l.put(now, r.Fingerprint, e)
+	}
+	return true
 }
 
-// addSuspect records that a request was in flight at a crash. A suspect that was alone in flight at a later crash is
-// quarantined.
-func (l *List) addSuspect(now time.Time, f Fingerprint, at time.Time, alone bool) {
-	e, ok := l.entries[f]
-	ok = ok && !now.After(e.until)
-	switch {
-	case ok && (e.state == quarantined || !e.at.Before(at)):
-		return
-	case ok && e.state == suspected && alone:
-		l.put(now, f, entry{quarantined, at, at.Add(QuarantineTTL)})
-	default:
-		l.put(now, f, entry{suspected, at, at.Add(SuspicionTTL)})
+// addCrash adds a crash and reports whether it, or its clearance, was unknown.
+func (e *entry) addCrash(c Crash) bool {
+	i := slices.IndexFunc(e.crashes, func(known Crash) bool { return known.ID == c.ID })
+	if i < 0 {
+		if len(e.crashes) >= maxCrashes {
+			cleared := slices.IndexFunc(e.crashes, func(known Crash) bool { return known.Cleared })
+			if cleared < 0 {
+				return false
+			}
+			e.crashes = slices.Delete(e.crashes, cleared, cleared+1)
+		}
+		e.crashes = append(e.crashes, c)
+		return true
 	}
+	merged := Crash{ID: c.ID, Alone: c.Alone || e.crashes[i].Alone, Cleared: c.Cleared || e.crashes[i].Cleared}
+	news := merged != e.crashes[i]
+	e.crashes[i] = merged
+	return news
 }
 
-func truncate(list []Fingerprint) []Fingerprint { return list[:min(len(list), MaxNotice)] }
+// addDown records that a target has crashed.
+func (l *List) addDown(now time.Time, name string) {
+	if len(l.down) >= maxDown {
+		maps.DeleteFunc(l.down, func(_ string, until time.Time) bool { return now.After(until) })
+	}
+	if len(l.down) >= maxDown {
+		clear(l.down)
+	}
+	l.down[name] = now.Add(downTTL)
+}
 
 // put stores an entry. If the list is full it first removes the expired entries, and if there are none the entry that
 // expires first.
-func (l *List) put(now time.Time, f Fingerprint, e entry) {
-	if !now.Before(e.until) {
-		return
-	}
+func (l *List) put(now time.Time, f Fingerprint, e *entry) {
 	if _, known := l.entries[f]; !known && len(l.entries) >= MaxEntries {
 		l.evict(now)
 	}
@@ -289,6 +523,62 @@
 	}
 }
 
+// About returns what is known of a request and of crashed targets, for an instance that asks about the request. It is empty if the
+// request is not suspected.
+func (l *List) About(now time.Time, f Fingerprint) Notice {
+	if l.Lookup(now, f) == Unsuspected {
+		return Notice{}
+	}
+	return Notice{From: l.self, Records: []Record{l.record(now, f)}, Down: l.downTargets(now)}
+}
+
+// All returns what is known of all suspected and quarantined requests, as far as it fits in a notice, quarantined ones first.
+func (l *List) All(now time.Time) Notice {
+	n := Notice{From: l.self, Down: l.downTargets(now)}
+	for _, held := range l.Held(now) {
+		n.Records = append(n.Records, l.record(now, held.Fingerprint))
+	}
+	n.Records = n.Records[:min(len(n.Records), MaxNotice)]
+	return n
+}
+
+func (l *List) downTargets(now time.Time) []string {
+	var out []string
+	for name, until := range l.down {
+		if now.Before(until) && len(out) < MaxNotice {
+			out = append(out, name)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
+// Held describes a request that is suspected or quarantined.
+type Held struct {
+	Fingerprint Fingerprint
+	Verdict     Verdict
+	// Since is the time since which this instance has known of it, Until the time at which it is released. Crashes is the number of
+	// crashes that it is suspected of.
+	Since, Until time.Time
+	Crashes      int
+	Label        string
+}
+
+// Held returns the suspected and quarantined requests: quarantined ones first, and those by fingerprint.
+func (l *List) Held(now time.Time) []Held {
+	var out []Held
+	for f, e := range l.entries {
+		if v := l.Lookup(now, f); v != Unsuspected {
+			crashes, _ := e.suspected()
+			out = append(out, Held{Fingerprint: f, Verdict: v, Since: e.since, Until: e.until, Crashes: crashes, Label: e.label})
+		}
+	}
+	slices.SortFunc(out, func(a, b Held) int {
+		return cmp.Or(-cmp.Compare(a.Verdict, b.Verdict), cmp.Compare(a.Fingerprint, b.Fingerprint))
+	})
+	return out
+}
+
 // Counts returns the number of suspects and of quarantined requests.
 func (l *List) Counts(now time.Time) (suspects, quarantines int) {
 	for f := range l.entries {
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -10,75 +12,207 @@
 
 var epoch = time.Unix(1_700_000_000, 0)
 
+// begin asks to run a request and returns its run.
+func begin(l *List, now time.Time, f Fingerprint, home bool) (*Run, Verdict) {
+	r := &Run{Fingerprint: f}
+	return r, l.Begin(now, r, home)
+}
+
 func TestPoisonIsQuarantinedAfterTwoCrashes(t *testing.T) {
 	a, b := New("a"), New("b")
 	const poison, harmless = Fingerprint(1), Fingerprint(2)
-	a.Begin(epoch, poison, false)
-	a.Begin(epoch, harmless, false)
-	b.Apply(epoch, a.Crashed(epoch))
-	a.End(epoch, poison, false)
-	a.End(epoch, harmless, false)
+	first, _ := begin(a, epoch, poison, false)
+	beside, _ := begin(a, epoch, harmless, false)
+	b.Apply(epoch, a.Crashed(epoch, 1, "a"))
+	a.End(epoch, first, false)
+	a.End(epoch, beside, false)
 
-	if v := b.Begin(epoch, poison, false); v != Suspect {
+	if _, v := begin(b, epoch, poison, false); v != Suspect {
 		t.Fatalf("verdict %d for a suspect away from its home", v)
 	}
 	now := epoch.Add(time.Second)
-	if v := b.Begin(now, poison, true); v != Suspect {
+	trial, v := begin(b, now, poison, true)
+	if v != Suspect {
 		t.Fatalf("verdict %d for a suspect at its home", v)
 	}
-	if v := b.Begin(now, harmless, true); v != Busy {
+	if _, v := begin(b, now, harmless, true); v != Busy {
 		t.Fatalf("verdict %d for a second suspect", v)
 	}
-	a.Apply(now, b.Crashed(now))
-	b.End(now, poison, false)
+	a.Apply(now, b.Crashed(now, 2, "b"))
+	b.End(now, trial, false)
 	if a.Lookup(now, poison) != Quarantined || b.Lookup(now, poison) != Quarantined {
 		t.Fatal("not quarantined after its second crash")
 	}
-	b.Begin(now, harmless, true)
+	run, _ := begin(b, now, harmless, true)
 	now = now.Add(time.Second)
-	a.Apply(now, b.End(now, harmless, true))
+	a.Apply(now, b.End(now, run, true))
 	if a.Lookup(now, harmless) != Unsuspected || b.Lookup(now, harmless) != Unsuspected {
 		t.Fatal("not cleared after its success")
 	}
-	if a.Lookup(now.Add(QuarantineTTL), poison) != Unsuspected {
+	if a.Lookup(now.Add(QuarantineTTL+time.Second), poison) != Unsuspected {
 		t.Fatal("quarantine does not end")
 	}
 }
 
+// notice returns a notice with one record.
+func notice(f Fingerprint, crashes ...Crash) Notice {
+	return Notice{Records: []Record{{Fingerprint: f, Crashes: crashes, ExpiresInMs: 60_000}}}
+}
+
 func TestLateNoticesDoNotUndo(t *testing.T) {
 	l := New("a")
-	at := func(d time.Duration) int64 { return epoch.Add(d).UnixNano() }
-	l.Apply(epoch, Notice{At: at(2 * time.Second), Cleared: []Fingerprint{1}})
-	l.Apply(epoch, Notice{At: at(time.Second), Suspects: []Fingerprint{1, 2}})
+	l.Apply(epoch, notice(1, Crash{ID: 1, Cleared: true}))
+	l.Apply(epoch, notice(1, Crash{ID: 1}))
 	if l.Lookup(epoch, 1) != Unsuspected {
-		t.Error("an older suspicion undid a clearance")
+		t.Error("a suspicion undid a clearance of the same crash")
+	}
+	l.Apply(epoch, notice(1, Crash{ID: 2}))
+	if l.Lookup(epoch, 1) != Suspect {
+		t.Error("a clearance hides a crash that it does not cover")
 	}
-	l.Apply(epoch, Notice{At: at(time.Second), Quarantined: []Fingerprint{2}})
-	l.Apply(epoch, Notice{At: at(3 * time.Second), Cleared: []Fingerprint{2}})
+	l.Apply(epoch, notice(2, Crash{ID: 1}, Crash{ID: 2, Alone: true}))
+	l.Apply(epoch, notice(2, Crash{ID: 1, Cleared: true}, Crash{ID: 2, Cleared: true}))
 	if l.Lookup(epoch, 2) != Quarantined {
 		t.Error("a clearance undid a quarantine")
 	}
 }
 
+func TestMalformedNoticesAreBounded(t *testing.T) {
+	l := New("a")
+	many := Notice{Records: make([]Record, 2*MaxNotice), Down: make([]string, 2*MaxNotice)}
+	for i := range many.Records {
+		many.Records[i] = Record{Fingerprint: Fingerprint(i), Crashes: make([]Crash, 100), ExpiresInMs: math.MaxInt64, Label: strings.Repeat("x", 10*maxLabelBytes)}
+	}
+	l.Apply(epoch, many)
+	for f, e := range l.entries {
+		if len(e.crashes) > maxCrashes || len(e.label) > maxLabelBytes || e.until.After(epoch.Add(QuarantineTTL)) {
+			t.Fatalf("request %d: %d crashes, label of %d bytes, until %v", f, len(e.crashes), len(e.label), e.until)
+		}
+	}
+	if len(l.entries) > MaxNotice || len(l.down) > MaxNotice {
+		t.Fatalf("%d entries, %d targets", len(l.entries), len(l.down))
+	}
+	for _, r := range []Record{{Fingerprint: 9_999}, {Fingerprint: 9_999, Crashes: []Crash{{ID: 1}}, ExpiresInMs: -1}} {
+		if l.Apply(epoch, Notice{Records: []Record{r}}) || l.Lookup(epoch, 9_999) != Unsuspected {
+			t.Fatalf("%+v was taken", r)
+		}
+	}
+}
+
 func TestMemoryIsBounded(t *testing.T) {
 	l := New("a")
 	for i := range 3 * MaxEntries {
-		l.Apply(epoch, Notice{At: epoch.UnixNano() + int64(i), Suspects: []Fingerprint{Fingerprint(i)}})
+		l.Apply(epoch.Add(time.Duration(i)), notice(Fingerprint(i), Crash{ID: uint64(i)}))
+		run, _ := begin(l, epoch.Add(time.Duration(i)), Fingerprint(i+4*MaxEntries), false)
+		l.End(epoch.Add(time.Duration(i)), run, i%2 == 0)
+		l.addDown(epoch, fmt.Sprint(i))
+	}
+	if len(l.entries) > MaxEntries || len(l.answered) > MaxEntries || len(l.unanswered) > MaxNotice || len(l.running) > 0 || len(l.down) > maxDown {
+		t.Fatalf("%d entries, %d answered, %d unanswered, %d running, %d down", len(l.entries), len(l.answered), len(l.unanswered), len(l.running), len(l.down))
+	}
+}
+
+// A popular request is in flight whenever a target crashes. It must not be taken for the cause.
+func TestAnsweredRequestIsNotSuspected(t *testing.T) {
+	l := New("a")
+	run, _ := begin(l, epoch, 1, false)
+	l.End(epoch, run, true)
+	for crash := range uint64(5) {
+		now := epoch.Add(time.Duration(crash) * time.Second)
+		begin(l, now, 1, false)
+		l.Crashed(now, crash, "a")
+	}
+	if v := l.Lookup(epoch, 1); v != Unsuspected {
+		t.Fatalf("verdict %d", v)
+	}
+	later := epoch.Add(2 * answeredTTL)
+	begin(l, later, 1, false)
+	l.Crashed(later, 9, "a")
+	if v := l.Lookup(later, 1); v != Suspect {
+		t.Fatalf("verdict %d long after the answer", v)
+	}
+}
+
+// A caller may leave before its request crashes the target.
+func TestRequestWithoutAnswerIsSuspectedOfLaterCrash(t *testing.T) {
+	l := New("a")
+	run, _ := begin(l, epoch, 1, false)
+	l.End(epoch, run, false)
+	l.Crashed(epoch.Add(unansweredTTL/2), 1, "a")
+	if v := l.Lookup(epoch, 1); v != Suspect {
+		t.Fatalf("verdict %d", v)
+	}
+	run, _ = begin(l, epoch, 2, false)
+	l.End(epoch, run, false)
+	l.Crashed(epoch.Add(2*unansweredTTL), 2, "a")
+	if v := l.Lookup(epoch, 2); v != Unsuspected {
+		t.Fatalf("verdict %d for a request that ended long before the crash", v)
+	}
+}
+
+// Several targets may run a request when the first of them crashes, beside the same other requests.
+func TestRequestIsQuarantinedAfterThreeCrashesBesideOthers(t *testing.T) {
+	lists := []*List{New("a"), New("b"), New("c")}
+	for i, l := range lists {
+		begin(l, epoch, 1, false)
+		begin(l, epoch, Fingerprint(10+i), false)
+	}
+	for i, l := range lists {
+		n := l.Crashed(epoch, uint64(i), fmt.Sprint(i))
+		for _, other := range lists {
+			other.Apply(epoch, n)
+		}
+	}
+	for i, l := range lists {
+		if l.Lookup(epoch, 1) != Quarantined || l.Lookup(epoch, Fingerprint(10+i)) != Suspect {
+			t.Fatalf("list %d: verdicts %d and %d", i, l.Lookup(epoch, 1), l.Lookup(epoch, Fingerprint(10+i)))
+		}
+	}
+}
+
+func TestHomeAvoidsCrashedTargets(t *testing.T) {
+	l, targets := New("a"), []string{"a", "b", "c"}
+	first := l.Home(epoch, 1, targets)
+	l.Apply(epoch, Notice{Down: []string{first}})
+	if home := l.Home(epoch, 1, targets); home == first || home == "" {
+		t.Fatalf("home %q", home)
+	}
+	l.Apply(epoch, Notice{Down: targets})
+	if l.Home(epoch, 1, targets) == "" {
+		t.Fatal("no home when all targets have crashed")
+	}
+	if home := l.Home(epoch.Add(downTTL+1), 1, targets); home != first {
+		t.Fatalf("home %q, want %q again", home, first)
+	}
+}
+
+// A process that starts asks another one for all that it knows.
+func TestStartingProcessLearnsWhatIsHeld(t *testing.T) {
+	a, b := New("a"), New("b")
+	a.Apply(epoch, notice(1, Crash{ID: 1}, Crash{ID: 2, Alone: true}))
+	a.Apply(epoch, notice(2, Crash{ID: 3}))
+	a.Apply(epoch, notice(3, Crash{ID: 4, Cleared: true}))
+	now := epoch.Add(time.Second)
+	b.Apply(now, a.All(now))
+	if b.Lookup(now, 1) != Quarantined || b.Lookup(now, 2) != Suspect || b.Lookup(now, 3) != Unsuspected {
+		t.Fatalf("verdicts %d, %d, %d", b.Lookup(now, 1), b.Lookup(now, 2), b.Lookup(now, 3))
 	}
-	if len(l.entries) > MaxEntries {
-		t.Fatalf("%d entries", len(l.entries))
+	if end := epoch.Add(QuarantineTTL + time.Millisecond); a.Lookup(end, 1) != Unsuspected || b.Lookup(end, 1) != Unsuspected {
+		t.Error("the quarantine lasts longer at the process that has started later")
 	}
 }
 
 func TestFingerprintsDiffer(t *testing.T) {
-	base := Request{"org", "route", "POST", "/x", "key", 1}
+	base := Request{"org", "service", "route", "POST", "/x", "key", 1}
 	seen := map[Fingerprint]bool{FingerprintOf(base): true}
 	for _, r := range []Request{
-		{"orgroute", "", "POST", "/x", "key", 1},
-		{"org", "route", "PUT", "/x", "key", 1},
-		{"org", "route", "POST", "/y", "key", 1},
-		{"org", "route", "POST", "/x", "yek", 1},
-		{"org", "route", "POST", "/x", "key", 2},
+		{"orgservice", "", "route", "POST", "/x", "key", 1},
+		{"org", "serviceroute", "", "POST", "/x", "key", 1},
+		{"org", "other", "route", "POST", "/x", "key", 1},
+		{"org", "service", "route", "PUT", "/x", "key", 1},
+		{"org", "service", "route", "POST", "/y", "key", 1},
+		{"org", "service", "route", "POST", "/x", "yek", 1},
+		{"org", "service", "route", "POST", "/x", "key", 2},
 	} {
 		if f := FingerprintOf(r); seen[f] {
 			t.Errorf("%+v has a fingerprint seen before", r)
@@ -92,8 +226,9 @@
 type fleet struct {
 	lists   []*List
 	names   []string
-	running [][]Fingerprint
+	running [][]*Run
 	crashes map[Fingerprint]int
+	total   uint64
 }
 
 func (f *fleet) broadcast(now time.Time, n Notice, twice bool) {
@@ -108,7 +243,8 @@
 // crash ends all requests that run at an instance because of a poisonous request.
 func (f *fleet) crash(now time.Time, at int, poison Fingerprint, twice bool) {
 	f.crashes[poison]++
-	f.broadcast(now, f.lists[at].Crashed(now), twice)
+	f.total++
+	f.broadcast(now, f.lists[at].Crashed(now, f.total, f.names[at]), twice)
 	for _, r := range f.running[at] {
 		f.lists[at].End(now, r, false)
 	}
@@ -138,11 +274,12 @@
 				continue
 			}
 			r := Fingerprint(rapid.IntRange(1, requests).Draw(t, "request"))
-			v := l.Begin(now, r, Home(r, f.names) == f.names[at])
-			if v != Unsuspected && (v != Suspect || Home(r, f.names) != f.names[at]) {
+			home := l.Home(now, r, f.names) == f.names[at]
+			run, v := begin(l, now, r, home)
+			if v != Unsuspected && (v != Suspect || !home) {
 				continue
 			}
-			f.running[at] = append(f.running[at], r)
+			f.running[at] = append(f.running[at], run)
 			if r == poison {
 				f.crash(now, at, r, rapid.Bool().Draw(t, "twice"))
 			}
