--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -41,6 +41,7 @@
 	TargetCold        = "target is cold"
 	TargetWarm        = "target is warm"
 	HealthCheckFailed = "health check failed"
+	TargetCrashed     = "target crashed"
 
 	RateLimitStated        = "target limits its rate"
 	RateLimitEnded         = "target ended its rate limit"
@@ -58,6 +59,7 @@
 	CallFailed            = "call failed"
 	CallerLeft            = "caller left"
 	CallAbandoned         = "call was abandoned"
+	RequestQuarantined    = "request is quarantined"
 )
 
 // Event describes one kind of log line. Every line also has the fields time, level, msg (the name) and instance.
@@ -100,6 +102,8 @@
 	{TargetCold, "the local target reports that it is cold", []string{"target", "cold"}},
 	{TargetWarm, "the local target reports that it is warm", nil},
 	{HealthCheckFailed, "the local target failed a health check", []string{"error"}},
+	{TargetCrashed, "the local target broke off requests and refuses connections; fingerprints are those of the requests that may be the cause, of which some are quarantined and the others suspected from now on", []string{"target", "suspects", "quarantined", "fingerprints"}},
+	{RequestQuarantined, "a request has crashed its targets and is refused from now on; crashes is the number of targets, what describes the request", []string{"fingerprint", "crashes", "what"}},
 	{RateLimitStated, "the local target states, in a response or a health check (field source), the rate of requests per second that it accepts; before is the limit until then, 0 if none", []string{"target", "rate", "before", "source"}},
 	{RateLimitEnded, "the local target no longer limits the rate of requests", []string{"target", "before", "source"}},
 	{TargetAnnouncedLeaving, "the local target states that it is about to stop", []string{"target", "source"}},
@@ -113,7 +117,7 @@
 	{RequestBodyIncomplete, "the caller disconnected while it sent the request body", []string{"request", "error"}},
 	{ResponseIncomplete, "the response could not be sent completely; the caller's connection was closed", []string{"request", "error"}},
 	{CallRefused, "the admission gate of the local target refused a request", []string{"request", "route", "priority", "reason", "running", "waiting", "slots", "wait", "cold", "left", "back", "revision"}},
-	{CallFailed, "the local target did not send a complete response", []string{"request", "route", "reason", "arrived", "took", "left", "error"}},
+	{CallFailed, "the local target did not send a complete response; fingerprint identifies the request over the attempts of its caller", []string{"request", "route", "fingerprint", "reason", "arrived", "took", "left", "error"}},
 	{CallerLeft, "the caller closed its connection before the response; took is the time from the arrival of the request until then, after how long this process still worked on it", []string{"request", "route", "kind", "service", "tried", "took", "after"}},
 	{CallAbandoned, "the caller of a call left, or its frontend no longer needed the response; took is the time from its arrival until then, queued and ran are how long it remained in the queue and at the target after that; a call that is not retryable runs to its end once it has started", []string{"request", "route", "retryable", "arrived", "took", "queued", "ran"}},
 }
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -16,6 +16,7 @@
 
 	"github.com/chervilwell/chervilwell/gate"
 	"github.com/chervilwell/chervilwell/mesh"
+	"github.com/chervilwell/chervilwell/quarantine"
 )
 
 // HeaderNames holds the names of the HTTP headers used by callers and targets.
@@ -58,6 +59,8 @@
 	priority  int
 	retryable bool
 	caller    string
+	// fingerprint identifies the request over the attempts of its caller.
+	fingerprint quarantine.Fingerprint
 	// softDeadline is the end of the latency objective.
 	softDeadline, deadline time.Time
 }
--- a/proxy/frontend.go
+++ b/proxy/frontend.go
@@ -147,6 +147,7 @@
 		f.refuse(w, req, noResponse(notRun, reasonCancelled))
 		return
 	}
+	req.fingerprint = f.fingerprint(req)
 	abandoned := watchAbandonment(r.Context())
 	defer abandoned.stop()
 	o := f.forward(r.Context(), req)
--- a/proxy/gatekeeper.go
+++ b/proxy/gatekeeper.go
@@ -25,6 +25,7 @@
 	"github.com/chervilwell/chervilwell/internal/stream"
 	"github.com/chervilwell/chervilwell/mesh"
 	"github.com/chervilwell/chervilwell/pacer"
+	"github.com/chervilwell/chervilwell/quarantine"
 	"github.com/chervilwell/chervilwell/ratelimit"
 	"github.com/chervilwell/chervilwell/shutdown"
 )
@@ -93,14 +94,17 @@
 	health          health
 	// rateLimit is the limit that the target states.
 	rateLimit ratelimit.Advertised
-	// noticeLog limits the log lines about what the target states.
+	// noticeLog limits the log lines about what the target states, and about its crashes.
 	noticeLog *rate.Limiter
+
+	crashes crashTracker
 }
 
 // NewGatekeeper returns a gatekeeper that treats its target as cold until the target reports that it is warm.
 func NewGatekeeper(cfg GatekeeperConfig) *Gatekeeper {
 	k := &Gatekeeper{cfg: cfg, gate: gate.New(defaultSlots), inbound: pacer.NewInbound(cfg.LinkRate), noticeLog: rate.NewLimiter(noticeLinesPerSecond, noticeBurstLines)}
 	k.bodies = bodybuffer.New(maxWaitingBodies)
+	k.crashes.list = quarantine.New(cfg.Addr.Addr().String())
 	k.running, k.end = context.WithCancel(context.Background())
 	k.pool = httppool.New(httppool.Config{
 		Dial:           func(ctx context.Context) (net.Conn, error) { return dial(ctx, cfg.Addr.String(), targetDialTimeout) },
@@ -267,9 +271,11 @@
 		k.release(req, -1)
 		return o
 	}
+	tracked := k.beginRun(c)
 	started := clock.Now()
 	o := k.run(ctx, c)
 	took := clock.Now().Sub(started)
+	k.endRun(tracked, c, o)
 	o.took = took
 	if o.run != ran || o.status >= http.StatusInternalServerError {
 		took = -1 // not representative of the service time of a successful response
--- a/proxy/hop.go
+++ b/proxy/hop.go
@@ -11,12 +11,13 @@
 
 	"github.com/chervilwell/chervilwell/gate"
 	"github.com/chervilwell/chervilwell/internal/clock"
+	"github.com/chervilwell/chervilwell/quarantine"
 )
 
 // Headers between a frontend and a gatekeeper, in canonical form.
 const (
 	// hopHeader describes a call: target ID, start of the target's incarnation, route, caller's service, priority,
-	// retryable, and the microseconds left to the soft deadline and to the deadline.
+	// retryable, the microseconds left to the soft deadline and to the deadline, and the fingerprint.
 	hopHeader = "Chervilwell-Hop"
 	// hopResponseHeader describes an outcome; see formatOutcome.
 	hopResponseHeader = "Chervilwell-Hop-Answer"
@@ -35,12 +36,13 @@
 	b = append(strconv.AppendInt(b, int64(c.priority), 10), ' ')
 	b = append(strconv.AppendBool(b, c.retryable), ' ')
 	b = append(strconv.AppendInt(b, c.softDeadline.Sub(now).Microseconds(), 10), ' ')
-	b = strconv.AppendInt(b, c.deadline.Sub(now).Microseconds(), 10)
+	b = append(strconv.AppendInt(b, c.deadline.Sub(now).Microseconds(), 10), ' ')
+	b = strconv.AppendUint(b, uint64(c.fingerprint), 16)
 	return string(b)
 }
 
 // callFields is the number of fields of a hop header.
-const callFields = 8
+const callFields = 9
 
 // parseCall decodes a hop header into c. An error wraps ErrMalformedMessage.
 func parseCall(text string, now time.Time, c *call) error {
@@ -53,6 +55,11 @@
 	c.priority, c.retryable = int(n.parse(f[4])), f[5] == "true"
 	c.softDeadline = now.Add(time.Duration(n.parse(f[6])) * time.Microsecond)
 	c.deadline = now.Add(time.Duration(n.parse(f[7])) * time.Microsecond)
+	fingerprint, err := strconv.ParseUint(f[8], 16, 64)
+	if err != nil {
+		return errors.Wrap(ErrMalformedMessage, f[8])
+	}
+	c.fingerprint = quarantine.Fingerprint(fingerprint)
 	return n.err
 }
 
--- a/proxy/log.go
+++ b/proxy/log.go
@@ -85,8 +85,8 @@
 	}
 	id := k.requestID(c)
 	if o.run == unknown || o.err != nil {
-		k.cfg.Log.Warn().Str("request", id).Str("route", c.route).Str("reason", o.reason).Bool("arrived", o.arrived).Dur("took", o.took).
-			Dur("left", remaining(c.deadline)).Err(o.err).Msg(events.CallFailed)
+		k.cfg.Log.Warn().Str("request", id).Str("route", c.route).Stringer("fingerprint", c.fingerprint).Str("reason", o.reason).Bool("arrived", o.arrived).
+			Dur("took", o.took).Dur("left", remaining(c.deadline)).Err(o.err).Msg(events.CallFailed)
 		return
 	}
 	k.cfg.Log.Info().Str("request", id).Str("route", c.route).Int("priority", c.priority).Str("reason", o.reason).
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -65,6 +65,10 @@
 	cold     string
 	// health holds additional header lines of responses to health checks.
 	health string
+	// listener is nil while the target is down; conns holds its open connections.
+	listener net.Listener
+	conns    map[net.Conn]struct{}
+	crashes  int
 }
 
 func (s *fakeTarget) set(b behaviour) {
@@ -86,21 +90,37 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(func() { l.Close() })
-	s := &fakeTarget{addr: netip.MustParseAddrPort(l.Addr().String()), cold: "0"}
+	s := &fakeTarget{addr: netip.MustParseAddrPort(l.Addr().String()), cold: "0", conns: map[net.Conn]struct{}{}}
+	s.accept(l)
+	return s
+}
+
+// accept serves the connections of a listener until it is closed.
+func (s *fakeTarget) accept(l net.Listener) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listener = l
 	go func() {
 		for {
 			conn, err := l.Accept()
 			if err != nil {
 				return
 			}
+			s.mu.Lock()
+			s.conns[conn] = struct{}{}
+			s.mu.Unlock()
 			go s.serve(conn)
 		}
 	}()
-	return s
 }
 
 func (s *fakeTarget) serve(conn net.Conn) {
-	defer conn.Close()
+	defer func() {
+		conn.Close()
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.conns, conn)
+	}()
 	in := bufio.NewReader(conn)
 	for {
 		r, err := http.ReadRequest(in)
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -8,6 +8,7 @@
 
 	"github.com/chervilwell/chervilwell/internal/headers"
 	"github.com/chervilwell/chervilwell/mesh"
+	"github.com/chervilwell/chervilwell/quarantine"
 )
 
 // request is a caller's request with its routing decisions. Frontend.mu guards tried, arrivals, retryAfter and
@@ -24,6 +25,8 @@
 	body         []byte
 	rest         io.Reader
 	length       int64
+	// fingerprint identifies the request over the attempts of its caller. It is set once the body has been read.
+	fingerprint quarantine.Fingerprint
 	// setReadDeadline sets the deadline of reads from rest. It is set if rest is.
 	setReadDeadline func(time.Time) error
 	// tried holds the IDs of the targets of all attempts. arrivals counts the attempts that reached a target, refusals those
@@ -132,5 +135,6 @@
 		setReadDeadline: req.setReadDeadline,
 		targetID:        t.ID, startedMs: t.StartedMs, route: req.route.Name, priority: req.route.Priority,
 		retryable: req.route.Kind.Retryable(), caller: f.cfg.Service, softDeadline: req.softDeadline, deadline: req.deadline,
+		fingerprint: req.fingerprint,
 	}
 }
