--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -68,7 +68,6 @@
 	// listener is nil while the target is down; conns holds its open connections.
 	listener net.Listener
 	conns    map[net.Conn]struct{}
-	crashes  int
 }
 
 func (s *fakeTarget) set(b behaviour) {
@@ -185,20 +184,25 @@
 	peerAddr string
 }
 
-// cluster consists of two processes with one target each, on separate loopback addresses.
+// cluster consists of processes with one target each, on separate loopback addresses.
 type cluster struct {
-	nodes   []*node
+	nodes []*node
+	// mu guards replica and its publication.
+	mu      sync.Mutex
 	replica *mesh.Replica
 	monitor *disconnect.Monitor
 }
 
 const testService = "s"
 
-func startCluster(t *testing.T, kind mesh.Kind) *cluster {
+// startCluster starts two processes in separate failure domains.
+func startCluster(t *testing.T, kind mesh.Kind) *cluster { return startClusterOf(t, kind, 2) }
+
+func startClusterOf(t *testing.T, kind mesh.Kind, size int) *cluster {
 	t.Helper()
 	c := &cluster{replica: mesh.NewReplica(), monitor: disconnect.NewMonitor(func(err error) { t.Error(err) })}
 	var port uint16
-	for i := range 2 {
+	for i := range size {
 		ip := fmt.Sprintf("127.0.0.%d", i+1)
 		l, err := net.Listen("tcp4", fmt.Sprintf("%s:%d", ip, port))
 		if err != nil {
