--- a/balance/balance.go
+++ b/balance/balance.go
@@ -123,6 +123,8 @@
 	Service string
 	Bytes   int
 	Tried   []string
+	// Only is the ID of the only target that may be selected. It is empty if there is no such restriction.
+	Only string
 	// LinkState returns the present queueing delay of the link to another region, and whether the request must not use that
 	// link. It may be nil.
 	LinkState func(region string) (delay time.Duration, closed bool)
@@ -203,7 +205,7 @@
 	exploring := b.rng.Float64() < explorationRate
 	route := b.routeStatsFor(a.Route.Name)
 	for _, t := range a.State.Targets(a.Service) {
-		if !a.State.Usable(t) || !a.Route.Allows(t.Region) || slices.Contains(a.Tried, t.ID) {
+		if !a.State.Usable(t) || !a.Route.Allows(t.Region) || slices.Contains(a.Tried, t.ID) || a.Only != "" && a.Only != t.ID {
 			continue
 		}
 		stats := b.targetStatsFor(a.Now, t)
@@ -479,5 +481,11 @@
 	maxSlowness = 20
 )
 
+// Leaving reports whether a target has stated that it is leaving.
+func (b *Balancer) Leaving(t *mesh.Target) bool {
+	stats := b.targets[t.ID]
+	return stats != nil && stats.startedMs == t.StartedMs && stats.leaving
+}
+
 // MeanRunTime returns the mean running time of a route's requests.
 func (b *Balancer) MeanRunTime(route string) time.Duration { return b.routeStatsFor(route).runTime }
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -31,6 +31,7 @@
 	StateReadFromPeer  = "learnt from a peer"
 	PeerMalformed      = "peer sent what can't be read"
 	PeerDisconnected   = "peer left before its answer"
+	NoticeNotSent      = "notice was not sent"
 	StoreCallFailed    = "store call failed"
 	StoreRestored      = "store was restored from a copy"
 	ListingIgnored     = "listing is older than the state"
@@ -95,6 +96,7 @@
 	{StateReadFromPeer, "newer state was read from a peer that is not the parent, or arrived late", []string{"peer", "revision", "age"}},
 	{PeerMalformed, "a message from a peer cannot be decoded", []string{"from", "error"}},
 	{PeerDisconnected, "a peer disconnected before the response was sent", []string{"error"}},
+	{NoticeNotSent, "a notice about requests that crash targets did not reach another process; that process learns of them from the next request or notice", []string{"error"}},
 	{SlowReply, "a peer, or the store, responded long after the time for which it held the request; took is the duration of the call, held the time reported by the peer, or the wait asked of the store", []string{"from", "took", "held", "revision"}},
 
 	{TargetRestarted, "the local target has restarted or was replaced", []string{"target", "born", "cold", "slots"}},
--- a/internal/gatekeeper/crash.go
+++ b/internal/gatekeeper/crash.go
@@ -151,9 +151,16 @@
 }
 
 // endRun ends a request that was counted as in flight.
-func (g *Gatekeeper) endRun(run *trackedRun, result admission.Result) {
+func (g *Gatekeeper) endRun(run *trackedRun, result admission.Result, wrote bool) {
 	var notice quarantine.Notice
-	g.crashTracker.withLock(func(l *quarantine.List, now time.Time) { notice = l.End(now, &run.Run, result == admission.OK) })
+	how := quarantine.Inconclusive
+	switch {
+	case result == admission.OK:
+		how = quarantine.Answered
+	case wrote && (result == admission.Crashed || result == admission.Cancelled):
+		how = quarantine.Unanswered
+	}
+	g.crashTracker.withLock(func(l *quarantine.List, now time.Time) { notice = l.End(now, &run.Run, how) })
 	g.endTrial(run)
 	if !notice.Empty() {
 		go g.broadcast(notice)
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -292,7 +292,7 @@
 		g.handleBrokenConn(tracked)
 	}
 	permit.finish(result)
-	g.endRun(tracked, result)
+	g.endRun(tracked, result, wrote)
 }
 
 // resultOf returns the result of a request that got no response, or only part of one.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -81,14 +81,15 @@
 	n.registerLineCounters(lineBudget)
 	rng := func() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 	names, metrics := platform.Headers(), proxy.NewMetrics(n.registry)
+	peers := proxy.NewPeers(s.Peers.Port())
 	decoder := platform.Decoder{Regions: s.Regions}
 	n.gatekeeper = proxy.NewGatekeeper(proxy.GatekeeperConfig{
-		Addr: s.Target, Service: s.Service, LinkRate: s.LinkRate, Holder: n.holder, Names: names, DecodeNotice: platform.DecodeNotice,
+		Addr: s.Target, Service: s.Service, Peers: peers, LinkRate: s.LinkRate, Holder: n.holder, Names: names, DecodeNotice: platform.DecodeNotice,
 		Log: log, LogBudget: lineBudget, Metrics: metrics,
 	})
 	n.frontend = proxy.NewFrontend(proxy.FrontendConfig{
 		Service: s.Service, FailureDomain: s.FailureDomain, Region: s.Region, Holder: n.holder, Gatekeeper: n.gatekeeper,
-		Peers: proxy.NewPeers(s.Peers.Port()), Names: names, Log: log, LogBudget: lineBudget, Metrics: metrics, Rand: rng(),
+		Peers: peers, Names: names, Log: log, LogBudget: lineBudget, Metrics: metrics, Rand: rng(),
 		StoreAge:    func() time.Duration { return n.follower.Age() },
 		RetryBudget: retrybudget.Limits{Ratio: retryShare * s.RetryRatio, Slack: retryShare * s.RetrySlack / assumedProcesses, Window: s.RetryWindow},
 	})
@@ -169,15 +170,19 @@
 	return nil
 }
 
-// peerHandler returns the handler for other processes: it serves their requests for the local target and their queries of the
-// state.
+// peerHandler returns the handler for other processes: it serves their requests for the local target, their notices and their queries of
+// the state.
 func (n *Node) peerHandler(monitor *disconnect.Monitor) http.Handler {
-	calls := monitor.Handler(proxy.PeerHandler(n.gatekeeper))
+	calls, notices := monitor.Handler(proxy.PeerHandler(n.gatekeeper)), proxy.NoticeHandler(n.gatekeeper)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if proxy.IsCall(r) {
 			calls.ServeHTTP(w, r)
 			return
 		}
+		if proxy.IsNotice(r) {
+			notices.ServeHTTP(w, r)
+			return
+		}
 		n.follower.ServeHTTP(w, r)
 	})
 }
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -61,6 +61,9 @@
 	caller    string
 	// fingerprint identifies the request over the attempts of its caller.
 	fingerprint quarantine.Fingerprint
+	// atHome is set if the frontend knows the request as a suspect and has chosen its home. notice is what it knows.
+	atHome bool
+	notice *quarantine.Notice
 	// softDeadline is the end of the latency objective.
 	softDeadline, deadline time.Time
 }
@@ -97,6 +100,8 @@
 	reasonNoConfig    = "no-configuration"
 	reasonNoRoute     = "no-route"
 	reasonBodyTooLong = "body-too-long"
+	reasonSuspected   = "suspected"
+	reasonQuarantined = "quarantined"
 )
 
 // outcome is the result of a call.
@@ -125,6 +130,8 @@
 	leaving, targetLeaving bool
 	// revision is the store revision of the gatekeeper's state.
 	revision uint64
+	// notice is what the gatekeeper knows of the request if it has been in flight at a crash, or nil.
+	notice *quarantine.Notice
 }
 
 // noResponse returns an outcome without a response.
--- a/proxy/crash.go
+++ b/proxy/crash.go
@@ -19,10 +19,16 @@
 // crashProbeTimeout bounds the connection attempt that checks whether the target is up.
 const crashProbeTimeout = 100 * time.Millisecond
 
-// crashTracker assigns crashes of the local target to the requests in flight.
+// trialWaitFraction is the fraction of its remaining time for which a suspect waits until no other one runs at its home.
+const trialWaitFraction = 0.5
+
+// crashTracker assigns crashes of the local target to the requests in flight, and holds what is known of the requests that crash
+// targets. The frontend and the gatekeeper of a process share it.
 type crashTracker struct {
 	mu   sync.Mutex
 	list *quarantine.List
+	// trial is a semaphore held by the one suspect that runs or is about to.
+	trial chan struct{}
 
 	probeMu sync.Mutex
 	// probedAt is the start of the last probe, probedDown its result. They are guarded by probeMu.
@@ -37,11 +43,11 @@
 	f(t.list, clock.Now())
 }
 
-// fingerprint identifies a request by its caller's service, method, host, path, query and body. Of a body that is not buffered only
-// the start and the length count.
-func (f *Frontend) fingerprint(req *request) quarantine.Fingerprint {
+// fingerprint identifies a request by its method, host, path, query and body. Of a body that is not buffered only the start and the
+// length count. The caller's service does not count: it is that of the instance, and a caller may send a request again at any instance.
+func fingerprint(req *request) quarantine.Fingerprint {
 	in := req.incoming
-	r := quarantine.Request{Service: f.cfg.Service, Route: in.Host, Method: in.Method, Target: in.RequestURI}
+	r := quarantine.Request{Route: in.Host, Method: in.Method, Target: in.RequestURI}
 	if len(req.body) > 0 || req.rest != nil {
 		r.BodyDigest = xxhash.Sum64(req.body) + uint64(req.length)
 	}
@@ -51,19 +57,83 @@
 // String describes the request of a call to operators.
 func (c *call) String() string { return c.method + " " + c.host + c.uri + " from " + c.caller }
 
-// beginRun records that a call is about to be sent to the target.
-func (k *Gatekeeper) beginRun(c *call) *quarantine.Run {
+// lookup returns the state of a request.
+func (t *crashTracker) lookup(f quarantine.Fingerprint) (v quarantine.Verdict) {
+	t.withList(func(l *quarantine.List, now time.Time) { v = l.Lookup(now, f) })
+	return v
+}
+
+// apply adds a notice of another process to what is known.
+func (t *crashTracker) apply(n *quarantine.Notice) {
+	if n != nil {
+		t.withList(func(l *quarantine.List, now time.Time) { l.Apply(now, *n) })
+	}
+}
+
+// about returns what is known of a request that has been in flight at a crash, or nil.
+func (t *crashTracker) about(f quarantine.Fingerprint) *quarantine.Notice {
+	var n quarantine.Notice
+	t.withList(func(l *quarantine.List, now time.Time) { n = l.About(now, f) })
+	if n.Empty() {
+		return nil
+	}
+	return &n
+}
+
+// refusal returns the outcome of a call that may not run because of its verdict, or nil.
+func (k *Gatekeeper) refusal(c *call, v quarantine.Verdict) *outcome {
+	switch {
+	case v == quarantine.Quarantined:
+		return noResponse(notRun, reasonQuarantined)
+	case v == quarantine.Busy, v == quarantine.Suspect && !c.atHome:
+		return noResponse(notRun, reasonSuspected)
+	}
+	return nil
+}
+
+// checkSuspect refuses a quarantined request, and a suspect that was not sent to its home.
+func (k *Gatekeeper) checkSuspect(c *call) *outcome {
+	k.crashes.apply(c.notice)
+	return k.refusal(c, k.crashes.lookup(c.fingerprint))
+}
+
+// awaitTrial waits until no other suspect runs, if the call is a suspect. It returns the outcome if the call is refused, or nil. The
+// caller must call end.
+func (k *Gatekeeper) awaitTrial(ctx context.Context, c *call) (end func(), o *outcome) {
+	end = func() {}
+	if k.crashes.lookup(c.fingerprint) == quarantine.Unsuspected {
+		return end, nil
+	}
+	timer := time.NewTimer(time.Duration(trialWaitFraction * float64(remaining(c.deadline))))
+	defer timer.Stop()
+	select {
+	case k.crashes.trial <- struct{}{}:
+		return func() { <-k.crashes.trial }, nil
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return end, noResponse(notRun, failureReason(ctx, reasonSuspected))
+}
+
+// beginRun records that a call is about to be sent to the target. It returns the outcome if the call is refused, since its state has
+// changed while it waited.
+func (k *Gatekeeper) beginRun(c *call) (*quarantine.Run, *outcome) {
 	run := &quarantine.Run{Fingerprint: c.fingerprint, Label: c}
-	k.crashes.withList(func(l *quarantine.List, now time.Time) { l.Begin(now, run, true) })
-	return run
+	var v quarantine.Verdict
+	k.crashes.withList(func(l *quarantine.List, now time.Time) { v = l.Begin(now, run, c.atHome) })
+	return run, k.refusal(c, v)
 }
 
-// endRun records the end of a run. If the target broke it off, it checks first whether the target has crashed.
+// endRun records the end of a run, and informs the other processes if it cleared a suspicion. If the target broke the run off, endRun
+// checks first whether the target has crashed.
 func (k *Gatekeeper) endRun(run *quarantine.Run, c *call, o *outcome) {
 	if o.run == unknown && o.reason == reasonBroken {
 		k.checkCrash(run, c)
 	}
-	k.crashes.withList(func(l *quarantine.List, now time.Time) { l.End(now, run, o.run == ran) })
+	how := [...]quarantine.Ending{ran: quarantine.Answered, notRun: quarantine.Inconclusive, unknown: quarantine.Unanswered}[o.run]
+	var notice quarantine.Notice
+	k.crashes.withList(func(l *quarantine.List, now time.Time) { notice = l.End(now, run, how) })
+	k.spread(notice)
 }
 
 // checkCrash checks whether the target has crashed after it broke off a run, and records the crash once.
@@ -79,6 +149,7 @@
 	})
 	if !notice.Empty() {
 		k.logCrash(notice)
+		k.spread(notice)
 	}
 }
 
--- a/proxy/frontend.go
+++ b/proxy/frontend.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -17,6 +18,7 @@
 	"github.com/chervilwell/chervilwell/internal/events"
 	"github.com/chervilwell/chervilwell/internal/headers"
 	"github.com/chervilwell/chervilwell/mesh"
+	"github.com/chervilwell/chervilwell/quarantine"
 	"github.com/chervilwell/chervilwell/retrybudget"
 	"github.com/chervilwell/chervilwell/shutdown"
 )
@@ -147,7 +149,7 @@
 		f.refuse(w, req, noResponse(notRun, reasonCancelled))
 		return
 	}
-	req.fingerprint = f.fingerprint(req)
+	req.fingerprint = fingerprint(req)
 	abandoned := watchAbandonment(r.Context())
 	defer abandoned.stop()
 	o := f.forward(r.Context(), req)
@@ -170,6 +172,9 @@
 		return noResponse(notRun, failureReason(ctx, reasonCancelled))
 	}
 	for {
+		if f.crashes().lookup(req.fingerprint) == quarantine.Quarantined {
+			return req.final(noResponse(notRun, reasonQuarantined))
+		}
 		choice, ok := f.pick(req)
 		if !ok {
 			if req.linkRetryAfter > 0 && last.reason == reasonNoTarget {
@@ -197,10 +202,15 @@
 func (f *Frontend) pick(req *request) (balance.Choice, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	choice, ok := f.balancer.Pick(balance.Attempt{
+	attempt := balance.Attempt{
 		Now: clock.Now(), State: f.cfg.Holder.Load(), Route: req.route, Service: req.service, Bytes: len(req.body), Tried: req.tried,
 		LinkState: f.linkState(req),
-	})
+	}
+	req.atHome = f.crashes().lookup(req.fingerprint) == quarantine.Suspect
+	if req.atHome {
+		attempt.Only = f.home(req, attempt.State)
+	}
+	choice, ok := f.balancer.Pick(attempt)
 	if ok {
 		f.balancer.Started(clock.Now(), choice)
 		if choice.Distance == balance.OtherRegion {
@@ -213,7 +223,7 @@
 
 // attempt sends the request to one target and records the outcome.
 func (f *Frontend) attempt(ctx context.Context, req *request, choice balance.Choice) *outcome {
-	c := f.call(req, choice.Target)
+	c := f.call(req, choice.Target, req.atHome)
 	c.expectContinue = choice.ExpectContinue
 	start := clock.Now()
 	var o *outcome
@@ -223,6 +233,7 @@
 		o = f.cfg.Peers.do(ctx, choice.Target, c)
 	}
 	o.target = choice.Target.ID
+	f.crashes().apply(o.notice)
 	took := clock.Now().Sub(start)
 	f.cfg.Metrics.attempt(req.route.Kind, o, took)
 	f.recordOutcome(ctx, req, choice, o, took)
@@ -273,6 +284,12 @@
 		return false
 	}
 	if !o.arrived && o.run == notRun {
+		if req.atHome && !targetUnavailable(o) {
+			return false // another target would be a second home
+		}
+		if o.reason == reasonSuspected {
+			req.tried = slices.DeleteFunc(req.tried, func(id string) bool { return id == o.target }) // it may be the home
+		}
 		req.refusals++
 		return req.refusals < maxRefusals
 	}
@@ -324,12 +341,15 @@
 // refuse writes an error response for a request that no target answered.
 func (f *Frontend) refuse(w http.ResponseWriter, req *request, o *outcome) {
 	status, retryAfter := http.StatusServiceUnavailable, time.Duration(0)
-	if o.run != notRun {
+	switch {
+	case o.run != notRun:
 		status = http.StatusBadGateway
 		if o.reason == reasonTimeout {
 			status = http.StatusGatewayTimeout
 		}
-	} else {
+	case o.reason == reasonQuarantined:
+		status = http.StatusUnprocessableEntity
+	default:
 		retryAfter = f.computeRetryAfter(req, o)
 		w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
--- a/proxy/gatekeeper.go
+++ b/proxy/gatekeeper.go
@@ -15,6 +15,7 @@
 
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/semaphore"
 	"golang.org/x/time/rate"
 
 	"github.com/chervilwell/chervilwell/gate"
@@ -56,6 +57,8 @@
 	Addr netip.AddrPort
 	// Service is the service of the local target.
 	Service string
+	// Peers sends notices to other processes.
+	Peers *Peers
 	// LinkRate is the bandwidth of the machine's link in bytes per second, or 0 if unknown.
 	LinkRate float64
 	Holder   *mesh.Holder
@@ -98,13 +101,17 @@
 	noticeLog *rate.Limiter
 
 	crashes crashTracker
+	// learnOnce starts learn, deliveries limits the notices that are being sent.
+	learnOnce  sync.Once
+	deliveries *semaphore.Weighted
 }
 
 // NewGatekeeper returns a gatekeeper that treats its target as cold until the target reports that it is warm.
 func NewGatekeeper(cfg GatekeeperConfig) *Gatekeeper {
 	k := &Gatekeeper{cfg: cfg, gate: gate.New(defaultSlots), inbound: pacer.NewInbound(cfg.LinkRate), noticeLog: rate.NewLimiter(noticeLinesPerSecond, noticeBurstLines)}
 	k.bodies = bodybuffer.New(maxWaitingBodies)
-	k.crashes.list = quarantine.New(cfg.Addr.Addr().String())
+	k.crashes.list, k.crashes.trial = quarantine.New(cfg.Addr.Addr().String()), make(chan struct{}, 1)
+	k.deliveries = semaphore.NewWeighted(maxDeliveries)
 	k.running, k.end = context.WithCancel(context.Background())
 	k.pool = httppool.New(httppool.Config{
 		Dial:           func(ctx context.Context) (net.Conn, error) { return dial(ctx, cfg.Addr.String(), targetDialTimeout) },
@@ -146,9 +153,13 @@
 
 // Update applies the current state of the mesh.
 func (k *Gatekeeper) Update() {
+	state := k.cfg.Holder.Load()
 	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.applyState(k.cfg.Holder.Load())
+	k.applyState(state)
+	k.mu.Unlock()
+	if state.Config != nil {
+		k.learnOnce.Do(func() { go k.learn() })
+	}
 }
 
 // Active returns the number of calls in progress.
@@ -211,6 +222,9 @@
 	defer abandoned.stop()
 	state := k.cfg.Holder.Load()
 	o := k.precheck(state, c)
+	if o == nil {
+		o = k.checkSuspect(c)
+	}
 	if o == nil {
 		var freeBody func()
 		freeBody, o = k.receiveBody(ctx, c)
@@ -221,6 +235,7 @@
 	}
 	load := k.load()
 	o.load, o.leaving, o.targetLeaving, o.revision = &load, k.window.Load() != nil, k.isLeaving(c.incarnation()), state.Position.Revision
+	o.notice = k.crashes.about(c.fingerprint)
 	o.gatekeeperTime = clock.Now().Sub(start)
 	k.cfg.Metrics.countGateOutcome(o)
 	k.logCall(c, o)
@@ -247,6 +262,11 @@
 
 // admit waits for a slot and runs the call.
 func (k *Gatekeeper) admit(ctx context.Context, c *call) *outcome {
+	endTrial, o := k.awaitTrial(ctx, c)
+	defer endTrial()
+	if o != nil {
+		return o
+	}
 	granted := make(chan bool, 1)
 	req := gateRequest(c)
 	req.NoWait = c.rest != nil
@@ -271,9 +291,13 @@
 		k.release(req, -1)
 		return o
 	}
-	tracked := k.beginRun(c)
+	tracked, o := k.beginRun(c)
+	if o != nil {
+		k.release(req, -1)
+		return o
+	}
 	started := clock.Now()
-	o := k.run(ctx, c)
+	o = k.run(ctx, c)
 	took := clock.Now().Sub(started)
 	k.endRun(tracked, c, o)
 	o.took = took
--- a/proxy/hedge.go
+++ b/proxy/hedge.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/chervilwell/chervilwell/balance"
+	"github.com/chervilwell/chervilwell/quarantine"
 )
 
 // attemptHedged sends a request to a target and, if that does not respond in time and the request may be retried, to a second
@@ -50,7 +51,7 @@
 
 // hedgeDelay returns how long to wait for the response before a second target is tried, or false if hedging is not allowed.
 func (f *Frontend) hedgeDelay(req *request, choice balance.Choice) (time.Duration, bool) {
-	if !req.route.Kind.Retryable() {
+	if !req.route.Kind.Retryable() || req.atHome {
 		return 0, false
 	}
 	f.mu.Lock()
@@ -65,6 +66,9 @@
 
 // hedge sends a request to a second target while the first has not responded, or returns nil if this is not allowed.
 func (f *Frontend) hedge(ctx context.Context, req *request) *outcome {
+	if f.crashes().lookup(req.fingerprint) != quarantine.Unsuspected {
+		return nil
+	}
 	f.mu.Lock()
 	allowed := ctx.Err() == nil && f.takeRetry(req, req.arrivals+1)
 	f.mu.Unlock()
--- a/proxy/hop.go
+++ b/proxy/hop.go
@@ -21,6 +21,8 @@
 	hopHeader = "Chervilwell-Hop"
 	// hopResponseHeader describes an outcome; see formatOutcome.
 	hopResponseHeader = "Chervilwell-Hop-Answer"
+	// hopNoticeHeader holds, in both directions, what the sender knows of a request that has been in flight at a crash.
+	hopNoticeHeader = "Chervilwell-Hop-Notice"
 )
 
 // ErrMalformedMessage is returned if a message between instances does not have the format of this version.
@@ -142,13 +144,16 @@
 func writeOutcome(w http.ResponseWriter, o *outcome) error {
 	h := w.Header()
 	h[hopResponseHeader] = []string{formatOutcome(o)}
+	setNotice(h, o.notice)
 	if o.run != ran {
 		h["Content-Length"] = []string{"0"}
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return nil
 	}
 	for name, values := range o.header {
-		h[name] = values
+		if name != hopNoticeHeader {
+			h[name] = values
+		}
 	}
 	return writeBody(w, o)
 }
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -18,6 +18,8 @@
 	healthChecks prometheus.Counter
 	// targetCrashes counts the crashes of the local target that ended requests.
 	targetCrashes prometheus.Counter
+	// noticesDropped counts the notices that did not reach a process.
+	noticesDropped prometheus.Counter
 	// hop, queue and service split the time of an attempt: the network in both directions, the queue at the target's gate,
 	// and the target.
 	hop, queue, service stage
@@ -72,6 +74,9 @@
 		targetCrashes: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "chervilwell_target_crashes_total", Help: "Crashes of the own target that ended requests.",
 		}),
+		noticesDropped: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "chervilwell_notices_dropped_total", Help: "Notices about requests that crash targets that did not reach another process.",
+		}),
 	}
 	m.hop = newStage("chervilwell_hop_seconds", "Time of an attempt on the way to the target's process and back.")
 	m.queue = newStage("chervilwell_queue_seconds", "Time of an attempt at the target's gate before it ran or was refused.")
@@ -80,7 +85,7 @@
 		Name: "chervilwell_abandoned_call_seconds", Help: "Time that a call remained in the queue, or ran at the target, after its caller had left.", Buckets: stageBuckets,
 	}, []string{"stage", "retryable"})
 	if registerer != nil {
-		registerer.MustRegister(m.abandoned, m.requests, m.latency, m.gateOutcomes, m.retries, m.healthChecks, m.targetCrashes, m.hop.vec, m.queue.vec, m.service.vec)
+		registerer.MustRegister(m.abandoned, m.requests, m.latency, m.gateOutcomes, m.retries, m.healthChecks, m.targetCrashes, m.noticesDropped, m.hop.vec, m.queue.vec, m.service.vec)
 	}
 	return m
 }
--- /dev/null
+++ b/proxy/news.go
@@ -0,0 +1,240 @@
+package proxy
+
+import (
+	"bytes"
+	"context"
+	"encoding/base64"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/pkg/errors"
+
+	"github.com/chervilwell/chervilwell/internal/clock"
+	"github.com/chervilwell/chervilwell/internal/events"
+	"github.com/chervilwell/chervilwell/internal/periodic"
+	"github.com/chervilwell/chervilwell/mesh"
+	"github.com/chervilwell/chervilwell/quarantine"
+)
+
+// NoticePath is the HTTP path at which a process accepts notices of other processes about requests that crash targets (POST), and
+// returns all that it knows of them (GET), encoded as CBOR.
+const NoticePath = "/quarantine"
+
+// Limits of the exchange of notices.
+const (
+	// noticeTimeout bounds one attempt to send a notice, noticeRetryTime the time for which it is repeated.
+	noticeTimeout   = 500 * time.Millisecond
+	noticeRetryTime = 10 * time.Second
+	// firstNoticeBackoff is the delay after the first failed attempt. It doubles with each further one.
+	firstNoticeBackoff = 50 * time.Millisecond
+	// maxNoticeBytes is the maximum size of an encoded notice: quarantine.MaxNotice records and target IDs.
+	maxNoticeBytes = 512 << 10
+	// maxDeliveries is the maximum number of notices that are being sent to one process each. Further ones are dropped.
+	maxDeliveries = 2048
+	// learnAttempts is the number of processes that a process asks when it starts, learnBackoff the delay between them.
+	learnAttempts = 5
+	learnBackoff  = 300 * time.Millisecond
+)
+
+// ErrNotice is returned if another process responds to a notice with an error.
+var ErrNotice = errors.New("another process does not accept notices; run the same version everywhere")
+
+// spread sends a notice to the gatekeepers of the service's other targets. One that quarantines a request goes to all processes, so that
+// each can refuse it at once. It does not wait for the deliveries.
+func (k *Gatekeeper) spread(n quarantine.Notice) {
+	if n.Empty() || k.cfg.Peers == nil {
+		return
+	}
+	data, err := cbor.Marshal(n)
+	if err != nil {
+		k.cfg.Log.Error().Err(err).Msg(events.NoticeNotSent)
+		return
+	}
+	state := k.cfg.Holder.Load()
+	addrs := serviceAddrs(state, k.cfg.Service)
+	if len(n.Quarantined()) > 0 {
+		for _, region := range state.Regions() {
+			for _, addr := range state.InstanceAddrs(region) {
+				addrs[addr] = struct{}{}
+			}
+		}
+	}
+	delete(addrs, k.cfg.Addr.Addr())
+	for addr := range addrs {
+		if !k.deliveries.TryAcquire(1) {
+			k.cfg.Metrics.noticesDropped.Inc()
+			continue
+		}
+		go func() {
+			defer k.deliveries.Release(1)
+			k.deliver(addr, data)
+		}()
+	}
+}
+
+// serviceAddrs returns the addresses of the processes beside the targets of a service.
+func serviceAddrs(state *mesh.State, service string) map[netip.Addr]struct{} {
+	addrs := map[netip.Addr]struct{}{}
+	for _, t := range state.Targets(service) {
+		addrs[t.Addr.Addr()] = struct{}{}
+	}
+	return addrs
+}
+
+// deliver sends a notice to a process, and repeats it for a while if the process does not respond.
+func (k *Gatekeeper) deliver(addr netip.Addr, data []byte) {
+	start := clock.Now()
+	for backoff := firstNoticeBackoff; ; backoff *= 2 {
+		_, err := k.cfg.Peers.exchangeNotice(k.running, addr, http.MethodPost, data)
+		if err == nil {
+			return
+		}
+		if clock.Now().Sub(start)+backoff > noticeRetryTime || periodic.Sleep(k.running, backoff) != nil {
+			k.cfg.Metrics.noticesDropped.Inc()
+			if k.noticeLog.Allow() {
+				k.cfg.Log.Info().Err(err).Msg(events.NoticeNotSent)
+			}
+			return
+		}
+	}
+}
+
+// learn asks other processes for what they know, first those beside targets of the same service, until one of them responds.
+func (k *Gatekeeper) learn() {
+	for attempt := range learnAttempts {
+		if attempt > 0 && periodic.Sleep(k.running, learnBackoff) != nil {
+			return
+		}
+		addr, ok := k.teacher(attempt)
+		if !ok {
+			continue
+		}
+		data, err := k.cfg.Peers.exchangeNotice(k.running, addr, http.MethodGet, nil)
+		if err != nil {
+			continue
+		}
+		var n quarantine.Notice
+		if err := cbor.Unmarshal(data, &n); err != nil {
+			k.cfg.Log.Warn().Str("from", addr.String()).Err(err).Msg(events.PeerMalformed)
+			continue
+		}
+		k.crashes.apply(&n)
+		return
+	}
+}
+
+// teacher returns a random process to learn from: in the first attempts one beside a target of the same service.
+func (k *Gatekeeper) teacher(attempt int) (netip.Addr, bool) {
+	if k.cfg.Peers == nil {
+		return netip.Addr{}, false
+	}
+	state := k.cfg.Holder.Load()
+	var addrs []netip.Addr
+	if attempt <= learnAttempts/2 {
+		for addr := range serviceAddrs(state, k.cfg.Service) {
+			if addr != k.cfg.Addr.Addr() {
+				addrs = append(addrs, addr)
+			}
+		}
+	}
+	if len(addrs) == 0 {
+		for _, region := range state.Regions() {
+			for _, addr := range state.InstanceAddrs(region) {
+				if addr != k.cfg.Addr.Addr() {
+					addrs = append(addrs, addr)
+				}
+			}
+		}
+	}
+	if len(addrs) == 0 {
+		return netip.Addr{}, false
+	}
+	return addrs[rand.IntN(len(addrs))], true
+}
+
+// exchangeNotice sends a notice to a process, or asks it for what it knows, and returns the response body.
+func (p *Peers) exchangeNotice(ctx context.Context, addr netip.Addr, method string, data []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, noticeTimeout)
+	defer cancel()
+	host := netip.AddrPortFrom(addr, p.port).String()
+	req := &http.Request{
+		Method: method, URL: &url.URL{Scheme: "http", Host: host, Opaque: NoticePath}, Host: host, Header: http.Header{"User-Agent": {""}},
+		Body: http.NoBody, ContentLength: int64(len(data)), Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+	}
+	if len(data) > 0 {
+		req.Body = io.NopCloser(bytes.NewReader(data))
+	}
+	resp, err := p.pool(addr).Do(req.WithContext(ctx))
+	if err != nil {
+		return nil, errors.Wrapf(err, "notice to %s", addr)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Wrapf(ErrNotice, "%s: status %d", addr, resp.StatusCode)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxNoticeBytes))
+	return body, errors.Wrapf(err, "notice to %s", addr)
+}
+
+// IsNotice reports whether a request from another process concerns notices.
+func IsNotice(r *http.Request) bool { return r.URL.Path == NoticePath }
+
+// NoticeHandler returns the handler of requests for NoticePath.
+func NoticeHandler(k *Gatekeeper) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method == http.MethodGet {
+			var all quarantine.Notice
+			k.crashes.withList(func(l *quarantine.List, now time.Time) { all = l.All(now) })
+			data, err := cbor.Marshal(all)
+			if err != nil {
+				http.Error(w, err.Error(), http.StatusInternalServerError)
+				return
+			}
+			_, _ = w.Write(data)
+			return
+		}
+		data, err := io.ReadAll(io.LimitReader(r.Body, maxNoticeBytes))
+		var n quarantine.Notice
+		if err == nil {
+			err = cbor.Unmarshal(data, &n)
+		}
+		if err != nil {
+			k.cfg.Log.Warn().Err(err).Str("from", r.RemoteAddr).Msg(events.PeerMalformed)
+			http.Error(w, ErrMalformedMessage.Error(), http.StatusBadRequest)
+			return
+		}
+		k.crashes.apply(&n)
+	})
+}
+
+// setNotice sets the notice header of a call or its response. n may be nil.
+func setNotice(h http.Header, n *quarantine.Notice) {
+	delete(h, hopNoticeHeader)
+	if n == nil {
+		return
+	}
+	if data, err := cbor.Marshal(n); err == nil {
+		h[hopNoticeHeader] = []string{base64.StdEncoding.EncodeToString(data)}
+	}
+}
+
+// takeNotice removes the notice header of a call or its response and returns the notice. It returns nil if there is none or it is
+// malformed: a notice is never needed to serve a call.
+func takeNotice(h http.Header) *quarantine.Notice {
+	text := h.Get(hopNoticeHeader)
+	if text == "" {
+		return nil
+	}
+	delete(h, hopNoticeHeader)
+	data, err := base64.StdEncoding.DecodeString(text)
+	var n quarantine.Notice
+	if err != nil || cbor.Unmarshal(data, &n) != nil {
+		return nil
+	}
+	return &n
+}
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -210,16 +210,23 @@
 		}
 		port = uint16(l.Addr().(*net.TCPAddr).Port)
 		n := &node{target: startFakeTarget(t, ip), peerAddr: l.Addr().String()}
-		holder := &mesh.Holder{}
+		holder, peers := &mesh.Holder{}, NewPeers(port)
 		n.gatekeeper = NewGatekeeper(GatekeeperConfig{
-			Addr: n.target.addr, Service: testService, Holder: holder, Names: names, DecodeNotice: decodeNotice, Log: zerolog.Nop(), LogBudget: events.NewBudget(1), Metrics: NewMetrics(nil),
+			Addr: n.target.addr, Service: testService, Peers: peers, Holder: holder, Names: names, DecodeNotice: decodeNotice, Log: zerolog.Nop(), LogBudget: events.NewBudget(1), Metrics: NewMetrics(nil),
 		})
 		n.frontend = NewFrontend(FrontendConfig{
 			Service: "caller" + strconv.Itoa(i), FailureDomain: "d" + strconv.Itoa(i), Region: "r", Holder: holder, Gatekeeper: n.gatekeeper,
-			Peers: NewPeers(port), Names: names, Log: zerolog.Nop(), LogBudget: events.NewBudget(1), StoreAge: func() time.Duration { return 0 }, Metrics: NewMetrics(nil), Rand: rand.New(rand.NewPCG(1, uint64(i))),
+			Peers: peers, Names: names, Log: zerolog.Nop(), LogBudget: events.NewBudget(1), StoreAge: func() time.Duration { return 0 }, Metrics: NewMetrics(nil), Rand: rand.New(rand.NewPCG(1, uint64(i))),
 			RetryBudget: retrybudget.Limits{Ratio: 1, Slack: 100, Window: 10 * time.Second},
 		})
-		server := c.newServer(PeerHandler(n.gatekeeper))
+		calls, notices := PeerHandler(n.gatekeeper), NoticeHandler(n.gatekeeper)
+		server := c.newServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if IsNotice(r) {
+				notices.ServeHTTP(w, r)
+				return
+			}
+			calls.ServeHTTP(w, r)
+		}))
 		go func() { _ = server.Serve(l) }()
 		n.callers = httptest.NewUnstartedServer(nil)
 		n.callers.Config = c.newServer(n.frontend)
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -27,6 +27,8 @@
 	length       int64
 	// fingerprint identifies the request over the attempts of its caller. It is set once the body has been read.
 	fingerprint quarantine.Fingerprint
+	// atHome is set if the present attempt is that of a suspect at its home.
+	atHome bool
 	// setReadDeadline sets the deadline of reads from rest. It is set if rest is.
 	setReadDeadline func(time.Time) error
 	// tried holds the IDs of the targets of all attempts. arrivals counts the attempts that reached a target, refusals those
@@ -121,20 +123,24 @@
 }
 
 // call builds the call for an attempt at one target.
-func (f *Frontend) call(req *request, t *mesh.Target) *call {
+func (f *Frontend) call(req *request, t *mesh.Target, atHome bool) *call {
 	h := make(http.Header, len(req.incoming.Header)+4)
 	for name, values := range req.incoming.Header {
 		h[name] = values
 	}
 	headers.StripHopByHop(h)
-	for _, name := range [...]string{f.cfg.Names.ExpectTarget, f.cfg.Names.CallerService, f.cfg.Names.Deadline, hopHeader, "Expect"} {
+	for _, name := range [...]string{f.cfg.Names.ExpectTarget, f.cfg.Names.CallerService, f.cfg.Names.Deadline, hopHeader, hopNoticeHeader, "Expect"} {
 		delete(h, name)
 	}
-	return &call{
+	c := &call{
 		method: req.incoming.Method, uri: req.incoming.RequestURI, host: req.incoming.Host, header: h, body: req.body, rest: req.rest, length: req.length,
 		setReadDeadline: req.setReadDeadline,
 		targetID:        t.ID, startedMs: t.StartedMs, route: req.route.Name, priority: req.route.Priority,
 		retryable: req.route.Kind.Retryable(), caller: f.cfg.Service, softDeadline: req.softDeadline, deadline: req.deadline,
-		fingerprint: req.fingerprint,
+		fingerprint: req.fingerprint, atHome: atHome,
 	}
+	if atHome {
+		c.notice = f.crashes().about(req.fingerprint)
+	}
+	return c
 }
--- a/quarantine/example_test.go
+++ b/quarantine/example_test.go
@@ -15,14 +15,14 @@
 	run := &quarantine.Run{Fingerprint: f}
 	list.Begin(now, run, false)
 	notice := list.Crashed(now, 1, "obb-muc-1")
-	list.End(now, run, false)
+	list.End(now, run, quarantine.Unanswered)
 	fmt.Println(len(notice.Records), list.Lookup(now, f) == quarantine.Suspect)
 
 	now = now.Add(time.Second)
 	run = &quarantine.Run{Fingerprint: f}
 	list.Begin(now, run, true)
 	notice = list.Crashed(now, 2, "obb-muc-1")
-	list.End(now, run, false)
+	list.End(now, run, quarantine.Unanswered)
 	fmt.Println(len(notice.Quarantined()), list.Lookup(now, f).Remedy())
 	// Output:
 	// 1 true
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -70,8 +70,8 @@
 
 // Request holds the properties from which a fingerprint is computed.
 type Request struct {
-	// Organisation is the organisation that sent the request, and Service the service on whose behalf it was sent. Either may be empty.
-	Organisation, Service string
+	// Organisation is the organisation that sent the request, or empty.
+	Organisation string
 	// Route is the name of the route, or the host if routes have no lasting names.
 	Route  string
 	Method string
@@ -87,7 +87,7 @@
 func FingerprintOf(r Request) Fingerprint {
 	var d xxhash.Digest
 	d.Reset()
-	for _, part := range [...]string{r.Organisation, r.Route, r.Method, r.Target, r.Key, r.Service} {
+	for _, part := range [...]string{r.Organisation, r.Route, r.Method, r.Target, r.Key} {
 		_, _ = d.WriteString(part)
 		_, _ = d.Write([]byte{0})
 	}
@@ -217,8 +217,21 @@
 // Crashed reports whether the run was ended by a crash of the target that has been recorded.
 func (r *Run) Crashed() bool { return r.blamed }
 
-// ending is a run that ended without an answer.
-type ending struct {
+// Ending is how a run ended.
+type Ending uint8
+
+// Endings.
+const (
+	// Answered means that the target answered the request.
+	Answered Ending = iota + 1
+	// Unanswered means that there was no answer; the target may still be working on the request.
+	Unanswered
+	// Inconclusive means that nothing follows from the end of the run, for example since the target did not run the request.
+	Inconclusive
+)
+
+// unansweredRun is a run that ended without an answer.
+type unansweredRun struct {
 	run *Run
 	at  time.Time
 }
@@ -232,7 +245,7 @@
 	// trial is the suspect that runs here, or nil.
 	trial *Run
 	// unanswered holds the runs that ended without an answer, oldest first.
-	unanswered []ending
+	unanswered []unansweredRun
 	// answered holds the requests answered in the present period of answeredTTL, answeredBefore those of the one before.
 	answered, answeredBefore map[Fingerprint]struct{}
 	answeredSince            time.Time
@@ -300,17 +313,16 @@
 	return v
 }
 
-// End records that a run ended and whether the target answered. The returned notice announces a clearance; send it unless it
-// is Empty.
-func (l *List) End(now time.Time, r *Run, answered bool) Notice {
+// End records the end of a run. The returned notice announces a clearance; send it unless it is Empty.
+func (l *List) End(now time.Time, r *Run, how Ending) Notice {
 	delete(l.running, r)
 	if l.trial == r {
 		l.trial = nil
 	}
-	if !answered {
-		if !r.blamed {
-			l.addUnanswered(now, r)
-		}
+	if how == Unanswered && !r.blamed {
+		l.addUnanswered(now, r)
+	}
+	if how != Answered {
 		return Notice{}
 	}
 	l.addAnswered(now, r.Fingerprint)
@@ -339,7 +351,7 @@
 	if len(l.unanswered)-expired >= MaxNotice {
 		expired++
 	}
-	l.unanswered = append(l.unanswered[expired:], ending{r, now})
+	l.unanswered = append(l.unanswered[expired:], unansweredRun{r, now})
 }
 
 // addAnswered remembers an answered request.
@@ -523,10 +535,10 @@
 	}
 }
 
-// About returns what is known of a request and of crashed targets, for an instance that asks about the request. It is empty if the
-// request is not suspected.
+// About returns what is known of a request and of crashed targets, for an instance that handles the request too. It is empty if
+// the request has not been in flight at a crash.
 func (l *List) About(now time.Time, f Fingerprint) Notice {
-	if l.Lookup(now, f) == Unsuspected {
+	if l.entry(now, f) == nil {
 		return Notice{}
 	}
 	return Notice{From: l.self, Records: []Record{l.record(now, f)}, Down: l.downTargets(now)}
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -24,8 +24,8 @@
 	first, _ := begin(a, epoch, poison, false)
 	beside, _ := begin(a, epoch, harmless, false)
 	b.Apply(epoch, a.Crashed(epoch, 1, "a"))
-	a.End(epoch, first, false)
-	a.End(epoch, beside, false)
+	a.End(epoch, first, Unanswered)
+	a.End(epoch, beside, Unanswered)
 
 	if _, v := begin(b, epoch, poison, false); v != Suspect {
 		t.Fatalf("verdict %d for a suspect away from its home", v)
@@ -39,13 +39,13 @@
 		t.Fatalf("verdict %d for a second suspect", v)
 	}
 	a.Apply(now, b.Crashed(now, 2, "b"))
-	b.End(now, trial, false)
+	b.End(now, trial, Unanswered)
 	if a.Lookup(now, poison) != Quarantined || b.Lookup(now, poison) != Quarantined {
 		t.Fatal("not quarantined after its second crash")
 	}
 	run, _ := begin(b, now, harmless, true)
 	now = now.Add(time.Second)
-	a.Apply(now, b.End(now, run, true))
+	a.Apply(now, b.End(now, run, Answered))
 	if a.Lookup(now, harmless) != Unsuspected || b.Lookup(now, harmless) != Unsuspected {
 		t.Fatal("not cleared after its success")
 	}
@@ -104,7 +104,7 @@
 	for i := range 3 * MaxEntries {
 		l.Apply(epoch.Add(time.Duration(i)), notice(Fingerprint(i), Crash{ID: uint64(i)}))
 		run, _ := begin(l, epoch.Add(time.Duration(i)), Fingerprint(i+4*MaxEntries), false)
-		l.End(epoch.Add(time.Duration(i)), run, i%2 == 0)
+		l.End(epoch.Add(time.Duration(i)), run, Answered+Ending(i%2))
 		l.addDown(epoch, fmt.Sprint(i))
 	}
 	if len(l.entries) > MaxEntries || len(l.answered) > MaxEntries || len(l.unanswered) > MaxNotice || len(l.running) > 0 || len(l.down) > maxDown {
@@ -116,7 +116,7 @@
 func TestAnsweredRequestIsNotSuspected(t *testing.T) {
 	l := New("a")
 	run, _ := begin(l, epoch, 1, false)
-	l.End(epoch, run, true)
+	l.End(epoch, run, Answered)
 	for crash := range uint64(5) {
 		now := epoch.Add(time.Duration(crash) * time.Second)
 		begin(l, now, 1, false)
@@ -137,17 +137,23 @@
 func TestRequestWithoutAnswerIsSuspectedOfLaterCrash(t *testing.T) {
 	l := New("a")
 	run, _ := begin(l, epoch, 1, false)
-	l.End(epoch, run, false)
+	l.End(epoch, run, Unanswered)
 	l.Crashed(epoch.Add(unansweredTTL/2), 1, "a")
 	if v := l.Lookup(epoch, 1); v != Suspect {
 		t.Fatalf("verdict %d", v)
 	}
 	run, _ = begin(l, epoch, 2, false)
-	l.End(epoch, run, false)
+	l.End(epoch, run, Unanswered)
 	l.Crashed(epoch.Add(2*unansweredTTL), 2, "a")
 	if v := l.Lookup(epoch, 2); v != Unsuspected {
 		t.Fatalf("verdict %d for a request that ended long before the crash", v)
 	}
+	run, _ = begin(l, epoch, 3, false)
+	l.End(epoch, run, Inconclusive)
+	l.Crashed(epoch, 3, "a")
+	if v := l.Lookup(epoch, 3); v != Unsuspected {
+		t.Fatalf("verdict %d for a request that the target did not run", v)
+	}
 }
 
 // Several targets may run a request when the first of them crashes, beside the same other requests.
@@ -203,16 +209,14 @@
 }
 
 func TestFingerprintsDiffer(t *testing.T) {
-	base := Request{"org", "service", "route", "POST", "/x", "key", 1}
+	base := Request{"org", "route", "POST", "/x", "key", 1}
 	seen := map[Fingerprint]bool{FingerprintOf(base): true}
 	for _, r := range []Request{
-		{"orgservice", "", "route", "POST", "/x", "key", 1},
-		{"org", "serviceroute", "", "POST", "/x", "key", 1},
-		{"org", "other", "route", "POST", "/x", "key", 1},
-		{"org", "service", "route", "PUT", "/x", "key", 1},
-		{"org", "service", "route", "POST", "/y", "key", 1},
-		{"org", "service", "route", "POST", "/x", "yek", 1},
-		{"org", "service", "route", "POST", "/x", "key", 2},
+		{"orgroute", "", "POST", "/x", "key", 1},
+		{"org", "route", "PUT", "/x", "key", 1},
+		{"org", "route", "POST", "/y", "key", 1},
+		{"org", "route", "POST", "/x", "yek", 1},
+		{"org", "route", "POST", "/x", "key", 2},
 	} {
 		if f := FingerprintOf(r); seen[f] {
 			t.Errorf("%+v has a fingerprint seen before", r)
@@ -246,7 +250,7 @@
 	f.total++
 	f.broadcast(now, f.lists[at].Crashed(now, f.total, f.names[at]), twice)
 	for _, r := range f.running[at] {
-		f.lists[at].End(now, r, false)
+		f.lists[at].End(now, r, Unanswered)
 	}
 	f.running[at] = nil
 }
@@ -270,7 +274,7 @@
 			if len(f.running[at]) > 0 && rapid.Bool().Draw(t, "end") {
 				r := f.running[at][0]
 				f.running[at] = f.running[at][1:]
-				f.broadcast(now, l.End(now, r, true), false)
+				f.broadcast(now, l.End(now, r, Answered), false)
 				continue
 			}
 			r := Fingerprint(rapid.IntRange(1, requests).Draw(t, "request"))
