--- a/cmd/chervilwellnode/main.go
+++ b/cmd/chervilwellnode/main.go
@@ -44,6 +44,7 @@
 	subcommands.Register(subcommands.FlagsCommand(), "")
 	subcommands.Register(&runCommand{}, "")
 	subcommands.Register(&checkCommand{}, "")
+	subcommands.Register(&heldCommand{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -87,6 +87,7 @@
 		Addr: s.Target, Service: s.Service, Peers: peers, LinkRate: s.LinkRate, Holder: n.holder, Names: names, DecodeNotice: platform.DecodeNotice,
 		Log: log, LogBudget: lineBudget, Metrics: metrics,
 	})
+	n.registry.MustRegister(n.gatekeeper.HeldRequests()...)
 	n.frontend = proxy.NewFrontend(proxy.FrontendConfig{
 		Service: s.Service, FailureDomain: s.FailureDomain, Region: s.Region, Holder: n.holder, Gatekeeper: n.gatekeeper,
 		Peers: peers, Names: names, Log: log, LogBudget: lineBudget, Metrics: metrics, Rand: rng(),
@@ -149,7 +150,10 @@
 	}
 	if port := n.options.MetricsPort; port != 0 {
 		addr := netip.AddrPortFrom(n.settings.Target.Addr(), port)
-		listeners = append(listeners, listener{addr, promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{})})
+		mux := http.NewServeMux()
+		mux.Handle(proxy.HeldPath, proxy.HeldHandler(n.gatekeeper))
+		mux.Handle("/", promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{}))
+		listeners = append(listeners, listener{addr, mux})
 	}
 	for _, l := range listeners {
 		listener, err := net.Listen("tcp4", l.addr.String())
--- a/proxy/crash_test.go
+++ b/proxy/crash_test.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/chervilwell/chervilwell/mesh"
-	"github.com/chervilwell/chervilwell/quarantine"
 )
 
 // crash closes the listener and all connections of the target. It reports whether the target was up.
@@ -30,12 +29,6 @@
 	return true
 }
 
-// held returns the requests that a process knows as suspected or quarantined.
-func (n *node) held() (out []quarantine.Held) {
-	n.gatekeeper.crashes.withList(func(l *quarantine.List, now time.Time) { out = l.Held(now) })
-	return out
-}
-
 // Guards against crashes that leave no trace of the requests that were running.
 func TestCrashNamesRequestsInFlight(t *testing.T) {
 	c := startCluster(t, mesh.Once)
@@ -43,8 +36,8 @@
 	n.target.set(func(net.Conn, *http.Request, received) bool { n.target.crash(); return false })
 	c.markLeaving(1)
 	c.send(t, "GET", "/bad", "")
-	held := n.held()
-	if len(held) != 1 || held[0].Label != "GET h.example/bad from caller0" || held[0].Verdict != quarantine.Suspect {
+	held := n.gatekeeper.Held()
+	if len(held) != 1 || held[0].Request != "GET h.example/bad from caller0" || held[0].State != "suspected" {
 		t.Fatalf("suspects %+v", held)
 	}
 }
@@ -62,7 +55,7 @@
 		return false
 	})
 	c.send(t, "GET", "/planned", "")
-	if held := n.held(); len(held) > 0 {
+	if held := n.gatekeeper.Held(); len(held) > 0 {
 		t.Fatalf("suspects %+v", held)
 	}
 }
