--- a/proxy/crash_test.go
+++ b/proxy/crash_test.go
@@ -1,17 +1,25 @@
 package proxy
 
 import (
+	"bytes"
 	"context"
+	"encoding/base64"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"github.com/chervilwell/chervilwell/mesh"
+	"github.com/chervilwell/chervilwell/quarantine"
 )
 
 // crash closes the listener and all connections of the target. It reports whether the target was up.
@@ -184,3 +192,166 @@
 		})
 	}
 }
+
+// quarantineRequest sends the request for /bad until the first process refuses it.
+func (c *cluster) quarantineRequest(t *testing.T) {
+	t.Helper()
+	for i := range 20 {
+		if c.nodes[0].get(t.Context(), "/bad", fmt.Sprint("bad", i)) == http.StatusUnprocessableEntity {
+			return
+		}
+		time.Sleep(restartDelay)
+	}
+	t.Fatal("the request is not refused")
+}
+
+// holds reports whether a process refuses the one request that crashes targets.
+func (n *node) holds() bool {
+	held := n.gatekeeper.Held()
+	return len(held) == 1 && held[0].State == reasonQuarantined
+}
+
+// Guards against a quarantine that only the process knows whose target crashed, or that a restart of a process ends.
+func TestQuarantineReachesAllProcesses(t *testing.T) {
+	c, crashes := startCrashingCluster(t, mesh.Once, 4)
+	c.quarantineRequest(t)
+	for _, n := range c.nodes {
+		waitFor(t, "every process holds the request", n.holds)
+	}
+	k := c.nodes[3].gatekeeper
+	k.crashes.withList(func(*quarantine.List, time.Time) { k.crashes.list = quarantine.New("restarted") })
+	k.learn()
+	if !c.nodes[3].holds() {
+		t.Fatalf("a process that has started holds %+v", k.Held())
+	}
+	if status := c.nodes[3].get(t.Context(), "/bad", "last"); status != http.StatusUnprocessableEntity || crashes.Load() > 3 {
+		t.Fatalf("status %d, %d targets crashed", status, crashes.Load())
+	}
+}
+
+// Guards against notices that are lost when a process does not respond at first.
+func TestNoticeIsRepeatedUntilItArrives(t *testing.T) {
+	c := startCluster(t, mesh.Once)
+	to := c.nodes[1]
+	var refusals atomic.Int64
+	l, err := net.Listen("tcp4", "127.0.0.3:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	server := c.newServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if refusals.Add(1) <= 3 {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		NoticeHandler(to.gatekeeper).ServeHTTP(w, r)
+	}))
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { server.Close() })
+	addr := netip.MustParseAddrPort(l.Addr().String())
+	from := NewGatekeeper(GatekeeperConfig{
+		Addr: netip.MustParseAddrPort("127.0.0.1:1"), Peers: NewPeers(addr.Port()), Holder: &mesh.Holder{}, Names: names, Metrics: NewMetrics(nil),
+	})
+	data, err := cbor.Marshal(quarantine.Notice{Records: []quarantine.Record{{Fingerprint: 1, Crashes: []quarantine.Crash{{ID: 1}}, ExpiresInMs: 60_000}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	from.deliver(addr.Addr(), data)
+	if held := to.gatekeeper.Held(); len(held) != 1 || refusals.Load() != 4 {
+		t.Fatalf("held %+v after %d attempts", held, refusals.Load())
+	}
+}
+
+// Guards against processes that started together and learn from each other that nothing is known.
+func TestStartingProcessIsNotAskedAtOnce(t *testing.T) {
+	k := NewGatekeeper(GatekeeperConfig{Addr: netip.MustParseAddrPort("127.0.0.1:1"), Holder: &mesh.Holder{}, Names: names, Metrics: NewMetrics(nil)})
+	ask := func() int {
+		w := httptest.NewRecorder()
+		NoticeHandler(k).ServeHTTP(w, httptest.NewRequest(http.MethodGet, NoticePath, nil))
+		return w.Code
+	}
+	if status := ask(); status != http.StatusServiceUnavailable {
+		t.Errorf("status %d before it has learned", status)
+	}
+	k.learned.Store(true)
+	if status := ask(); status != http.StatusOK {
+		t.Errorf("status %d after it has learned", status)
+	}
+}
+
+// Guards against news of other processes that end this one or fail its requests.
+func TestMalformedNoticesDoNoHarm(t *testing.T) {
+	c := startCluster(t, mesh.Once)
+	k := c.nodes[0].gatekeeper
+	for _, body := range []string{"", "x", "\xbf", "\xa1\x02\x81\xa1\x01\x20"} {
+		w := httptest.NewRecorder()
+		NoticeHandler(k).ServeHTTP(w, httptest.NewRequest(http.MethodPost, NoticePath, strings.NewReader(body)))
+		if w.Code != http.StatusBadRequest {
+			t.Errorf("%q: status %d", body, w.Code)
+		}
+		if n := takeNotice(http.Header{hopNoticeHeader: {base64.StdEncoding.EncodeToString([]byte(body))}}); n != nil {
+			t.Errorf("%q: notice %+v", body, n)
+		}
+	}
+	if resp, body := c.send(t, http.MethodGet, "/x", ""); resp.StatusCode != http.StatusOK {
+		t.Errorf("%d %s", resp.StatusCode, body)
+	}
+}
+
+func FuzzNotice(f *testing.F) {
+	data, err := cbor.Marshal(quarantine.Notice{
+		Records: []quarantine.Record{{Fingerprint: 1, Crashes: []quarantine.Crash{{ID: 1, Alone: true}, {ID: 2}}, ExpiresInMs: 1000, Label: "GET h/x"}}, Down: []string{"t"},
+	})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(data)
+	f.Fuzz(func(t *testing.T, data []byte) {
+		k := NewGatekeeper(GatekeeperConfig{Addr: netip.MustParseAddrPort("127.0.0.1:1"), Holder: &mesh.Holder{}, Names: names, Metrics: NewMetrics(nil)})
+		w := httptest.NewRecorder()
+		NoticeHandler(k).ServeHTTP(w, httptest.NewRequest(http.MethodPost, NoticePath, bytes.NewReader(data)))
+		if w.Code != http.StatusOK && w.Code != http.StatusBadRequest {
+			t.Fatalf("status %d", w.Code)
+		}
+		if held := k.Held(); len(held) > quarantine.MaxNotice {
+			t.Fatalf("%d requests are held", len(held))
+		}
+	})
+}
+
+// Guards against requests that are taken for each other, such as uploads with the same path.
+func TestFingerprintCoversBody(t *testing.T) {
+	of := func(method, uri, body string) quarantine.Fingerprint {
+		r := httptest.NewRequest(method, "http://h.example"+uri, nil)
+		r.RequestURI = uri
+		return fingerprint(&request{incoming: r, body: []byte(body), length: int64(len(body))})
+	}
+	base := of("POST", "/x?a=1", "body")
+	for _, other := range []quarantine.Fingerprint{of("PUT", "/x?a=1", "body"), of("POST", "/x?a=2", "body"), of("POST", "/x?a=1", "Body"), of("POST", "/x?a=1", "")} {
+		if other == base {
+			t.Error("two requests have one fingerprint")
+		}
+	}
+	if of("POST", "/x?a=1", "body") != base {
+		t.Error("one request has two fingerprints")
+	}
+}
+
+// Guards against homes at targets that leave, are out of service, were tried, or lie in regions that the route does not allow.
+func TestHomeIsAnAllowedTarget(t *testing.T) {
+	c := startClusterOf(t, mesh.Safe, 4)
+	f := c.nodes[0].frontend
+	c.markLeaving(0)
+	state := c.replica.State()
+	state.OutOfService = map[string]bool{"d1": true}
+	route := *state.Config.Routes[0]
+	for fp := range quarantine.Fingerprint(20) {
+		req := &request{route: &route, service: testService, fingerprint: fp, tried: []string{"t2"}}
+		if home := f.home(req, state); home != "t3" {
+			t.Fatalf("home %q, want t3", home)
+		}
+	}
+	route.HomeRegions = []string{"elsewhere"}
+	if home := f.home(&request{route: &route, service: testService}, state); home != "" {
+		t.Fatalf("home %q in a region that the route does not allow", home)
+	}
+}
--- a/proxy/gatekeeper.go
+++ b/proxy/gatekeeper.go
@@ -101,8 +101,10 @@
 	noticeLog *rate.Limiter
 
 	crashes crashTracker
-	// learnOnce starts learn, deliveries limits the notices that are being sent.
-	learnOnce  sync.Once
+	// learnOnce starts learn. learned is set once other processes may learn from this one.
+	learnOnce sync.Once
+	learned   atomic.Bool
+	// deliveries limits the notices that are being sent.
 	deliveries *semaphore.Weighted
 }
 
--- a/proxy/news.go
+++ b/proxy/news.go
@@ -5,10 +5,12 @@
 	"context"
 	"encoding/base64"
 	"io"
+	"maps"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"net/url"
+	"slices"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -36,9 +38,16 @@
 	maxNoticeBytes = 512 << 10
 	// maxDeliveries is the maximum number of notices that are being sent to one process each. Further ones are dropped.
 	maxDeliveries = 2048
-	// learnAttempts is the number of processes that a process asks when it starts, learnBackoff the delay between them.
-	learnAttempts = 5
-	learnBackoff  = 300 * time.Millisecond
+	// learnSources is the number of processes from which a process learns when it starts: the first may have started just before.
+	learnSources = 2
+	// firstLearnBackoff and maxLearnBackoff bound the delay after a process that has not responded, learnTime the time for which others
+	// are asked. It is longer than most cuts of links.
+	firstLearnBackoff = 50 * time.Millisecond
+	maxLearnBackoff   = time.Second
+	learnTime         = 30 * time.Second
+	// learnHoldTime is the time after its start for which a process that has not learned anything yet refuses to be asked. It ends in
+	// case all processes have started together.
+	learnHoldTime = 2 * time.Second
 )
 
 // ErrNotice is returned if another process responds to a notice with an error.
@@ -58,10 +67,8 @@
 	state := k.cfg.Holder.Load()
 	addrs := serviceAddrs(state, k.cfg.Service)
 	if len(n.Quarantined()) > 0 {
-		for _, region := range state.Regions() {
-			for _, addr := range state.InstanceAddrs(region) {
-				addrs[addr] = struct{}{}
-			}
+		for _, addr := range state.InstanceAddrs("") {
+			addrs[addr] = struct{}{}
 		}
 	}
 	delete(addrs, k.cfg.Addr.Addr())
@@ -104,57 +111,59 @@
 	}
 }
 
-// learn asks other processes for what they know, first those beside targets of the same service, until one of them responds.
+// learn asks other processes for what they know, until learnSources of them have responded that know something themselves.
 func (k *Gatekeeper) learn() {
-	for attempt := range learnAttempts {
-		if attempt > 0 && periodic.Sleep(k.running, learnBackoff) != nil {
-			return
-		}
-		addr, ok := k.teacher(attempt)
-		if !ok {
+	start := clock.Now()
+	asked := map[netip.Addr]struct{}{}
+	for backoff := firstLearnBackoff; len(asked) < learnSources && clock.Now().Sub(start) < learnTime; backoff = min(2*backoff, maxLearnBackoff) {
+		if addr, ok := k.teacher(asked); ok && k.learnFrom(addr) {
+			asked[addr] = struct{}{}
+			k.learned.Store(true)
 			continue
 		}
-		data, err := k.cfg.Peers.exchangeNotice(k.running, addr, http.MethodGet, nil)
-		if err != nil {
-			continue
+		if periodic.Sleep(k.running, backoff) != nil {
+			return
 		}
-		var n quarantine.Notice
-		if err := cbor.Unmarshal(data, &n); err != nil {
-			k.cfg.Log.Warn().Str("from", addr.String()).Err(err).Msg(events.PeerMalformed)
-			continue
+		if clock.Now().Sub(start) >= learnHoldTime {
+			k.learned.Store(true)
 		}
-		k.crashes.apply(&n)
-		return
 	}
 }
 
-// teacher returns a random process to learn from: in the first attempts one beside a target of the same service.
-func (k *Gatekeeper) teacher(attempt int) (netip.Addr, bool) {
-	if k.cfg.Peers == nil {
-		return netip.Addr{}, false
+// learnFrom adds what a process knows, and reports whether the process responded.
+func (k *Gatekeeper) learnFrom(addr netip.Addr) bool {
+	data, err := k.cfg.Peers.exchangeNotice(k.running, addr, http.MethodGet, nil)
+	if err != nil {
+		return false
 	}
-	state := k.cfg.Holder.Load()
-	var addrs []netip.Addr
-	if attempt <= learnAttempts/2 {
-		for addr := range serviceAddrs(state, k.cfg.Service) {
-			if addr != k.cfg.Addr.Addr() {
-				addrs = append(addrs, addr)
-			}
-		}
+	var n quarantine.Notice
+	if err := cbor.Unmarshal(data, &n); err != nil {
+		k.cfg.Log.Warn().Str("from", addr.String()).Err(err).Msg(events.PeerMalformed)
+		return false
 	}
+	k.crashes.apply(&n)
+	return true
+}
+
+// teacher returns a random process to learn from that was not asked yet: one beside a target of the same service, or another one if there
+// is none.
+func (k *Gatekeeper) teacher(asked map[netip.Addr]struct{}) (netip.Addr, bool) {
+	state := k.cfg.Holder.Load()
+	addrs := serviceAddrs(state, k.cfg.Service)
+	delete(addrs, k.cfg.Addr.Addr())
+	maps.DeleteFunc(addrs, func(addr netip.Addr, _ struct{}) bool { _, ok := asked[addr]; return ok })
 	if len(addrs) == 0 {
-		for _, region := range state.Regions() {
-			for _, addr := range state.InstanceAddrs(region) {
-				if addr != k.cfg.Addr.Addr() {
-					addrs = append(addrs, addr)
-				}
+		for _, addr := range state.InstanceAddrs("") {
+			if _, ok := asked[addr]; !ok && addr != k.cfg.Addr.Addr() {
+				addrs[addr] = struct{}{}
 			}
 		}
 	}
-	if len(addrs) == 0 {
+	if len(addrs) == 0 || k.cfg.Peers == nil {
 		return netip.Addr{}, false
 	}
-	return addrs[rand.IntN(len(addrs))], true
+	choices := slices.Collect(maps.Keys(addrs))
+	return choices[rand.IntN(len(choices))], true
 }
 
 // exchangeNotice sends a notice to a process, or asks it for what it knows, and returns the response body.
@@ -188,6 +197,10 @@
 func NoticeHandler(k *Gatekeeper) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodGet {
+			if !k.learned.Load() {
+				w.WriteHeader(http.StatusServiceUnavailable)
+				return
+			}
 			var all quarantine.Notice
 			k.crashes.withList(func(l *quarantine.List, now time.Time) { all = l.All(now) })
 			data, err := cbor.Marshal(all)
--- a/quarantine/fleet_test.go
+++ b/quarantine/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"flag"
 	"fmt"
 	"math/rand/v2"
 	"testing"
@@ -39,7 +40,12 @@
 	// linkDelay is the largest delay of a message, lossPercent the percentage of notices that are lost.
 	linkDelay   time.Duration
 	lossPercent int
-	crashes     int
+	// cut is set while the processes in the first half of the fleet and the others cannot reach each other. Notices are sent again
+	// when it ends.
+	cut bool
+	// learned is the number of processes from which each process has learned since its start.
+	learned []int
+	crashes int
 	// results counts the ended requests of others.
 	results map[result]int
 }
@@ -66,7 +72,7 @@
 		linkDelay: 30 * time.Millisecond, results: map[result]int{},
 	}
 	for i := range processes {
-		s.lists = append(s.lists, New(fmt.Sprint("p", i)))
+		s.lists, s.learned = append(s.lists, New(fmt.Sprint("p", i))), append(s.learned, 2)
 	}
 	for i := range targets {
 		s.targets, s.up[i], s.runs[i] = append(s.targets, fmt.Sprint("t", i)), true, map[*Run]func(){}
@@ -92,13 +98,59 @@
 	if len(n.Quarantined()) > 0 {
 		to = s.lists
 	}
-	for _, l := range to {
+	for i := range to {
 		if !n.Empty() && s.rng.IntN(100) >= s.lossPercent {
-			s.after(s.delay(), func() { l.Apply(s.now, n) })
+			s.deliver(n, i)
 		}
 	}
 }
 
+// deliver delivers a notice to a process, after the end of the cut if it comes from the other half.
+func (s *simulation) deliver(n Notice, to int) {
+	s.after(s.delay(), func() {
+		var from int
+		_, _ = fmt.Sscanf(n.From, "p%d", &from)
+		if s.cut && s.half(from) != s.half(to) {
+			s.deliver(n, to)
+			return
+		}
+		s.lists[to].Apply(s.now, n)
+	})
+}
+
+// half returns the half of the fleet to which a process belongs during a cut.
+func (s *simulation) half(process int) int { return process % 2 }
+
+// restart replaces a process, which then learns from a random one beside a target. Its runs end without an answer.
+func (s *simulation) restart(process int) {
+	s.lists[process] = New(fmt.Sprint("p", process))
+	if process < len(s.targets) {
+		for _, retry := range s.runs[process] {
+			retry()
+		}
+		clear(s.runs[process])
+	}
+	s.learned[process] = 0
+	s.learn(process, s.lists[process])
+}
+
+// learn makes a new process ask processes beside targets, until it has learned from two that have learned something themselves.
+func (s *simulation) learn(process int, l *List) {
+	s.after(2*s.delay(), func() {
+		if s.lists[process] != l {
+			return
+		}
+		teacher := s.rng.IntN(len(s.targets))
+		if teacher != process && s.learned[teacher] > 0 && (!s.cut || s.half(teacher) == s.half(process)) {
+			l.Apply(s.now, s.lists[teacher].All(s.now))
+			s.learned[process]++
+		}
+		if s.learned[process] < 2 {
+			s.after(50*time.Millisecond, func() { s.learn(process, l) })
+		}
+	})
+}
+
 // send sends a request from a process; poisonous requests crash the target at the end of their run. attempts limits the targets that
 // the request reaches.
 func (s *simulation) send(from int, f Fingerprint, poison bool, attempts int, done func(result)) {
@@ -110,7 +162,7 @@
 	}
 	var candidates []string
 	for i, name := range s.targets {
-		if s.up[i] {
+		if s.up[i] && (!s.cut || s.half(i) == s.half(from)) {
 			candidates = append(candidates, name)
 		}
 	}
@@ -224,6 +276,38 @@
 	}
 }
 
+var fleetSeeds = flag.Int("seeds", 10, "number of random histories of TestRepeatedRequestDuringRestartsAndCuts")
+
+// TestRepeatedRequestDuringRestartsAndCuts guards against a request that crashes targets and is forgotten when processes restart one after
+// the other, or not known beyond a cut link. Each half of the fleet learns of it by itself during a cut, and in each a copy may be on its
+// way to a target beside which the process has just restarted.
+func TestRepeatedRequestDuringRestartsAndCuts(t *testing.T) {
+	for seed := range uint64(*fleetSeeds) {
+		s := newSimulation(seed, 12, 6)
+		s.load(20*time.Millisecond, firstOther)
+		s.repeat(time.Duration(50+s.rng.Int64N(950))*time.Millisecond, 2)
+		var restart, cut func()
+		restart = func() {
+			s.restart(s.rng.IntN(len(s.lists)))
+			s.after(time.Duration(s.rng.Int64N(int64(time.Second))), restart)
+		}
+		cut = func() {
+			s.cut = !s.cut
+			s.after(time.Duration(1+s.rng.Int64N(3))*time.Second, cut)
+		}
+		s.after(0, restart)
+		s.after(time.Duration(s.rng.Int64N(int64(3*time.Second))), cut)
+		s.run(60 * time.Second)
+		t.Logf("seed %d: %d crashes, results %v", seed, s.crashes, s.results)
+		if s.crashes > 2*3 {
+			t.Errorf("seed %d: %d targets crashed, want at most 3 in each half of the fleet", seed, s.crashes)
+		}
+		if s.results[quarantinedResult] > 0 {
+			t.Errorf("seed %d: %d other requests were quarantined", seed, s.results[quarantinedResult])
+		}
+	}
+}
+
 // TestCrashesWithoutCauseQuarantineFew guards against requests that are taken for the cause when targets crash often for other reasons.
 func TestCrashesWithoutCauseQuarantineFew(t *testing.T) {
 	// A day may have tolerated refusals of proper requests, and one more for each toleratedEvery requests.
