--- a/cmd/chervilwellnode/held.go
+++ b/cmd/chervilwellnode/held.go
@@ -24,8 +24,10 @@
 // heldCommand prints the requests that a daemon holds.
 type heldCommand struct{ addr string }
 
-func (*heldCommand) Name() string     { return "held" }
-func (*heldCommand) Synopsis() string { return "print the requests that are held since targets crashed" }
+func (*heldCommand) Name() string { return "held" }
+func (*heldCommand) Synopsis() string {
+	return "print the requests that are held since targets crashed"
+}
 
 func (*heldCommand) Usage() string {
 	return "held -addr HOST:PORT\n  Print the requests that the daemon with this metrics address holds: those suspected of crashing targets, and those that are refused since they have crashed them.\n"
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -177,13 +177,13 @@
 // peerHandler returns the handler for other processes: it serves their requests for the local target, their notices and their queries of
 // the state.
 func (n *Node) peerHandler(monitor *disconnect.Monitor) http.Handler {
-	calls, notices := monitor.Handler(proxy.PeerHandler(n.gatekeeper)), proxy.NoticeHandler(n.gatekeeper)
+	calls, notices := monitor.Handler(proxy.PeerHandler(n.gatekeeper)), proxy.QuarantineHandler(n.gatekeeper)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if proxy.IsCall(r) {
 			calls.ServeHTTP(w, r)
 			return
 		}
-		if proxy.IsNotice(r) {
+		if proxy.IsQuarantineNotice(r) {
 			notices.ServeHTTP(w, r)
 			return
 		}
--- a/proxy/crash.go
+++ b/proxy/crash.go
@@ -136,7 +136,7 @@
 	k.spread(notice)
 }
 
-// checkCrash checks whether the target has crashed after it broke off a run, and records the crash once.
+// checkCrash checks whether the target has crashed after it broke off a run, and records the crash once. It informs the other processes.
 func (k *Gatekeeper) checkCrash(run *quarantine.Run, c *call) {
 	if k.endPlanned(c) || !k.targetDown(clock.Now()) {
 		return
--- a/proxy/crash_test.go
+++ b/proxy/crash_test.go
@@ -243,7 +243,7 @@
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
-		NoticeHandler(to.gatekeeper).ServeHTTP(w, r)
+		QuarantineHandler(to.gatekeeper).ServeHTTP(w, r)
 	}))
 	go func() { _ = server.Serve(l) }()
 	t.Cleanup(func() { server.Close() })
@@ -266,7 +266,7 @@
 	k := NewGatekeeper(GatekeeperConfig{Addr: netip.MustParseAddrPort("127.0.0.1:1"), Holder: &mesh.Holder{}, Names: names, Metrics: NewMetrics(nil)})
 	ask := func() int {
 		w := httptest.NewRecorder()
-		NoticeHandler(k).ServeHTTP(w, httptest.NewRequest(http.MethodGet, NoticePath, nil))
+		QuarantineHandler(k).ServeHTTP(w, httptest.NewRequest(http.MethodGet, QuarantinePath, nil))
 		return w.Code
 	}
 	if status := ask(); status != http.StatusServiceUnavailable {
@@ -284,11 +284,11 @@
 	k := c.nodes[0].gatekeeper
 	for _, body := range []string{"", "x", "\xbf", "\xa1\x02\x81\xa1\x01\x20"} {
 		w := httptest.NewRecorder()
-		NoticeHandler(k).ServeHTTP(w, httptest.NewRequest(http.MethodPost, NoticePath, strings.NewReader(body)))
+		QuarantineHandler(k).ServeHTTP(w, httptest.NewRequest(http.MethodPost, QuarantinePath, strings.NewReader(body)))
 		if w.Code != http.StatusBadRequest {
 			t.Errorf("%q: status %d", body, w.Code)
 		}
-		if n := takeNotice(http.Header{hopNoticeHeader: {base64.StdEncoding.EncodeToString([]byte(body))}}); n != nil {
+		if n := takeQuarantineNotice(http.Header{hopQuarantineHeader: {base64.StdEncoding.EncodeToString([]byte(body))}}); n != nil {
 			t.Errorf("%q: notice %+v", body, n)
 		}
 	}
@@ -308,7 +308,7 @@
 	f.Fuzz(func(t *testing.T, data []byte) {
 		k := NewGatekeeper(GatekeeperConfig{Addr: netip.MustParseAddrPort("127.0.0.1:1"), Holder: &mesh.Holder{}, Names: names, Metrics: NewMetrics(nil)})
 		w := httptest.NewRecorder()
-		NoticeHandler(k).ServeHTTP(w, httptest.NewRequest(http.MethodPost, NoticePath, bytes.NewReader(data)))
+		QuarantineHandler(k).ServeHTTP(w, httptest.NewRequest(http.MethodPost, QuarantinePath, bytes.NewReader(data)))
 		if w.Code != http.StatusOK && w.Code != http.StatusBadRequest {
 			t.Fatalf("status %d", w.Code)
 		}
--- a/proxy/frontend.go
+++ b/proxy/frontend.go
@@ -208,7 +208,9 @@
 	}
 	req.atHome = f.crashes().lookup(req.fingerprint) == quarantine.Suspect
 	if req.atHome {
-		attempt.Only = f.home(req, attempt.State)
+		if attempt.Only = f.home(req, attempt.State); attempt.Only == "" {
+			return balance.Choice{}, false
+		}
 	}
 	choice, ok := f.balancer.Pick(attempt)
 	if ok {
@@ -328,6 +330,7 @@
 	h := w.Header()
 	headers.StripHopByHop(o.header)
 	delete(o.header, hopResponseHeader)
+	delete(o.header, hopQuarantineHeader)
 	for name, values := range o.header {
 		h[name] = values
 	}
--- a/proxy/hop.go
+++ b/proxy/hop.go
@@ -21,8 +21,9 @@
 	hopHeader = "Chervilwell-Hop"
 	// hopResponseHeader describes an outcome; see formatOutcome.
 	hopResponseHeader = "Chervilwell-Hop-Answer"
-	// hopNoticeHeader holds, in both directions, what the sender knows of a request that has been in flight at a crash.
-	hopNoticeHeader = "Chervilwell-Hop-Notice"
+	// hopQuarantineHeader holds, in both directions, a quarantine.Notice: what the sender knows of a request that has been in flight at a
+	// crash. In a call it also states that the call's target is the home of the request.
+	hopQuarantineHeader = "Chervilwell-Hop-Quarantine"
 )
 
 // ErrMalformedMessage is returned if a message between instances does not have the format of this version.
@@ -144,14 +145,14 @@
 func writeOutcome(w http.ResponseWriter, o *outcome) error {
 	h := w.Header()
 	h[hopResponseHeader] = []string{formatOutcome(o)}
-	setNotice(h, o.notice)
+	setQuarantineNotice(h, o.notice)
 	if o.run != ran {
 		h["Content-Length"] = []string{"0"}
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return nil
 	}
 	for name, values := range o.header {
-		if name != hopNoticeHeader {
+		if name != hopQuarantineHeader {
 			h[name] = values
 		}
 	}
--- a/proxy/peers.go
+++ b/proxy/peers.go
@@ -70,7 +70,7 @@
 // do sends a call to the gatekeeper of a target and returns its outcome.
 func (p *Peers) do(ctx context.Context, t *mesh.Target, c *call) *outcome {
 	c.header[hopHeader] = []string{formatCall(c, clock.Now())}
-	setNotice(c.header, c.notice)
+	setQuarantineNotice(c.header, c.notice)
 	if c.expectContinue {
 		c.header["Expect"] = []string{httppool.ExpectContinue}
 	}
@@ -86,7 +86,7 @@
 	if o.reason == reasonNone {
 		o.reason = ""
 	}
-	o.notice = takeNotice(resp.Header)
+	o.notice = takeQuarantineNotice(resp.Header)
 	if err := bufferResponse(resp, o); err != nil {
 		failure := peerFailure(ctx, errors.Wrap(err, "incomplete response from peer"))
 		failure.arrived = o.arrived
@@ -117,7 +117,7 @@
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
-		c.notice = takeNotice(r.Header)
+		c.notice = takeQuarantineNotice(r.Header)
 		c.atHome = c.notice != nil
 		delete(r.Header, hopHeader)
 		delete(r.Header, "Expect")
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -219,9 +219,9 @@
 			Peers: peers, Names: names, Log: zerolog.Nop(), LogBudget: events.NewBudget(1), StoreAge: func() time.Duration { return 0 }, Metrics: NewMetrics(nil), Rand: rand.New(rand.NewPCG(1, uint64(i))),
 			RetryBudget: retrybudget.Limits{Ratio: 1, Slack: 100, Window: 10 * time.Second},
 		})
-		calls, notices := PeerHandler(n.gatekeeper), NoticeHandler(n.gatekeeper)
+		calls, notices := PeerHandler(n.gatekeeper), QuarantineHandler(n.gatekeeper)
 		server := c.newServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			if IsNotice(r) {
+			if IsQuarantineNotice(r) {
 				notices.ServeHTTP(w, r)
 				return
 			}
--- a/proxy/news.go
+++ b/proxy/quarantine.go
@@ -23,9 +23,9 @@
 	"github.com/chervilwell/chervilwell/quarantine"
 )
 
-// NoticePath is the HTTP path at which a process accepts notices of other processes about requests that crash targets (POST), and
-// returns all that it knows of them (GET), encoded as CBOR.
-const NoticePath = "/quarantine"
+// QuarantinePath is the HTTP path at which a process accepts a quarantine.Notice of another process (POST), and returns all that it
+// knows (GET), encoded as CBOR.
+const QuarantinePath = "/quarantine"
 
 // Limits of the exchange of notices.
 const (
@@ -172,7 +172,7 @@
 	defer cancel()
 	host := netip.AddrPortFrom(addr, p.port).String()
 	req := &http.Request{
-		Method: method, URL: &url.URL{Scheme: "http", Host: host, Opaque: NoticePath}, Host: host, Header: http.Header{"User-Agent": {""}},
+		Method: method, URL: &url.URL{Scheme: "http", Host: host, Opaque: QuarantinePath}, Host: host, Header: http.Header{"User-Agent": {""}},
 		Body: http.NoBody, ContentLength: int64(len(data)), Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
 	if len(data) > 0 {
@@ -190,11 +190,11 @@
 	return body, errors.Wrapf(err, "notice to %s", addr)
 }
 
-// IsNotice reports whether a request from another process concerns notices.
-func IsNotice(r *http.Request) bool { return r.URL.Path == NoticePath }
+// IsQuarantineNotice reports whether a request from another process concerns notices.
+func IsQuarantineNotice(r *http.Request) bool { return r.URL.Path == QuarantinePath }
 
-// NoticeHandler returns the handler of requests for NoticePath.
-func NoticeHandler(k *Gatekeeper) http.Handler {
+// QuarantineHandler returns the handler of requests for QuarantinePath.
+func QuarantineHandler(k *Gatekeeper) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if r.Method == http.MethodGet {
 			if !k.learned.Load() {
@@ -225,25 +225,25 @@
 	})
 }
 
-// setNotice sets the notice header of a call or its response. n may be nil.
-func setNotice(h http.Header, n *quarantine.Notice) {
-	delete(h, hopNoticeHeader)
+// setQuarantineNotice sets the notice header of a call or its response. n may be nil.
+func setQuarantineNotice(h http.Header, n *quarantine.Notice) {
+	delete(h, hopQuarantineHeader)
 	if n == nil {
 		return
 	}
 	if data, err := cbor.Marshal(n); err == nil {
-		h[hopNoticeHeader] = []string{base64.StdEncoding.EncodeToString(data)}
+		h[hopQuarantineHeader] = []string{base64.StdEncoding.EncodeToString(data)}
 	}
 }
 
-// takeNotice removes the notice header of a call or its response and returns the notice. It returns nil if there is none or it is
+// takeQuarantineNotice removes the notice header of a call or its response and returns the notice. It returns nil if there is none or it is
 // malformed: a notice is never needed to serve a call.
-func takeNotice(h http.Header) *quarantine.Notice {
-	text := h.Get(hopNoticeHeader)
+func takeQuarantineNotice(h http.Header) *quarantine.Notice {
+	text := h.Get(hopQuarantineHeader)
 	if text == "" {
 		return nil
 	}
-	delete(h, hopNoticeHeader)
+	delete(h, hopQuarantineHeader)
 	data, err := base64.StdEncoding.DecodeString(text)
 	var n quarantine.Notice
 	if err != nil || cbor.Unmarshal(data, &n) != nil {
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -129,7 +129,7 @@
 		h[name] = values
 	}
 	headers.StripHopByHop(h)
-	for _, name := range [...]string{f.cfg.Names.ExpectTarget, f.cfg.Names.CallerService, f.cfg.Names.Deadline, hopHeader, hopNoticeHeader, "Expect"} {
+	for _, name := range [...]string{f.cfg.Names.ExpectTarget, f.cfg.Names.CallerService, f.cfg.Names.Deadline, hopHeader, hopQuarantineHeader, "Expect"} {
 		delete(h, name)
 	}
 	c := &call{
