--- a/internal/gatekeeper/crash.go
+++ b/internal/gatekeeper/crash.go
@@ -155,6 +155,8 @@
 	var notice quarantine.Notice
 	how := quarantine.Inconclusive
 	switch {
+	case !wrote && result != admission.OK:
+		how = quarantine.NotRun
 	case result == admission.OK:
 		how = quarantine.Answered
 	case wrote && (result == admission.Crashed || result == admission.Cancelled):
--- a/proxy/crash.go
+++ b/proxy/crash.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -19,6 +20,9 @@
 // crashProbeTimeout bounds the connection attempt that checks whether the target is up.
 const crashProbeTimeout = 100 * time.Millisecond
 
+// unansweredCheckInterval is the time between two checks whether the target crashes after a run without an answer.
+const unansweredCheckInterval = 200 * time.Millisecond
+
 // trialWaitFraction is the fraction of its remaining time for which a suspect waits until no other one runs at its home.
 const trialWaitFraction = 0.5
 
@@ -34,6 +38,9 @@
 	// probedAt is the start of the last probe, probedDown its result. They are guarded by probeMu.
 	probedAt   time.Time
 	probedDown bool
+
+	// watching is set while a check is scheduled after a run without an answer.
+	watching atomic.Bool
 }
 
 // withList calls f with the list and the current time. It serializes the calls.
@@ -130,20 +137,44 @@
 	if o.run == unknown && o.reason == reasonBroken {
 		k.checkCrash(run, c)
 	}
-	how := [...]quarantine.Ending{ran: quarantine.Answered, notRun: quarantine.Inconclusive, unknown: quarantine.Unanswered}[o.run]
+	how := [...]quarantine.Ending{ran: quarantine.Answered, notRun: quarantine.NotRun, unknown: quarantine.Unanswered}[o.run]
 	var notice quarantine.Notice
 	k.crashes.withList(func(l *quarantine.List, now time.Time) { notice = l.End(now, run, how) })
 	k.spread(notice)
+	if how == quarantine.Unanswered && !run.Crashed() {
+		k.watchUnanswered(c)
+	}
+}
+
+// watchUnanswered checks repeatedly whether the target crashes after a call ended without an answer, since no other call may be broken
+// off by the crash.
+func (k *Gatekeeper) watchUnanswered(c *call) {
+	if !k.crashes.watching.CompareAndSwap(false, true) {
+		return
+	}
+	time.AfterFunc(unansweredCheckInterval, func() {
+		k.crashes.watching.Store(false)
+		unanswered := 0
+		k.crashes.withList(func(l *quarantine.List, now time.Time) { unanswered = l.Unanswered(now) })
+		if unanswered == 0 {
+			return
+		}
+		if _, alive := k.pool.CloseStale(); alive == 0 {
+			k.checkCrash(nil, c)
+		}
+		k.watchUnanswered(c)
+	})
 }
 
-// checkCrash checks whether the target has crashed after it broke off a run, and records the crash once. It informs the other processes.
+// checkCrash checks whether the target has crashed after it broke off a run, or left runs without an answer if run is nil. It records the
+// crash once and informs the other processes.
 func (k *Gatekeeper) checkCrash(run *quarantine.Run, c *call) {
 	if k.endPlanned(c) || !k.targetDown(clock.Now()) {
 		return
 	}
 	var notice quarantine.Notice
 	k.crashes.withList(func(l *quarantine.List, now time.Time) {
-		if !run.Crashed() {
+		if run == nil && l.Unanswered(now) > 0 || run != nil && !run.Crashed() {
 			notice = l.Crashed(now, rand.Uint64(), c.targetID)
 		}
 	})
--- a/proxy/crash_test.go
+++ b/proxy/crash_test.go
@@ -355,3 +355,73 @@
 		t.Fatalf("home %q in a region that the route does not allow", home)
 	}
 }
+
+// TestCallerThatLeavesBeforeCrashIsStopped guards against a request whose caller gives up before the target has crashed, so that no call
+// is broken off.
+func TestCallerThatLeavesBeforeCrashIsStopped(t *testing.T) {
+	const sends = 24
+	c, crashes := startCrashingCluster(t, mesh.Safe, 4)
+	for i := range sends {
+		ctx, cancel := context.WithTimeout(t.Context(), crashRun/2)
+		c.nodes[i%len(c.nodes)].get(ctx, "/bad", fmt.Sprint("bad", i))
+		cancel()
+		time.Sleep(restartDelay / 2)
+	}
+	if crashes.Load() > 3 {
+		t.Errorf("one request crashed %d targets, want at most 3", crashes.Load())
+	}
+}
+
+// post sends an upload to a process and returns the status, or 0 without a response.
+func (n *node) post(ctx context.Context, body string) int {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, n.callers.URL+"/upload", strings.NewReader(body))
+	if err != nil {
+		return 0
+	}
+	req.Host = "h.example"
+	req.Header.Set("X-Deadline", "900")
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	resp.Body.Close()
+	return resp.StatusCode
+}
+
+// TestUploadThatCrashesTargetsIsStopped guards against uploads to one path that crash targets by their body, also by one that is too long
+// to be buffered, and against the refusal of other uploads to that path.
+func TestUploadThatCrashesTargetsIsStopped(t *testing.T) {
+	for _, size := range []int{100, maxBufferedBody + 1} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			c, crashes := startCrashingCluster(t, mesh.Upload, 4)
+			for i, n := range c.nodes {
+				n.target.set(func(conn net.Conn, r *http.Request, got received) bool {
+					if !strings.HasPrefix(string(got.body), "bad") {
+						return respondOK(conn, r, got)
+					}
+					if n.target.crash() {
+						crashes.Add(1)
+						time.AfterFunc(restartDelay, func() { c.restart(t, i) })
+					}
+					return false
+				})
+			}
+			bad, good := "bad"+strings.Repeat("x", size-3), "good"+strings.Repeat("x", size-3)
+			last, served := 0, 0
+			for i := range 10 {
+				last = c.nodes[i%len(c.nodes)].post(t.Context(), bad)
+				time.Sleep(restartDelay)
+				if c.nodes[i%len(c.nodes)].post(t.Context(), good) == http.StatusOK {
+					served++
+				}
+			}
+			time.Sleep(restartDelay)
+			if crashes.Load() > 3 || last != http.StatusUnprocessableEntity {
+				t.Errorf("one upload crashed %d targets, want at most 3; the last response is %d", crashes.Load(), last)
+			}
+			if served < 9 {
+				t.Errorf("%d of 10 other uploads were served", served)
+			}
+		})
+	}
+}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -210,12 +210,13 @@
 	// Fingerprint identifies the request; Label describes it to operators and may be nil.
 	Fingerprint Fingerprint
 	Label       fmt.Stringer
-	// blamed is set once a crash of the target has ended the run.
-	blamed bool
+	// crash is the ID of the crash of the target that ended the run; valid if crashed is set.
+	crash   uint64
+	crashed bool
 }
 
 // Crashed reports whether the run was ended by a crash of the target that has been recorded.
-func (r *Run) Crashed() bool { return r.blamed }
+func (r *Run) Crashed() bool { return r.crashed }
 
 // Ending is how a run ended.
 type Ending uint8
@@ -226,7 +227,9 @@
 	Answered Ending = iota + 1
 	// Unanswered means that there was no answer; the target may still be working on the request.
 	Unanswered
-	// Inconclusive means that nothing follows from the end of the run, for example since the target did not run the request.
+	// NotRun means that the target has not run the request, so that the request is not the cause of a crash.
+	NotRun
+	// Inconclusive means that nothing follows from the end of the run.
 	Inconclusive
 )
 
@@ -319,27 +322,47 @@
 	if l.trial == r {
 		l.trial = nil
 	}
-	if how == Unanswered && !r.blamed {
-		l.addUnanswered(now, r)
+	switch how {
+	case Answered:
+		l.addAnswered(now, r.Fingerprint)
+		return l.clear(now, r.Fingerprint, func(Crash) bool { return true })
+	case Unanswered:
+		if !r.crashed {
+			l.addUnanswered(now, r)
+		}
+	case NotRun:
+		if r.crashed {
+			return l.clear(now, r.Fingerprint, func(c Crash) bool { return c.ID == r.crash })
+		}
+	case Inconclusive:
 	}
-	if how != Answered {
+	return Notice{}
+}
+
+// clear clears the crashes of a suspect that are selected, and returns the notice of it.
+func (l *List) clear(now time.Time, f Fingerprint, selected func(Crash) bool) Notice {
+	if l.Lookup(now, f) != Suspect {
 		return Notice{}
 	}
-	l.addAnswered(now, r.Fingerprint)
-	if l.Lookup(now, r.Fingerprint) != Suspect {
-		return Notice{}
+	e := l.entries[f]
+	for i, c := range e.crashes {
+		e.crashes[i].Cleared = c.Cleared || selected(c)
+	}
+	if crashes, _ := e.suspected(); crashes == 0 {
+		e.until = now.Add(clearanceTTL)
 	}
-	l.clear(now, r.Fingerprint)
-	return Notice{From: l.self, Records: []Record{l.record(now, r.Fingerprint)}}
+	return Notice{From: l.self, Records: []Record{l.record(now, f)}}
 }
 
-// clear clears all known crashes of a request.
-func (l *List) clear(now time.Time, f Fingerprint) {
-	e := l.entries[f]
-	for i := range e.crashes {
-		e.crashes[i].Cleared = true
+// Unanswered returns the number of runs that ended lately without an answer, so that their target may still crash.
+func (l *List) Unanswered(now time.Time) int {
+	n := 0
+	for _, u := range l.unanswered {
+		if now.Sub(u.at) < unansweredTTL {
+			n++
+		}
 	}
-	e.until = now.Add(clearanceTTL)
+	return n
 }
 
 // addUnanswered remembers a run that ended without an answer.
@@ -384,7 +407,7 @@
 func (l *List) Crashed(now time.Time, id uint64, target string) Notice {
 	suspects := map[Fingerprint]*Run{}
 	for r := range l.running {
-		r.blamed = true
+		r.crash, r.crashed = id, true
 		if l.trial == nil && !l.answeredLately(now, r.Fingerprint) {
 			suspects[r.Fingerprint] = r
 		}
