--- a/proxy/crash.go
+++ b/proxy/crash.go
@@ -61,8 +61,11 @@
 	return quarantine.FingerprintOf(r)
 }
 
-// String describes the request of a call to operators.
-func (c *call) String() string { return c.method + " " + c.host + c.uri + " from " + c.caller }
+// callLabel describes the request of a call to operators. It does not refer to the call, whose body would stay in memory with it.
+type callLabel struct{ method, host, uri, caller string }
+
+// String implements fmt.Stringer.
+func (l *callLabel) String() string { return l.method + " " + l.host + l.uri + " from " + l.caller }
 
 // lookup returns the state of a request.
 func (t *crashTracker) lookup(f quarantine.Fingerprint) (v quarantine.Verdict) {
@@ -125,7 +128,7 @@
 // beginRun records that a call is about to be sent to the target. It returns the outcome if the call is refused, since its state has
 // changed while it waited.
 func (k *Gatekeeper) beginRun(c *call) (*quarantine.Run, *outcome) {
-	run := &quarantine.Run{Fingerprint: c.fingerprint, Label: c}
+	run := &quarantine.Run{Fingerprint: c.fingerprint, Label: &callLabel{c.method, c.host, c.uri, c.caller}}
 	var v quarantine.Verdict
 	k.crashes.withList(func(l *quarantine.List, now time.Time) { v = l.Begin(now, run, c.atHome) })
 	return run, k.refusal(c, v)
@@ -135,20 +138,20 @@
 // checks first whether the target has crashed.
 func (k *Gatekeeper) endRun(run *quarantine.Run, c *call, o *outcome) {
 	if o.run == unknown && o.reason == reasonBroken {
-		k.checkCrash(run, c)
+		k.checkCrash(run, c.incarnation())
 	}
 	how := [...]quarantine.Ending{ran: quarantine.Answered, notRun: quarantine.NotRun, unknown: quarantine.Unanswered}[o.run]
 	var notice quarantine.Notice
 	k.crashes.withList(func(l *quarantine.List, now time.Time) { notice = l.End(now, run, how) })
 	k.spread(notice)
 	if how == quarantine.Unanswered && !run.Crashed() {
-		k.watchUnanswered(c)
+		k.watchUnanswered(c.incarnation())
 	}
 }
 
 // watchUnanswered checks repeatedly whether the target crashes after a call ended without an answer, since no other call may be broken
 // off by the crash.
-func (k *Gatekeeper) watchUnanswered(c *call) {
+func (k *Gatekeeper) watchUnanswered(target incarnation) {
 	if !k.crashes.watching.CompareAndSwap(false, true) {
 		return
 	}
@@ -160,22 +163,22 @@
 			return
 		}
 		if _, alive := k.pool.CloseStale(); alive == 0 {
-			k.checkCrash(nil, c)
+			k.checkCrash(nil, target)
 		}
-		k.watchUnanswered(c)
+		k.watchUnanswered(target)
 	})
 }
 
 // checkCrash checks whether the target has crashed after it broke off a run, or left runs without an answer if run is nil. It records the
 // crash once and informs the other processes.
-func (k *Gatekeeper) checkCrash(run *quarantine.Run, c *call) {
-	if k.endPlanned(c) || !k.targetDown(clock.Now()) {
+func (k *Gatekeeper) checkCrash(run *quarantine.Run, target incarnation) {
+	if k.endPlanned(target) || !k.targetDown(clock.Now()) {
 		return
 	}
 	var notice quarantine.Notice
 	k.crashes.withList(func(l *quarantine.List, now time.Time) {
 		if run == nil && l.Unanswered(now) > 0 || run != nil && !run.Crashed() {
-			notice = l.Crashed(now, rand.Uint64(), c.targetID)
+			notice = l.Crashed(now, rand.Uint64(), target.id)
 		}
 	})
 	if !notice.Empty() {
@@ -184,19 +187,19 @@
 	}
 }
 
-// endPlanned reports whether the target of a call is leaving, or has been removed from the list, so that its end is no crash.
-func (k *Gatekeeper) endPlanned(c *call) bool {
-	if k.isLeaving(c.incarnation()) {
+// endPlanned reports whether a target is leaving, or has been removed from the list, so that its end is no crash.
+func (k *Gatekeeper) endPlanned(target incarnation) bool {
+	if k.isLeaving(target) {
 		return true
 	}
 	state := k.cfg.Holder.Load()
 	t := state.TargetAt(k.cfg.Addr)
 	if t != nil {
-		return c.matches(t) && !state.Usable(t)
+		return t.ID == target.id && !state.Usable(t)
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return k.targetID() == c.targetID
+	return k.targetID() == target.id
 }
 
 // targetDown reports whether the target refuses connections. It uses the result of an earlier probe that started after the given time.
--- a/proxy/crash_test.go
+++ b/proxy/crash_test.go
@@ -10,11 +10,13 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"runtime"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
+	"weak"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -425,3 +427,18 @@
 		})
 	}
 }
+
+// Guards against bodies that stay in memory after their call has ended without an answer.
+func TestUnansweredCallKeepsNoBody(t *testing.T) {
+	k := NewGatekeeper(GatekeeperConfig{Addr: netip.MustParseAddrPort("127.0.0.1:1"), Holder: &mesh.Holder{}, Names: names, Metrics: NewMetrics(nil)})
+	body := func() weak.Pointer[[maxBufferedBody]byte] {
+		data := new([maxBufferedBody]byte)
+		c := &call{method: "POST", host: "h.example", uri: "/upload", caller: "s", body: data[:]}
+		run, _ := k.beginRun(c)
+		k.endRun(run, c, noResponse(unknown, reasonTimeout))
+		return weak.Make(data)
+	}()
+	if !holdsWithin(5*unansweredCheckInterval, func() bool { runtime.GC(); return body.Value() == nil }) {
+		t.Fatal("the body is still in memory")
+	}
+}
