--- a/quarantine/fleet_test.go
+++ b/quarantine/fleet_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -34,9 +35,9 @@
 	events  events
 	lists   []*List
 	targets []string
-	// up is false while a target is down; runs holds what runs at each target, and how each run goes on if the target crashes.
+	// up is false while a target is down; runs holds what runs at each target, oldest first.
 	up   []bool
-	runs []map[*Run]func()
+	runs [][]simulatedRequest
 	// linkDelay is the largest delay of a message, lossPercent the percentage of notices that are lost.
 	linkDelay   time.Duration
 	lossPercent int
@@ -50,6 +51,12 @@
 	results map[result]int
 }
 
+// simulatedRequest is a run at a target; retry continues the request if the run is broken off.
+type simulatedRequest struct {
+	run   *Run
+	retry func()
+}
+
 // result is how a request ended.
 type result uint8
 
@@ -68,14 +75,14 @@
 
 func newSimulation(seed uint64, processes, targets int) *simulation {
 	s := &simulation{
-		rng: rand.New(rand.NewPCG(seed, 1)), now: epoch, up: make([]bool, targets), runs: make([]map[*Run]func(), targets),
+		rng: rand.New(rand.NewPCG(seed, 1)), now: epoch, up: make([]bool, targets), runs: make([][]simulatedRequest, targets),
 		linkDelay: 30 * time.Millisecond, results: map[result]int{},
 	}
 	for i := range processes {
 		s.lists, s.learned = append(s.lists, New(fmt.Sprint("p", i))), append(s.learned, 2)
 	}
 	for i := range targets {
-		s.targets, s.up[i], s.runs[i] = append(s.targets, fmt.Sprint("t", i)), true, map[*Run]func(){}
+		s.targets, s.up[i] = append(s.targets, fmt.Sprint("t", i)), true
 	}
 	return s
 }
@@ -125,10 +132,10 @@
 func (s *simulation) restart(process int) {
 	s.lists[process] = New(fmt.Sprint("p", process))
 	if process < len(s.targets) {
-		for _, retry := range s.runs[process] {
-			retry()
+		for _, r := range s.runs[process] {
+			r.retry()
 		}
-		clear(s.runs[process])
+		s.runs[process] = nil
 	}
 	s.learned[process] = 0
 	s.learn(process, s.lists[process])
@@ -198,16 +205,17 @@
 		retry(attempts)
 		return
 	}
-	s.runs[at][r] = func() { retry(attempts - 1) }
+	s.runs[at] = append(s.runs[at], simulatedRequest{r, func() { retry(attempts - 1) }})
 	s.after(time.Duration(1+s.rng.Int64N(int64(simulatedRun))), func() {
-		if _, running := s.runs[at][r]; !running {
+		i := slices.IndexFunc(s.runs[at], func(other simulatedRequest) bool { return other.run == r })
+		if i < 0 {
 			return
 		}
 		if poison {
 			s.crash(at)
 			return
 		}
-		delete(s.runs[at], r)
+		s.runs[at] = slices.Delete(s.runs[at], i, i+1)
 		s.spread(l.End(s.now, r, Answered))
 		done(served)
 	})
@@ -218,11 +226,11 @@
 	s.crashes++
 	s.up[at] = false
 	s.spread(s.lists[at].Crashed(s.now, s.rng.Uint64(), s.targets[at]))
-	for r, retry := range s.runs[at] {
-		s.lists[at].End(s.now, r, Unanswered)
-		retry()
+	for _, r := range s.runs[at] {
+		s.lists[at].End(s.now, r.run, Unanswered)
+		r.retry()
 	}
-	clear(s.runs[at])
+	s.runs[at] = nil
 	s.after(simulatedRestart, func() { s.up[at] = true })
 }
 
@@ -333,3 +341,24 @@
 		}
 	}
 }
+
+// TestSimulationRepeats guards against simulated fleets of which a seed does not give the same history again.
+func TestSimulationRepeats(t *testing.T) {
+	history := func() string {
+		s := newSimulation(1, 13, 5)
+		s.lossPercent = 5
+		s.load(10*time.Millisecond, firstOther)
+		s.repeat(250*time.Millisecond, 2)
+		for at := range s.targets {
+			s.after(time.Duration(5+at)*time.Second, func() { s.crash(at) })
+		}
+		s.run(20 * time.Second)
+		return fmt.Sprint(s.crashes, s.results, s.rng.Uint64())
+	}
+	first := history()
+	for range 5 {
+		if again := history(); again != first {
+			t.Fatalf("one seed gave %s and %s", first, again)
+		}
+	}
+}
