mesh, proxy: organisations with keys, priorities and home regions; downloads

Configurations with organisations were read without them: the key was passed on to the target and no organisation was named. A route of kind download made the whole configuration invalid, so that no request was served.

The key of a request is mapped to its organisation by the version in force for the request, and replaced by the organisation's name. An unknown key gets 401, or 503 while the state is too old to know. An organisation's priority replaces that of the route, and the home regions of both apply. Entries that can't hold are refused with their place, without the key. Downloads may be repeated.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -118,6 +118,8 @@
 	Now   time.Time
 	State *mesh.State
 	Route *mesh.Route
+	// Organisation is the owner of the request, or nil. Its home regions apply beside those of the route.
+	Organisation *mesh.Organisation
 	// Service is the service to which the route's traffic split assigned the request. Bytes is the length of the request
 	// body. Tried holds the IDs of the targets of earlier attempts.
 	Service string
@@ -206,7 +208,7 @@
 	exploring := b.rng.Float64() < explorationRate
 	route := b.routeStatsFor(a.Route.Name)
 	for _, t := range a.State.Targets(a.Service) {
-		if !a.State.Usable(t) || !a.Route.Allows(t.Region) || slices.Contains(a.Tried, t.ID) || a.Only != "" && a.Only != t.ID {
+		if !a.State.Usable(t) || !a.Route.Allows(t.Region) || !a.Organisation.Allows(t.Region) || slices.Contains(a.Tried, t.ID) || a.Only != "" && a.Only != t.ID {
 			continue
 		}
 		stats := b.targetStatsFor(a.Now, t)
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -56,6 +56,7 @@
 	RequestFailed         = "request failed"
 	AttemptEnded          = "attempt ended"
 	NoRoute               = "no route"
+	KeyRefused            = "key refused"
 	RequestBodyIncomplete = "request body broke off"
 	ResponseIncomplete    = "answer not sent whole"
 	CallRefused           = "call refused"
@@ -119,6 +120,7 @@
 	{RequestRefused, "the request did not run and will not run; the caller received a retry-after (field back)", []string{"request", "route", "service", "status", "reason", "tried", "took", "left", "back", "config", "age"}},
 	{RequestFailed, "no target responded and the request may have run, or the target responded with an error", []string{"request", "route", "service", "target", "status", "reason", "tried", "took", "left", "config", "age"}},
 	{AttemptEnded, "an attempt at a target did not succeed; wait is the expected wait at the target, known the age of the load report that it follows from", []string{"request", "target", "domain", "run", "reason", "arrived", "wait", "known", "running", "waiting", "slots", "left", "revision"}},
+	{KeyRefused, "no organisation of the configuration in force holds the key of the request, or it has none; the key itself is not logged", []string{"request", "route", "config", "age"}},
 	{NoRoute, "no route of the configuration in force matches the request", []string{"request", "host", "path", "config", "age"}},
 	{RequestBodyIncomplete, "the caller disconnected while it sent the request body", []string{"request", "error"}},
 	{ResponseIncomplete, "the response could not be sent completely; the caller's connection was closed", []string{"request", "error"}},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -93,6 +93,7 @@
 		Service: s.Service, FailureDomain: s.FailureDomain, Region: s.Region, Holder: n.holder, Gatekeeper: n.gatekeeper,
 		Peers: peers, Names: names, Log: log, LogBudget: lineBudget, Metrics: metrics, Rand: rng(),
 		StoreAge:    func() time.Duration { return n.follower.Age() },
+		ApplyWithin: s.ApplyWithin, RevokeWithin: s.RevokeWithin,
 		RetryBudget: retrybudget.Limits{Ratio: retryShare * s.RetryRatio, Slack: retryShare * s.RetrySlack / assumedProcesses, Window: s.RetryWindow},
 	})
 	n.follower = follow.New(follow.Config{
--- a/mesh/config.go
+++ b/mesh/config.go
@@ -24,10 +24,12 @@
 	Once
 	// Upload requests have large bodies and are executed at most once.
 	Upload
+	// Download requests have large responses and may be executed more than once.
+	Download
 )
 
 // Retryable reports whether a request may be retried after it may have been executed.
-func (k Kind) Retryable() bool { return k == Safe }
+func (k Kind) Retryable() bool { return k == Safe || k == Download }
 
 // WeightedService is a service of a route with its share of the requests.
 type WeightedService struct {
@@ -49,6 +51,8 @@
 	Parts    []WeightedService
 	// HomeRegions lists the regions in which the requests may be served; empty means all.
 	HomeRegions []string
+	// Public is set if requests need no key although the configuration has organisations.
+	Public bool
 }
 
 // Allows reports whether the route's requests may be served in region.
@@ -80,7 +84,11 @@
 	Routes   []*Route
 	Services map[string]*Service
 	Limits   Limits
-	hosts    map[string][]*Route
+	// Organisations are the owners of requests. Without any, requests need no key.
+	Organisations []*Organisation
+	hosts         map[string][]*Route
+	// keys maps each key to the organisation that holds it.
+	keys map[string]*Organisation
 	// uploads is the set of services that routes of kind Upload lead to.
 	uploads map[string]bool
 }
@@ -89,8 +97,11 @@
 var ErrConfig = errors.New("configuration is invalid; correct the entry and publish it under a higher version")
 
 // NewConfig validates a configuration and builds its look-up tables. Errors wrap ErrConfig.
-func NewConfig(version uint64, routes []*Route, services []*Service, limits Limits) (*Config, error) {
+func NewConfig(version uint64, routes []*Route, services []*Service, limits Limits, organisations ...*Organisation) (*Config, error) {
 	c := &Config{Version: version, Routes: routes, Services: make(map[string]*Service, len(services)), Limits: limits, hosts: map[string][]*Route{}, uploads: map[string]bool{}}
+	if err := c.addOrganisations(organisations); err != nil {
+		return nil, err
+	}
 	for _, s := range services {
 		if s.Name == "" || s.ColdRate < 0 || s.MaxConnections < 0 {
 			return nil, errors.Wrapf(ErrConfig, "service %q has no name or has a negative limit", s.Name)
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -38,6 +38,10 @@
 	TargetID string
 	// ColdFor holds, in responses to health checks, the time in milliseconds for which the target remains cold.
 	ColdFor string
+	// Key holds the caller's key. It is not passed on if the configuration has organisations.
+	Key string
+	// Organisation names the organisation of the request in the request to the target.
+	Organisation string
 }
 
 // call is one attempt of a request, sent to the gatekeeper of a target.
@@ -105,6 +109,8 @@
 	reasonBodyTooLong = "body-too-long"
 	reasonSuspected   = "suspected"
 	reasonQuarantined = "quarantined"
+	reasonUnknownKey  = "unknown-key"
+	reasonStaleKeys   = "stale-keys"
 )
 
 // outcome is the result of a call.
--- a/proxy/frontend.go
+++ b/proxy/frontend.go
@@ -40,8 +40,12 @@
 	LogBudget *events.Budget
 	// StoreAge returns the time since the last contact with the store.
 	StoreAge func() time.Duration
-	Metrics  *Metrics
-	Rand     *rand.Rand
+	// ApplyWithin is the time within which a change of the configuration, such as a new key, has to be in force.
+	ApplyWithin time.Duration
+	// RevokeWithin is the age of the state from which on keys are not accepted any more, or 0 if it does not matter.
+	RevokeWithin time.Duration
+	Metrics      *Metrics
+	Rand         *rand.Rand
 }
 
 // Frontend serves the callers of one instance. It is safe for concurrent use.
@@ -130,6 +134,9 @@
 		http.Error(w, "no route takes this host and path; check them against the configuration", http.StatusNotFound)
 		return
 	}
+	if !f.identify(w, req) {
+		return
+	}
 	if limit := req.state.Config.Limits.BodyBytes; limit > 0 && r.ContentLength > limit {
 		f.cfg.Metrics.observeRequest(kindNames[req.route.Kind], "413", reasonBodyTooLong, clock.Now().Sub(req.arrived))
 		http.Error(w, "body is longer than the configuration allows", http.StatusRequestEntityTooLarge)
@@ -203,7 +210,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	attempt := balance.Attempt{
-		Now: clock.Now(), State: f.cfg.Holder.Load(), Route: req.route, Service: req.service, Bytes: len(req.body), Tried: req.tried,
+		Now: clock.Now(), State: f.cfg.Holder.Load(), Route: req.route, Organisation: req.organisation, Service: req.service, Bytes: len(req.body), Tried: req.tried,
 		LinkState: f.linkState(req),
 	}
 	req.atHome = f.crashes().lookup(req.fingerprint) == quarantine.Suspect
@@ -389,7 +396,7 @@
 	minRetryAfter     = 10 * time.Millisecond
 )
 
-var kindNames = [...]string{mesh.Safe: "safe", mesh.Once: "once", mesh.Upload: "upload"}
+var kindNames = [...]string{mesh.Safe: "safe", mesh.Once: "once", mesh.Upload: "upload", mesh.Download: "download"}
 
 // kindNone is the kind label of requests that match no route.
 const kindNone = "none"
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -29,7 +29,7 @@
 
 var names = HeaderNames{
 	RequestID: "X-Id", Deadline: "X-Deadline", Signature: "X-Signature", ExpectTarget: "X-Expect", NotRun: "X-Not-Run",
-	CallerService: "X-Caller", TargetID: "X-Target", ColdFor: "X-Cold",
+	CallerService: "X-Caller", TargetID: "X-Target", ColdFor: "X-Cold", Key: "X-Key", Organisation: "X-Organisation",
 }
 
 // decodeNotice decodes the headers of fake targets.
@@ -50,7 +50,7 @@
 	method, uri, id, caller, expect string
 	deadline                        int
 	body                            []byte
-	hop                             string
+	hop, key, organisation          string
 }
 
 // behaviour handles a request at a fake target and reports whether the connection stays open; nil means respondOK.
@@ -133,7 +133,7 @@
 			fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nX-Target: t\r\nX-Cold: %s\r\n%sContent-Length: 0\r\n\r\n", cold, lines)
 			continue
 		}
-		got := received{method: r.Method, uri: r.RequestURI, id: r.Header.Get("X-Id"), caller: r.Header.Get("X-Caller"), expect: r.Header.Get("X-Expect"), hop: r.Header.Get(hopHeader)}
+		got := received{method: r.Method, uri: r.RequestURI, id: r.Header.Get("X-Id"), caller: r.Header.Get("X-Caller"), expect: r.Header.Get("X-Expect"), hop: r.Header.Get(hopHeader), key: r.Header.Get("X-Key"), organisation: r.Header.Get("X-Organisation")}
 		got.deadline, _ = strconv.Atoi(r.Header.Get("X-Deadline"))
 		s.mu.Lock()
 		respond := s.respond
@@ -237,16 +237,23 @@
 			ID: "t" + strconv.Itoa(i), Service: testService, Addr: n.target.addr, FailureDomain: "d" + strconv.Itoa(i), Region: "r", Slots: 18, StartedMs: 1,
 		}}}, mesh.Position{Revision: uint64(i + 1)})
 	}
-	config, err := mesh.NewConfig(1, []*mesh.Route{{
+	c.setConfig(t, 1, kind, false)
+	return c
+}
+
+// setConfig puts a configuration with one route for all requests, and organisations, in force.
+func (c *cluster) setConfig(t *testing.T, version uint64, kind mesh.Kind, public bool, organisations ...*mesh.Organisation) {
+	t.Helper()
+	config, err := mesh.NewConfig(version, []*mesh.Route{{
 		Name: "route", Host: "h.example", Prefix: "/", Kind: kind, Timeout: time.Second, Objective: 500 * time.Millisecond,
-		MaxTargets: 2, Priority: 1, Parts: []mesh.WeightedService{{Service: testService, Weight: 1}},
-	}}, []*mesh.Service{{Name: testService, HealthPath: "/health", ColdRate: 1000}}, mesh.Limits{})
+		MaxTargets: 2, Priority: 1, Parts: []mesh.WeightedService{{Service: testService, Weight: 1}}, Public: public,
+	}}, []*mesh.Service{{Name: testService, HealthPath: "/health", ColdRate: 1000}}, mesh.Limits{}, organisations...)
 	if err != nil {
 		t.Fatal(err)
 	}
-	c.replica.Apply(time.Now(), []mesh.Entry{{Key: "config", Revision: 9, Config: config}}, mesh.Position{Revision: 9})
+	at := c.replica.Position().Revision + 1
+	c.replica.Apply(time.Now(), []mesh.Entry{{Key: "config", Revision: at, Config: config}}, mesh.Position{Revision: at})
 	c.publish()
-	return c
 }
 
 // newServer returns a server for the callers or the peers of a process.
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -17,8 +17,10 @@
 	incoming *http.Request
 	state    *mesh.State
 	route    *mesh.Route
-	service  string
-	arrived  time.Time
+	// organisation is that of the caller's key, or nil.
+	organisation *mesh.Organisation
+	service      string
+	arrived      time.Time
 	// softDeadline is the end of the latency objective. It counts from the caller's first attempt.
 	softDeadline time.Time
 	deadline     time.Time
@@ -132,10 +134,13 @@
 	for _, name := range [...]string{f.cfg.Names.ExpectTarget, f.cfg.Names.CallerService, f.cfg.Names.Deadline, hopHeader, hopQuarantineHeader, "Expect"} {
 		delete(h, name)
 	}
+	if req.state.Config.HasOrganisations() {
+		f.setOrganisation(h, req.organisation)
+	}
 	c := &call{
 		method: req.incoming.Method, uri: req.incoming.RequestURI, host: req.incoming.Host, header: h, body: req.body, rest: req.rest, length: req.length,
 		setReadDeadline: req.setReadDeadline, lifetime: req.incoming.Context(),
-		targetID: t.ID, startedMs: t.StartedMs, route: req.route.Name, priority: req.route.Priority,
+		targetID: t.ID, startedMs: t.StartedMs, route: req.route.Name, priority: f.rank(req),
 		retryable: req.route.Kind.Retryable(), caller: f.cfg.Service, softDeadline: req.softDeadline, deadline: req.deadline,
 		fingerprint: req.fingerprint, atHome: atHome,
 	}
--- a/proxy/suspect.go
+++ b/proxy/suspect.go
@@ -16,7 +16,7 @@
 func (f *Frontend) home(req *request, state *mesh.State) (home string) {
 	var candidates []string
 	for _, t := range state.Targets(req.service) {
-		if state.Usable(t) && req.route.Allows(t.Region) && !slices.Contains(req.tried, t.ID) && !f.balancer.Leaving(t) {
+		if state.Usable(t) && req.allows(t.Region) && !slices.Contains(req.tried, t.ID) && !f.balancer.Leaving(t) {
 			candidates = append(candidates, t.ID)
 		}
 	}
