gate: share a full target among organisations

The queue of a target knew no organisations: one that sends many times its usual pushed out the requests of the others in proportion to what it sent.

Requests of equal rank are ordered by start-time fair queueing, weighted by the quotas. The virtual times move from admission to the package fairshare, which both queues use. Requests without organisations keep their order of arrival.

--- a/admission/gate.go
+++ b/admission/gate.go
@@ -151,7 +151,7 @@
 			ahead += len(f.waiting[c])
 		}
 	}
-	byShare := float64(ahead) * g.queue.activeWeight(f) / f.weight
+	byShare := float64(ahead) * g.queue.activeWeight(f) / f.Weight
 	byQueue := float64(g.queue.queued)
 	return seconds(min(byShare, byQueue) * g.serviceTime.mean / float64(g.limiter.limit(now)))
 }
--- a/admission/queue.go
+++ b/admission/queue.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/chervilwell/chervilwell/catalogue"
+	"github.com/chervilwell/chervilwell/fairshare"
 )
 
 // Indexes of the classes, most urgent first.
@@ -45,10 +46,8 @@
 
 // flow is the state of one organisation in the fair queue. Virtual time is slot-time in seconds divided by weight.
 type flow struct {
-	name   string
-	weight float64
-	// startTag is the virtual time at which the flow's next request starts.
-	startTag float64
+	fairshare.Flow
+	name     string
 	waiting  [numClasses][]*entry
 	queued   int
 	inFlight int
@@ -99,11 +98,11 @@
 // The flow with the lowest start tag, adjusted by the class of its head, is served first. The preference is a constant: an
 // organisation that marks every request critical moves ahead once by that constant, and its rate does not change.
 type fairQueue struct {
-	flows       map[string]*flow
-	backlogged  []*flow
-	shares      Shares
-	virtualTime float64
-	queued      int
+	flows      map[string]*flow
+	backlogged []*flow
+	shares     Shares
+	clock      fairshare.Clock
+	queued     int
 	// classPreference is the virtual time by which a class is preferred to the next one.
 	classPreference float64
 	// idleCredit is the virtual time by which a flow that used less than its share may lag behind the others.
@@ -125,7 +124,7 @@
 		}
 	}
 	for name, f := range q.flows {
-		f.weight = q.weight(name)
+		f.Weight = q.weight(name)
 		if _, known := q.shares[name]; !known && f.queued == 0 && f.inFlight == 0 {
 			delete(q.flows, name)
 		}
@@ -145,7 +144,7 @@
 	}
 	f := q.flows[organisation]
 	if f == nil {
-		f = &flow{name: organisation, weight: q.weight(organisation)}
+		f = &flow{name: organisation, Flow: fairshare.Flow{Weight: q.weight(organisation)}}
 		q.flows[organisation] = f
 	}
 	return f
@@ -177,7 +176,7 @@
 	var bestKey float64
 	for _, f := range q.backlogged {
 		e, class := f.head(now)
-		key := f.startTag + float64(class)*q.classPreference
+		key := f.Tag + float64(class)*q.classPreference
 		if best == nil || key < bestKey || (key == bestKey && e.arrived.Before(best.arrived)) {
 			best, bestKey = e, key
 		}
@@ -187,28 +186,28 @@
 
 // activate advances a flow without waiting requests to the current virtual time, less the credit for having used less
 // than its share.
-func (q *fairQueue) activate(f *flow) { f.startTag = max(f.startTag, q.virtualTime-q.idleCredit) }
+func (q *fairQueue) activate(f *flow) { q.clock.Activate(&f.Flow, q.idleCredit) }
 
 // charge adds the expected slot-time of a request that is granted now.
 func (q *fairQueue) charge(e *entry, seconds float64) {
 	f := e.flow
-	q.virtualTime = max(q.virtualTime, q.minStartTag(f.startTag))
+	q.clock.Advance(q.minStartTag(f.Tag))
 	e.charged = seconds
-	f.startTag += seconds / f.weight
+	f.Charge(seconds)
 	f.inFlight++
 }
 
 // minStartTag returns the lowest start tag of the waiting flows, at most startTag.
 func (q *fairQueue) minStartTag(startTag float64) float64 {
 	for _, f := range q.backlogged {
-		startTag = min(startTag, f.startTag)
+		startTag = min(startTag, f.Tag)
 	}
 	return startTag
 }
 
 // settle replaces the expected slot-time of an ended request by its actual slot-time.
 func (q *fairQueue) settle(e *entry, seconds float64) {
-	e.flow.startTag += (seconds - e.charged) / e.flow.weight
+	e.flow.Charge(seconds - e.charged)
 	e.flow.inFlight--
 }
 
@@ -216,10 +215,10 @@
 func (q *fairQueue) activeWeight(f *flow) float64 {
 	sum := 0.0
 	if f.queued == 0 {
-		sum = f.weight
+		sum = f.Weight
 	}
 	for _, b := range q.backlogged {
-		sum += b.weight
+		sum += b.Weight
 	}
 	return sum
 }
@@ -228,7 +227,7 @@
 // the queue the most.
 func (q *fairQueue) victim(f *flow, capacity int) *entry {
 	sum := q.activeWeight(f)
-	fairPart := func(b *flow) float64 { return max(1, float64(capacity)*b.weight/sum) }
+	fairPart := func(b *flow) float64 { return max(1, float64(capacity)*b.Weight/sum) }
 	var worst *flow
 	worstRatio := max(1, float64(f.queued+1)/fairPart(f))
 	for _, b := range q.backlogged {
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -23,6 +23,10 @@
 	Route string
 	// Priority is the priority of the request; 0 is the most urgent.
 	Priority int
+	// Flow is the name of the request's organisation, among which the target is shared in proportion to Weight where it is full; the weights sum to 1. It is
+	// empty, and Weight 0, if there are no organisations.
+	Flow   string
+	Weight float64
 	// SoftDeadline is the end of the latency objective. Deadline is the time after which the response is of no use.
 	SoftDeadline, Deadline time.Time
 	// Start is called once if Offer returned Wait, unless Cancel removes the request: with true when the request may run, with
@@ -32,6 +36,8 @@
 	NoWait bool
 
 	arrival uint64
+	// tag is the virtual time of the request's start among those of other organisations.
+	tag     float64
 	index   int
 	runTime time.Duration
 	waiting bool
@@ -90,6 +96,8 @@
 	arrivals uint64
 	mean     time.Duration
 	routes   map[string]time.Duration
+	// shares holds the shares of the organisations.
+	shares shares
 	// cold limits the starts while the target is cold, stated while it states a limit.
 	cold, stated *ratelimit.Limiter
 	// lastOnTimeRefusal is the time at which a request that was within its objective was last refused.
@@ -99,7 +107,7 @@
 // New returns a gate with the given number of slots, at least 1.
 func New(slots int) *Gate {
 	return &Gate{
-		slots: max(slots, 1), routes: map[string]time.Duration{},
+		slots: max(slots, 1), routes: map[string]time.Duration{}, shares: newShares(max(slots, 1)),
 		cold: ratelimit.NewLimiter(coldBurst), stated: ratelimit.NewLimiter(limitBurst),
 	}
 }
@@ -107,6 +115,7 @@
 // SetSlots changes the number of slots. Running requests are not affected.
 func (g *Gate) SetSlots(now time.Time, slots int) {
 	g.slots = max(slots, 1)
+	g.shares.credit = creditTime.Seconds() * float64(g.slots)
 	g.grant(now)
 }
 
@@ -141,7 +150,8 @@
 func (g *Gate) Offer(now time.Time, r *Request) (Verdict, time.Duration) {
 	g.estimate(now, r)
 	if len(g.queue) == 0 && g.canStart(now) {
-		g.start(now)
+		g.shares.charge(r)
+		g.start(now, r)
 		return Run, 0
 	}
 	fits, retryAfter := g.fits(now, r)
@@ -153,6 +163,7 @@
 	}
 	g.arrivals++
 	r.arrival, r.waiting = g.arrivals, true
+	g.shares.charge(r)
 	heap.Push(&g.queue, r)
 	g.evict(now, maxEvictions)
 	return Wait, 0
@@ -171,6 +182,7 @@
 // estimate sets the estimates of a request: its running time, and whether it is late.
 func (g *Gate) estimate(now time.Time, r *Request) {
 	r.runTime = g.expectedRunTime(r.Route)
+	g.shares.tag(r)
 	r.late = now.Add(r.p90RunTime()).After(r.SoftDeadline)
 }
 
@@ -218,7 +230,7 @@
 			return
 		}
 		g.noteRefusal(now, last)
-		g.remove(last)
+		g.drop(last)
 		last.Start(false)
 	}
 }
@@ -237,7 +249,7 @@
 	if !r.waiting {
 		return false
 	}
-	g.remove(r)
+	g.drop(r)
 	return true
 }
 
@@ -245,7 +257,7 @@
 func (g *Gate) RefuseWaiting() {
 	for len(g.queue) > 0 {
 		r := g.queue[0]
-		g.remove(r)
+		g.drop(r)
 		r.Start(false)
 	}
 }
@@ -359,12 +371,19 @@
 }
 
 // start counts a request as running and against the limiters.
-func (g *Gate) start(now time.Time) {
+func (g *Gate) start(now time.Time, r *Request) {
 	g.running++
+	g.shares.started(r)
 	g.cold.Start(now)
 	g.stated.Start(now)
 }
 
+// drop removes a request from the queue that does not run.
+func (g *Gate) drop(r *Request) {
+	g.shares.refund(r)
+	g.remove(r)
+}
+
 func (g *Gate) remove(r *Request) {
 	heap.Remove(&g.queue, r.index)
 	r.waiting = false
@@ -376,15 +395,17 @@
 		r := g.queue[0]
 		g.remove(r)
 		if !now.Before(r.LastStart()) {
+			g.shares.refund(r)
 			r.Start(false)
 			continue
 		}
-		g.start(now)
+		g.start(now, r)
 		r.Start(true)
 	}
 }
 
-// queue is a heap of requests: by priority, then requests within their objective before late ones, then by arrival.
+// queue is a heap of requests: by priority, then requests within their objective before late ones, then by the shares of their
+// organisations, then by arrival.
 type queue []*Request
 
 func (q queue) less(a, b *Request) bool {
@@ -394,6 +415,9 @@
 	if a.late != b.late {
 		return b.late
 	}
+	if a.tag != b.tag {
+		return a.tag < b.tag
+	}
 	return a.arrival < b.arrival
 }
 
--- a/mesh/config.go
+++ b/mesh/config.go
@@ -89,6 +89,9 @@
 	hosts         map[string][]*Route
 	// keys maps each key to the organisation that holds it.
 	keys map[string]*Organisation
+	// shares holds the shares of the organisations with quotas by name, and meanShare that of the others.
+	shares    map[string]float64
+	meanShare float64
 	// uploads is the set of services that routes of kind Upload lead to.
 	uploads map[string]bool
 }
--- a/mesh/mesh_test.go
+++ b/mesh/mesh_test.go
@@ -168,3 +168,20 @@
 		t.Errorf("targets of the service: %v", got)
 	}
 }
+
+func TestShareOfOrganisations(t *testing.T) {
+	quota := func(rate float64) Quota { return Quota{PerSecond: rate, Burst: rate} }
+	config, err := NewConfig(1, nil, nil, Limits{}, &Organisation{Name: "a", Quota: quota(30)}, &Organisation{Name: "b", Quota: quota(10)}, &Organisation{Name: "c"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	for name, want := range map[string]float64{"a": 0.75, "b": 0.25, "c": 0.5, "unknown": 0.5} {
+		if got := config.ShareOf(name); got != want {
+			t.Errorf("share of %s is %v, want %v", name, got, want)
+		}
+	}
+	without, err := NewConfig(1, nil, nil, Limits{}, &Organisation{Name: "a"}, &Organisation{Name: "b"})
+	if err != nil || without.ShareOf("a") != 0.5 {
+		t.Errorf("share without quotas is %v, want 0.5 (%v)", without.ShareOf("a"), err)
+	}
+}
--- a/mesh/organisation.go
+++ b/mesh/organisation.go
@@ -49,6 +49,35 @@
 // OrganisationOf returns the organisation that holds a key, or nil.
 func (c *Config) OrganisationOf(key string) *Organisation { return c.keys[key] }
 
+// ShareOf returns the share of an organisation where targets are full: the fraction that its quota's rate has of all rates. One without
+// a quota, or that the configuration does not have, gets the mean of the others.
+func (c *Config) ShareOf(name string) float64 {
+	if share, ok := c.shares[name]; ok {
+		return share
+	}
+	return c.meanShare
+}
+
+// computeShares computes the shares of the organisations.
+func (c *Config) computeShares() {
+	c.shares = make(map[string]float64, len(c.Organisations))
+	sum := 0.0
+	for _, o := range c.Organisations {
+		if o.Quota.Limited() {
+			c.shares[o.Name] = o.Quota.PerSecond
+			sum += o.Quota.PerSecond
+		}
+	}
+	if sum == 0 {
+		c.meanShare = 1 / float64(max(len(c.Organisations), 1))
+		return
+	}
+	for name, rate := range c.shares {
+		c.shares[name] = rate / sum
+	}
+	c.meanShare = 1 / float64(len(c.shares))
+}
+
 // addOrganisations validates organisations and adds them to the configuration. Errors wrap ErrConfig and contain no key.
 func (c *Config) addOrganisations(organisations []*Organisation) error {
 	c.Organisations, c.keys = organisations, map[string]*Organisation{}
@@ -69,5 +98,6 @@
 			c.keys[key] = o
 		}
 	}
+	c.computeShares()
 	return nil
 }
--- a/proxy/gatekeeper.go
+++ b/proxy/gatekeeper.go
@@ -260,8 +260,14 @@
 }
 
 // gateRequest returns the gate's request for a call.
-func gateRequest(c *call) *gate.Request {
-	return &gate.Request{Route: c.route, Priority: c.priority, SoftDeadline: c.softDeadline, Deadline: c.deadline}
+func (k *Gatekeeper) gateRequest(c *call) *gate.Request {
+	r := &gate.Request{Route: c.route, Priority: c.priority, SoftDeadline: c.softDeadline, Deadline: c.deadline}
+	if config := k.cfg.Holder.Load().Config; config != nil && config.HasOrganisations() {
+		if names := c.header[k.cfg.Names.Organisation]; len(names) > 0 {
+			r.Flow, r.Weight = names[0], config.ShareOf(names[0])
+		}
+	}
+	return r
 }
 
 // admit waits for a slot and runs the call.
@@ -272,7 +278,7 @@
 		return o
 	}
 	granted := make(chan bool, 1)
-	req := gateRequest(c)
+	req := k.gateRequest(c)
 	req.NoWait = c.rest != nil
 	req.Start = func(run bool) { granted <- run }
 	k.mu.Lock()
--- a/proxy/leave_test.go
+++ b/proxy/leave_test.go
@@ -263,7 +263,7 @@
 	k.gate.SetSlots(time.Now(), 1)
 	k.mu.Unlock()
 	for n := range 50 {
-		blocker := gateRequest(&call{route: "route", softDeadline: time.Now().Add(time.Minute), deadline: time.Now().Add(time.Minute)})
+		blocker := k.gateRequest(&call{route: "route", softDeadline: time.Now().Add(time.Minute), deadline: time.Now().Add(time.Minute)})
 		k.mu.Lock()
 		k.gate.Offer(time.Now(), blocker)
 		k.mu.Unlock()
--- a/proxy/receive.go
+++ b/proxy/receive.go
@@ -77,7 +77,7 @@
 func (k *Gatekeeper) fits(c *call) bool {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	fits, _ := k.gate.Fits(clock.Now(), gateRequest(c))
+	fits, _ := k.gate.Fits(clock.Now(), k.gateRequest(c))
 	return fits
 }
 
@@ -142,7 +142,7 @@
 func (k *Gatekeeper) reserveLink(c *call) (*pacer.Reservation, *outcome) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	now, req := clock.Now(), gateRequest(c)
+	now, req := clock.Now(), k.gateRequest(c)
 	if fits, retryAfter := k.gate.Fits(now, req); !fits {
 		o := noResponse(notRun, reasonBusy)
 		o.retryAfter = retryAfter
