trail: explain refusals by key; proxy: tests take another port if theirs is in use

TestEveryReasonHasACause had no cause for the two new reasons. A cluster of a test found its port in use on its second address: a port that is free on 127.0.0.1 may serve another test on 127.0.0.2. The cluster takes another port then.

--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -131,6 +131,8 @@
 	"link-busy":        "a link on the path of the request body is saturated: the link of the target's machine or the link to the only region with targets; small requests are still accepted",
 	"no-configuration": "the process had just started and had no configuration yet",
 	"no-route":         "the configuration in force had no route for the host and path; compare its version with the version in force in other processes",
+	"unknown-key":      "no organisation of the configuration in force holds the request's key, or it has none on a route that is not public",
+	"stale-keys":       "the process has been without contact to the store for so long that it can't know which keys hold",
 	"suspected":        "the request was in flight when a target crashed and runs only at one target until that answers it; another suspect was running there",
 	"quarantined":      "the request crashed the targets that ran it; it must not be sent again, and the owner of the service has to find the cause",
 	"body-too-long":    "the request body exceeded the limit of the configuration",
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -195,20 +195,44 @@
 
 const testService = "s"
 
+// listenOnOnePort listens on the same port of several loopback addresses. A port that is free on the first address may be in use on
+// another one; then it tries the next.
+func listenOnOnePort(t *testing.T, size int) []net.Listener {
+	t.Helper()
+	const tries = 20
+	var err error
+	for range tries {
+		var listeners []net.Listener
+		port := 0
+		for i := range size {
+			var l net.Listener
+			if l, err = net.Listen("tcp4", fmt.Sprintf("127.0.0.%d:%d", i+1, port)); err != nil {
+				break
+			}
+			port = l.Addr().(*net.TCPAddr).Port
+			listeners = append(listeners, l)
+		}
+		if len(listeners) == size {
+			return listeners
+		}
+		for _, l := range listeners {
+			l.Close()
+		}
+	}
+	t.Fatal(err)
+	return nil
+}
+
 // startCluster starts two processes in separate failure domains.
 func startCluster(t *testing.T, kind mesh.Kind) *cluster { return startClusterOf(t, kind, 2) }
 
 func startClusterOf(t *testing.T, kind mesh.Kind, size int) *cluster {
 	t.Helper()
 	c := &cluster{replica: mesh.NewReplica(), monitor: disconnect.NewMonitor(func(err error) { t.Error(err) })}
-	var port uint16
-	for i := range size {
+	listeners := listenOnOnePort(t, size)
+	port := uint16(listeners[0].Addr().(*net.TCPAddr).Port)
+	for i, l := range listeners {
 		ip := fmt.Sprintf("127.0.0.%d", i+1)
-		l, err := net.Listen("tcp4", fmt.Sprintf("%s:%d", ip, port))
-		if err != nil {
-			t.Fatal(err)
-		}
-		port = uint16(l.Addr().(*net.TCPAddr).Port)
 		n := &node{target: startFakeTarget(t, ip), peerAddr: l.Addr().String()}
 		holder, peers := &mesh.Holder{}, NewPeers(port)
 		n.gatekeeper = NewGatekeeper(GatekeeperConfig{
