httppool: a status outside 200 to 599 is no answer

A final status above 599 was passed on as an answer, and one below 100 was skipped like an informational response, so that the next bytes on the connection were read as the answer. Both fail the request now.

--- a/internal/httppool/conn.go
+++ b/internal/httppool/conn.go
@@ -198,6 +198,8 @@
 			continue
 		case resp.StatusCode == http.StatusSwitchingProtocols:
 			return nil, ErrUpgrade
+		case resp.StatusCode < http.StatusContinue || resp.StatusCode > maxStatus:
+			return nil, errors.Wrapf(ErrStatus, "status %03d", resp.StatusCode)
 		case resp.StatusCode < http.StatusOK:
 			continue
 		}
@@ -217,6 +219,12 @@
 	}
 }
 
+// maxStatus is the highest status code of a response (RFC 9110, section 15).
+const maxStatus = 599
+
+// ErrStatus is returned if the status code of a response is not in the range that HTTP defines.
+var ErrStatus = errors.New("server sent an answer without a valid status; the connection is closed, check the server")
+
 // maxUnmatchedBytes limits the bytes of responses to other requests, headers included, that are read before the response to a
 // request.
 const maxUnmatchedBytes = 1 << 20
