httppool, proxy: an answer that ends by its connection is whole only after an orderly end

A target that answers a long upload at once with a 200 without a length, sends part of it and resets the connection was taken for one with a complete answer: the socket reports the reset once, to the write of the request in progress, and reads return the end of the connection from then on. Such an answer is complete now only if the request was written whole, or not asked for (Expect). Answers with a length or in chunks are complete by their own framing, as before. A caller of HTTP/1.0 gets a reset instead of an orderly end if a streamed answer is cut (proxy and the larger product; this one refuses answers of targets that have neither a length nor chunks, so that the first fault does not reach it).

--- a/internal/frontend/frontend.go
+++ b/internal/frontend/frontend.go
@@ -205,7 +205,7 @@
 	if chunkedRequest(req.in) {
 		w.Header().Set("Connection", "close")
 	}
-	stream.CopyResponse(w, resp, func(err error) {
+	stream.CopyResponse(w, req.in, resp, func(err error) {
 		f.metrics.aborted.Inc()
 		f.config.Log.Debug().Err(err).Str("route", req.route.Name).Msg("answer aborted")
 	})
--- a/internal/gatekeeper/server.go
+++ b/internal/gatekeeper/server.go
@@ -48,7 +48,7 @@
 		g.writeRefusal(w, refused)
 		return
 	}
-	g.writeResponse(w, resp)
+	g.writeResponse(w, r, resp)
 }
 
 // handleRequest runs a request from another instance's frontend.
@@ -113,12 +113,12 @@
 	}
 }
 
-func (g *Gatekeeper) writeResponse(w http.ResponseWriter, resp *http.Response) {
+func (g *Gatekeeper) writeResponse(w http.ResponseWriter, r *http.Request, resp *http.Response) {
 	g.setStateHeaders(w.Header())
 	if attempt, ok := resp.Header[headers.Attempt]; ok {
 		w.Header()[headers.Attempt] = attempt
 	}
-	stream.CopyResponse(w, resp, func(err error) {
+	stream.CopyResponse(w, r, resp, func(err error) {
 		g.config.Log.Debug().Err(err).Msg("response aborted")
 	})
 }
--- a/internal/httppool/conn.go
+++ b/internal/httppool/conn.go
@@ -20,8 +20,14 @@
 // bufferBytes is the size in bytes of each of a connection's two buffers.
 const bufferBytes = 4 << 10
 
-// finalWriteTimeout is how long the last write of a request body may take after the end of the response.
-const finalWriteTimeout = 20 * time.Millisecond
+// Limits of the last write of a request body after the end of the response.
+const (
+	// finalWriteTimeout is how long it may take for the connection to be kept.
+	finalWriteTimeout = 20 * time.Millisecond
+	// closedWriteTimeout is how long it may take if the server has closed the connection: the write then succeeds or fails as soon as its
+	// goroutine runs.
+	closedWriteTimeout = time.Second
+)
 
 // conn is one connection with its buffers.
 type conn struct {
@@ -81,13 +87,17 @@
 	stop func() bool
 	// body is the request body, or nil.
 	body *requestBody
-	// written receives the result of writing the request; it is nil if there is no body. writing is set until then.
-	written chan error
-	writing atomic.Bool
-	once    sync.Once
+	// written is closed when the request has been written or writing it has failed with writeErr; it is nil if there is no body. writing is
+	// set until then.
+	written  chan struct{}
+	writeErr error
+	writing  atomic.Bool
+	once     sync.Once
 	// For a request with Expect: 100-continue, continued is closed when the server asks for the body, and declined when the
 	// response header has arrived or reading it has failed.
 	continued, declined chan struct{}
+	// skippedBody is set if the body was not written, since the server declined it. It is valid once written is closed.
+	skippedBody bool
 }
 
 // ExpectContinue is the value of the Expect header with which a request body is sent only when the server asks for it.
@@ -114,6 +124,7 @@
 		case <-b.exchange.continued:
 			b.gotContinue = true
 		case <-b.exchange.declined:
+			b.exchange.skippedBody = true
 			return 0, errDeclined
 		}
 	}
@@ -145,22 +156,22 @@
 	if req.Body == nil || req.Body == http.NoBody {
 		return x.write(req)
 	}
-	x.body = &requestBody{ReadCloser: req.Body}
+	x.body = &requestBody{ReadCloser: req.Body, unread: req.ContentLength}
 	out := *req
 	out.Body = x.body
 	if req.Header.Get("Expect") == ExpectContinue {
 		x.continued, x.declined = make(chan struct{}), make(chan struct{})
 		out.Body = &continueBody{ReadCloser: x.body, exchange: x}
 	}
-	x.written = make(chan error, 1)
+	x.written = make(chan struct{})
 	x.writing.Store(true)
 	go func() {
-		err := x.write(&out)
+		x.writeErr = x.write(&out)
 		if x.body.readError() != nil {
 			x.close()
 		}
 		x.writing.Store(false)
-		x.written <- err
+		close(x.written)
 	}()
 	return nil
 }
@@ -269,49 +280,79 @@
 		x.finish(!resp.Close)
 		return
 	}
-	resp.Body = &responseBody{ReadCloser: resp.Body, exchange: x, reusable: !resp.Close}
+	untilClose := resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+	resp.Body = &responseBody{ReadCloser: resp.Body, exchange: x, reusable: !resp.Close, untilClose: untilClose}
 }
 
 // finish releases the connection. Calls after the first have no effect.
 func (x *exchange) finish(reusable bool) {
 	x.once.Do(func() {
 		// stop returns false if the context has ended, which closes the connection.
-		reusable = x.stop() && reusable && x.in.Buffered() == 0 && x.requestWritten()
+		reusable = x.stop() && reusable && x.in.Buffered() == 0 && x.requestWritten(finalWriteTimeout)
 		x.pool.release(x.conn, reusable)
 	})
 }
 
-// requestWritten reports whether the whole request has been written. If the body has been read to its end, it waits up to
-// finalWriteTimeout for the last write.
-func (x *exchange) requestWritten() bool {
+// requestWritten reports whether the whole request has been written. If the body has been read to its end, it waits up to timeout for the
+// last write.
+func (x *exchange) requestWritten(timeout time.Duration) bool {
 	if x.written == nil {
 		return true
 	}
-	var timeout time.Duration
-	if x.body.complete() {
-		timeout = finalWriteTimeout
+	if !x.body.complete() {
+		timeout = 0
 	}
 	timer := time.NewTimer(timeout)
 	defer timer.Stop()
 	select {
-	case err := <-x.written:
-		return err == nil
+	case <-x.written:
+		return x.writeErr == nil
 	case <-timer.C:
 		return false
 	}
 }
 
+// closedInOrder reports whether the server closed the connection after it could have read the whole request, as opposed to a reset. It must
+// be called after a read has returned io.EOF: the socket reports a reset only once, so that a write may have got the error, and reads return
+// io.EOF from then on.
+func (x *exchange) closedInOrder() bool {
+	return x.requestWritten(closedWriteTimeout) || x.bodyDeclined()
+}
+
+// bodyDeclined reports whether the server has answered instead of asking for the request's body, so that none was written.
+func (x *exchange) bodyDeclined() bool {
+	if x.declined == nil {
+		return false
+	}
+	select {
+	case <-x.continued:
+		return false
+	default:
+	}
+	<-x.written // the wait of continueBody has ended with the response header
+	return x.skippedBody
+}
+
 // responseBody is the body of a response. Reading it to its end, or closing it, ends the exchange.
 type responseBody struct {
 	io.ReadCloser
 	exchange *exchange
 	// reusable reports whether the server keeps the connection open.
 	reusable bool
+	// untilClose is set if the body ends with the connection.
+	untilClose bool
 }
 
+// ErrCut is returned from reads of a response body that ends with its connection if the connection did not end in order, or before the whole
+// request was written.
+var ErrCut = errors.New("server closed the connection before it had read the request, or reset it; the answer is incomplete")
+
 // Read implements io.Reader.
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF && b.untilClose && !b.exchange.closedInOrder() {
+		err = ErrCut
+	}
 	if err == io.EOF {
 		b.exchange.finish(b.reusable)
 		return n, err
@@ -334,17 +375,20 @@
 // requestBody is the body of a request. It records the error with which reading ended.
 type requestBody struct {
 	io.ReadCloser
-	mu  sync.Mutex
-	err error
+	mu sync.Mutex
+	// unread is the number of bytes left, negative if the length is unknown.
+	unread int64
+	err    error
 }
 
 // Read implements io.Reader.
 func (b *requestBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.unread -= int64(n)
 	if err != nil {
-		b.mu.Lock()
 		b.err = err
-		b.mu.Unlock()
 	}
 	return n, err
 }
@@ -363,5 +407,5 @@
 func (b *requestBody) complete() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.err == io.EOF
+	return b.err == io.EOF || b.unread == 0
 }
--- a/internal/stream/copy.go
+++ b/internal/stream/copy.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/chervilwell/chervilwell/internal/headers"
+	"github.com/chervilwell/chervilwell/internal/socket"
 )
 
 // bufferBytes is the size of a copy buffer in bytes.
@@ -92,9 +93,9 @@
 	}
 }
 
-// CopyResponse copies resp to w. If the body cannot be copied completely, CopyResponse calls onError, unless nil, with the error
-// and then aborts the connection by panicking with http.ErrAbortHandler, which the HTTP server recovers.
-func CopyResponse(w http.ResponseWriter, resp *http.Response, onError func(error)) {
+// CopyResponse copies resp to w, the response to r. If the body cannot be copied completely, CopyResponse calls onError, unless nil, with
+// the error and then aborts the connection; see Abort.
+func CopyResponse(w http.ResponseWriter, r *http.Request, resp *http.Response, onError func(error)) {
 	CopyHeaders(w.Header(), resp.Header)
 	AnnounceTrailers(w, resp)
 	w.WriteHeader(resp.StatusCode)
@@ -102,7 +103,19 @@
 		if onError != nil {
 			onError(err)
 		}
-		panic(http.ErrAbortHandler)
+		Abort(w, r)
 	}
 	CopyTrailers(w, resp)
 }
+
+// Abort ends an incomplete response to r so that its receiver does not take it for a complete one. It panics with http.ErrAbortHandler,
+// which the HTTP server recovers.
+func Abort(w http.ResponseWriter, r *http.Request) {
+	if !r.ProtoAtLeast(1, 1) { // the response may be one that ends with its connection
+		if conn, _, err := http.NewResponseController(w).Hijack(); err == nil {
+			socket.ResetOnClose(conn)
+			conn.Close()
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
--- a/proxy/frontend.go
+++ b/proxy/frontend.go
@@ -17,6 +17,7 @@
 	"github.com/chervilwell/chervilwell/internal/clock"
 	"github.com/chervilwell/chervilwell/internal/events"
 	"github.com/chervilwell/chervilwell/internal/headers"
+	"github.com/chervilwell/chervilwell/internal/stream"
 	"github.com/chervilwell/chervilwell/mesh"
 	"github.com/chervilwell/chervilwell/quarantine"
 	"github.com/chervilwell/chervilwell/retrybudget"
@@ -344,7 +345,7 @@
 	f.recordRequest(req, o, o.status, 0)
 	if err := writeBody(w, o); err != nil {
 		f.cfg.Log.Debug().Err(err).Str("request", req.incoming.Header.Get(f.cfg.Names.RequestID)).Msg(events.ResponseIncomplete)
-		panic(http.ErrAbortHandler) // aborts the connection so that the caller detects the truncated response
+		stream.Abort(w, req.incoming)
 	}
 }
 
--- a/proxy/peers.go
+++ b/proxy/peers.go
@@ -14,6 +14,7 @@
 	"github.com/chervilwell/chervilwell/internal/clock"
 	"github.com/chervilwell/chervilwell/internal/events"
 	"github.com/chervilwell/chervilwell/internal/httppool"
+	"github.com/chervilwell/chervilwell/internal/stream"
 	"github.com/chervilwell/chervilwell/mesh"
 )
 
@@ -132,7 +133,7 @@
 		o := k.do(r.Context(), c)
 		if err := writeOutcome(w, o); err != nil {
 			k.cfg.Log.Debug().Err(err).Msg(events.PeerDisconnected)
-			panic(http.ErrAbortHandler)
+			stream.Abort(w, r)
 		}
 	})
 }
