proxy: a body that is not buffered is not hedged; a hedged answer lives as long as its body

A safe request whose body was in memory in part only was hedged with the part that had been read as its whole body. It is sent to one target now, like such requests that fail. Each of the two attempts has a context of its own: that of the answer that is used ends with its body, the other one ends at once, and the body of an answer that is not used is closed. An attempt of the hedge that may have run counts, so that a refusal of the first target is not passed on as "not run".

--- a/proxy/frontend.go
+++ b/proxy/frontend.go
@@ -191,7 +191,8 @@
 			return req.final(last)
 		}
 		last = f.attemptHedged(ctx, req, choice)
-		if last.run == ran && !f.retryableFailure(req, last) {
+		if f.succeeded(req, last) {
+			req.failedResponse.discard()
 			return last
 		}
 		req.recordAttempt(last)
--- a/proxy/hedge.go
+++ b/proxy/hedge.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/chervilwell/chervilwell/balance"
@@ -9,34 +10,58 @@
 )
 
 // attemptHedged sends a request to a target and, if that does not respond in time and the request may be retried, to a second
-// one. The first successful response is used; the other attempt is cancelled only then.
+// one. The first successful response is used, and the other attempt is cancelled. The context of the attempt that is used ends with the body
+// of its response.
 func (f *Frontend) attemptHedged(ctx context.Context, req *request, choice balance.Choice) *outcome {
 	delay, ok := f.hedgeDelay(req, choice)
 	if !ok {
 		return f.attempt(ctx, req, choice)
 	}
-	ctx, cancel := context.WithCancel(ctx)
-	hedge := make(chan *outcome, 1)
+	firstCtx, cancelFirst := context.WithCancel(ctx)
+	hedgeCtx, cancelHedge := context.WithCancel(ctx)
+	hedged := make(chan *outcome, 1)
+	var decided atomic.Bool // set by the first success
 	timer := time.AfterFunc(delay, func() {
-		o := f.hedge(ctx, req)
-		if o != nil && o.run == ran && !f.retryableFailure(req, o) {
-			hedge <- o
-			cancel()
-			return
+		o := f.hedge(hedgeCtx, req)
+		if o != nil && f.succeeded(req, o) && decided.CompareAndSwap(false, true) {
+			cancelFirst()
 		}
-		hedge <- nil
+		hedged <- o
 	})
-	first := f.attempt(ctx, req, choice)
+	first := f.attempt(firstCtx, req, choice).onClose(cancelFirst)
 	if timer.Stop() {
-		return first.onClose(cancel)
+		cancelHedge()
+		return first
 	}
-	if first.run == ran && !f.retryableFailure(req, first) {
-		return first.onClose(cancel) // also cancels the second attempt
+	if f.succeeded(req, first) && decided.CompareAndSwap(false, true) {
+		cancelHedge()
+		go func() { (<-hedged).discard() }()
+		return first
 	}
-	if o := <-hedge; o != nil {
-		return o
+	second := <-hedged
+	if second == nil {
+		cancelHedge()
+		return first
+	}
+	second.onClose(cancelHedge)
+	if f.succeeded(req, second) {
+		first.discard()
+		return second
+	}
+	req.recordAttempt(second)
+	return first
+}
+
+// succeeded reports whether an outcome ends the request.
+func (f *Frontend) succeeded(req *request, o *outcome) bool {
+	return o.run == ran && !f.retryableFailure(req, o)
+}
+
+// discard closes the body of an outcome that is not used. o may be nil.
+func (o *outcome) discard() {
+	if o != nil && o.stream != nil {
+		o.stream.Close()
 	}
-	return first.onClose(cancel)
 }
 
 // onClose calls f when the body of the outcome is closed, or at once if the body is not streamed.
@@ -49,9 +74,10 @@
 	return o
 }
 
-// hedgeDelay returns how long to wait for the response before a second target is tried, or false if hedging is not allowed.
+// hedgeDelay returns how long to wait for the response before a second target is tried, or false if hedging is not allowed: a body that is
+// not in memory as a whole can be sent only once.
 func (f *Frontend) hedgeDelay(req *request, choice balance.Choice) (time.Duration, bool) {
-	if !req.route.Kind.Retryable() || req.atHome {
+	if !req.route.Kind.Retryable() || req.atHome || req.rest != nil {
 		return 0, false
 	}
 	f.mu.Lock()
