pacer, proxy, gate, balance: schedule large responses on the outgoing link

Cause: nine machines with 10 Mbit/s send downloads of 90 KB in the mean.

Change: the gatekeeper sends large responses to other processes in parts as the link of its machine takes them (pacer.Outbound), refuses downloads whose response would arrive too late, and reports the wait of the link, by which frontends choose targets and time hedges.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -193,6 +193,8 @@
 	// Wait is the expected time until the target starts the request. Age is the age of the load report used; it is 0 if
 	// there was none.
 	Wait, Age time.Duration
+	// Transfer is the expected time that a large response waits for the link of the target's machine and occupies it.
+	Transfer time.Duration
 	// Due is the time by which the response is expected.
 	Due time.Time
 	// ExpectContinue is set if the request body must be admitted before it is sent over the link of the target's machine, or if it is not
@@ -248,8 +250,9 @@
 		return best, false
 	}
 	stats := b.targetStatsFor(a.Now, best.Target)
+	best.Transfer = stats.transfer(a, route, best.Distance)
 	best.ExpectContinue = a.Bytes >= pacer.LargeMessageBytes && best.Distance != Local && (stats.loadAt.IsZero() || stats.load.ReserveInbound)
-	best.Due = a.Now.Add(baseRoundTrip[best.Distance] + best.Wait + dueFactor*route.runTime + dueSlack)
+	best.Due = a.Now.Add(baseRoundTrip[best.Distance] + best.Wait + dueFactor*route.runTime + dueSlack + best.Transfer)
 	return best, true
 }
 
@@ -274,7 +277,7 @@
 	if a.Bytes >= pacer.LargeMessageBytes && distance != Local {
 		wait += t.inboundWait(a.Now)
 	}
-	expected := roundTrip.Seconds() + wait.Seconds() + r.runTime.Seconds()*slowness
+	expected := roundTrip.Seconds() + wait.Seconds() + r.runTime.Seconds()*slowness + t.transfer(a, r, distance).Seconds()
 	objective := a.Route.Objective
 	if objective <= 0 {
 		objective = a.Route.Timeout
@@ -333,6 +336,18 @@
 	return time.Duration(t.loadWeight(now) * float64(t.load.InboundWait))
 }
 
+// transfer returns the expected time that the response to a download waits for the link of the target's machine after its run, and
+// occupies it.
+func (t *targetStats) transfer(a Attempt, r routeStats, distance Distance) time.Duration {
+	if a.Route.Kind != mesh.Download || distance == Local || t.load.OutboundRate <= 0 {
+		return 0
+	}
+	transfer := time.Duration(r.responseBytes / t.load.OutboundRate * float64(time.Second))
+	sentSince := max(t.inFlight-t.inFlightAtReport, 0)
+	wait := t.load.OutboundWait + time.Duration(sentSince)*transfer - r.runTime
+	return time.Duration(t.loadWeight(a.Now)*float64(max(wait, 0))) + transfer
+}
+
 // loadWeight returns the weight of the last load report, from 1 down to 0.
 func (t *targetStats) loadWeight(now time.Time) float64 {
 	if t.loadAt.IsZero() {
@@ -414,7 +429,9 @@
 	if e.Load != nil {
 		stats.load, stats.loadAt, stats.inFlightAtReport = *e.Load, now, stats.inFlight
 		stats.lastResponse = now
-		stats.observeRoundTrip(now, e.RoundTrip)
+		if e.ResponseBytes < pacer.LargeMessageBytes {
+			stats.observeRoundTrip(now, e.RoundTrip)
+		}
 	}
 	switch e.Result {
 	case Succeeded:
--- a/gate/gate.go
+++ b/gate/gate.go
@@ -168,6 +168,16 @@
 	return g.fits(now, r)
 }
 
+// Expect returns the time after which a request offered now is expected to end, and the time by which it should. late is set if it would
+// miss its objective even if it started at once.
+func (g *Gate) Expect(now time.Time, r *Request) (end time.Duration, limit time.Time, late bool) {
+	g.estimate(now, r)
+	if len(g.queue) > 0 || !g.canStart(now) {
+		end = g.waitFor(now, r)
+	}
+	return end + r.runTime, r.limit(), r.late
+}
+
 // estimate sets the estimates of a request: its running time, and whether it is late.
 func (g *Gate) estimate(now time.Time, r *Request) {
 	r.runTime = g.expectedRunTime(r.Route)
@@ -275,6 +285,10 @@
 	// InboundWait is the wait of such a body.
 	ReserveInbound bool
 	InboundWait    time.Duration
+	// OutboundRate is the rate in bytes per second at which large responses leave over the link of the machine, or 0 if it is not
+	// limited. OutboundWait is the time after which the link is free for a further one.
+	OutboundRate float64
+	OutboundWait time.Duration
 }
 
 // Load returns the current load.
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -63,6 +63,7 @@
 	CallFailed            = "call failed"
 	CallerLeft            = "caller left"
 	CallAbandoned         = "call was abandoned"
+	LinkBusy              = "link is busy with responses"
 	RequestQuarantined    = "request is quarantined"
 )
 
@@ -116,6 +117,7 @@
 	{TargetAnnouncedLeaving, "the local target states that it is about to stop", []string{"target", "source"}},
 	{NoticeInvalid, "a header in which the local target describes its state is invalid and is ignored", []string{"source", "error"}},
 
+	{LinkBusy, "a download was refused because its response would not have left over the machine's link in time; wait is the time until the link is free for another one, responses the number of those that wait; reported once a second at most", []string{"wait", "responses"}},
 	{RequestAnswered, "a target's response was returned to the caller; only a sample of these events is logged", []string{"request", "route", "service", "target", "status", "tried", "took", "left", "config", "age"}},
 	{RequestRefused, "the request did not run and will not run; the caller received a retry-after (field back)", []string{"request", "route", "service", "status", "reason", "tried", "took", "left", "back", "config", "age"}},
 	{RequestFailed, "no target responded and the request may have run, or the target responded with an error", []string{"request", "route", "service", "target", "status", "reason", "tried", "took", "left", "config", "age"}},
--- a/mesh/config.go
+++ b/mesh/config.go
@@ -91,6 +91,8 @@
 	keys map[string]*Organisation
 	// uploads is the set of services that routes of kind Upload lead to.
 	uploads map[string]bool
+	// downloads is the set of services that routes of kind Download lead to.
+	downloads map[string]bool
 }
 
 // ErrConfig is returned for an invalid configuration. It is rejected as a whole, and the one in force stays in force.
@@ -98,7 +100,7 @@
 
 // NewConfig validates a configuration and builds its look-up tables. Errors wrap ErrConfig.
 func NewConfig(version uint64, routes []*Route, services []*Service, limits Limits, organisations ...*Organisation) (*Config, error) {
-	c := &Config{Version: version, Routes: routes, Services: make(map[string]*Service, len(services)), Limits: limits, hosts: map[string][]*Route{}, uploads: map[string]bool{}}
+	c := &Config{Version: version, Routes: routes, Services: make(map[string]*Service, len(services)), Limits: limits, hosts: map[string][]*Route{}, uploads: map[string]bool{}, downloads: map[string]bool{}}
 	if err := c.addOrganisations(organisations); err != nil {
 		return nil, err
 	}
@@ -112,9 +114,13 @@
 		if err := c.checkRoute(r); err != nil {
 			return nil, err
 		}
-		if r.Kind == Upload {
-			for _, part := range r.Parts {
+		for _, part := range r.Parts {
+			switch r.Kind {
+			case Upload:
 				c.uploads[part.Service] = true
+			case Download:
+				c.downloads[part.Service] = true
+			case Safe, Once:
 			}
 		}
 		host := strings.ToLower(r.Host)
@@ -149,6 +155,9 @@
 // ReceivesUploads reports whether a route of kind Upload leads to a service.
 func (c *Config) ReceivesUploads(service string) bool { return c.uploads[service] }
 
+// SendsDownloads reports whether a route of kind Download leads to a service.
+func (c *Config) SendsDownloads(service string) bool { return c.downloads[service] }
+
 // Match returns the route of host with the longest prefix of path, or nil. The host may include a port.
 func (c *Config) Match(host, path string) *Route {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 {
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -73,6 +73,10 @@
 	notice *quarantine.Notice
 	// softDeadline is the end of the latency objective.
 	softDeadline, deadline time.Time
+	// fromPeer is set by the gatekeeper if the call came from another process. transfer is the time for which the response is expected
+	// to occupy the machine's link, or 0 if it is not scheduled.
+	fromPeer bool
+	transfer time.Duration
 }
 
 // run states whether a request ran.
--- a/proxy/gatekeeper.go
+++ b/proxy/gatekeeper.go
@@ -89,6 +89,11 @@
 	mu      sync.Mutex
 	gate    *gate.Gate
 	inbound *pacer.Inbound
+	// outbound schedules the large responses that leave over the machine's link, linkTimer its next Tick.
+	outbound  *pacer.Outbound
+	linkTimer *time.Timer
+	// linkBusyLogged is the time of the last log line that reports a busy link.
+	linkBusyLogged time.Time
 	// responses limits the bodies of the target's responses in memory.
 	responses responseRoom
 	// entry is the target's entry as last applied, or nil.
@@ -112,7 +117,7 @@
 
 // NewGatekeeper returns a gatekeeper that treats its target as cold until the target reports that it is warm.
 func NewGatekeeper(cfg GatekeeperConfig) *Gatekeeper {
-	k := &Gatekeeper{cfg: cfg, gate: gate.New(defaultSlots), inbound: pacer.NewInbound(cfg.LinkRate), responses: newResponseRoom(), noticeLog: rate.NewLimiter(noticeLinesPerSecond, noticeBurstLines)}
+	k := &Gatekeeper{cfg: cfg, gate: gate.New(defaultSlots), inbound: pacer.NewInbound(cfg.LinkRate), outbound: pacer.NewOutbound(cfg.LinkRate), responses: newResponseRoom(), noticeLog: rate.NewLimiter(noticeLinesPerSecond, noticeBurstLines)}
 	k.bodies = bodybuffer.New(maxWaitingBodies)
 	k.crashes.list, k.crashes.trial = quarantine.New(cfg.Addr.Addr().String()), make(chan struct{}, 1)
 	k.deliveries = semaphore.NewWeighted(maxDeliveries)
@@ -229,6 +234,11 @@
 	if o == nil {
 		o = k.checkSuspect(c)
 	}
+	if o == nil {
+		var forget func()
+		forget, o = k.expectResponse(state, c)
+		defer forget()
+	}
 	if o == nil {
 		var freeBody func()
 		freeBody, o = k.receiveBody(ctx, c)
@@ -256,12 +266,15 @@
 	now := clock.Now()
 	l := k.gate.Load(now)
 	l.ReserveInbound, l.InboundWait = k.inbound.Bounded(), k.inbound.Wait(now)
+	if k.outbound.Used() {
+		l.OutboundRate, l.OutboundWait = k.outbound.Rate(), k.outbound.Wait(now)
+	}
 	return l
 }
 
 // gateRequest returns the gate's request for a call.
 func gateRequest(c *call) *gate.Request {
-	return &gate.Request{Route: c.route, Priority: c.priority, SoftDeadline: c.softDeadline, Deadline: c.deadline}
+	return &gate.Request{Route: c.route, Priority: c.priority, SoftDeadline: c.softDeadline.Add(-c.transfer), Deadline: c.deadline}
 }
 
 // admit waits for a slot and runs the call.
--- a/proxy/hedge.go
+++ b/proxy/hedge.go
@@ -60,7 +60,7 @@
 		return 0, false
 	}
 	mean := f.balancer.MeanRunTime(req.route.Name)
-	delay := max(hedgeFactor*mean, req.route.Objective) + choice.Wait
+	delay := max(hedgeFactor*mean, req.route.Objective) + choice.Wait + choice.Transfer
 	return delay, remaining(req.deadline)-delay > mean
 }
 
--- a/proxy/hop.go
+++ b/proxy/hop.go
@@ -78,7 +78,7 @@
 }
 
 // formatOutcome encodes the hop response header: run, reason, arrived, leaving, targetLeaving, revision; took, gatekeeperTime and
-// retryAfter in microseconds; and the load if there is one.
+// retryAfter in microseconds; the load if there is one; and that of the outgoing link if large responses leave over it.
 func formatOutcome(o *outcome) string {
 	b := make([]byte, 0, 96)
 	reason := o.reason
@@ -103,6 +103,10 @@
 		}
 		b = strconv.AppendBool(append(b, ' '), l.Cold)
 		b = strconv.AppendBool(append(b, ' '), l.ReserveInbound)
+		if l.OutboundRate > 0 {
+			b = strconv.AppendInt(append(b, ' '), int64(l.OutboundRate), 10)
+			b = strconv.AppendInt(append(b, ' '), l.OutboundWait.Microseconds(), 10)
+		}
 	}
 	return string(b)
 }
@@ -110,12 +114,14 @@
 const (
 	outcomeFields     = 9
 	outcomeLoadFields = 18
+	// outcomeLinkFields is the number of fields of an outcome whose load includes that of the outgoing link.
+	outcomeLinkFields = 20
 )
 
 // parseOutcome decodes a hop response header into o. An error wraps ErrMalformedMessage.
 func parseOutcome(text string, o *outcome) error {
 	f := strings.Split(text, " ")
-	if len(f) != outcomeFields && len(f) != outcomeLoadFields {
+	if len(f) != outcomeFields && len(f) != outcomeLoadFields && len(f) != outcomeLinkFields {
 		return ErrMalformedMessage
 	}
 	n := fieldParser{}
@@ -125,7 +131,7 @@
 	o.took = time.Duration(n.parse(f[6])) * time.Microsecond
 	o.gatekeeperTime = time.Duration(n.parse(f[7])) * time.Microsecond
 	o.retryAfter = time.Duration(n.parse(f[8])) * time.Microsecond
-	if len(f) == outcomeLoadFields {
+	if len(f) >= outcomeLoadFields {
 		o.load = &gate.Load{
 			Running: int(n.parse(f[9])), Waiting: int(n.parse(f[10])), Slots: int(n.parse(f[11])), Free: int(n.parse(f[12])),
 			Wait:           time.Duration(n.parse(f[13])) * time.Microsecond,
@@ -135,6 +141,10 @@
 			ReserveInbound: f[17] == "true",
 		}
 	}
+	if len(f) == outcomeLinkFields {
+		o.load.OutboundRate = float64(n.parse(f[18]))
+		o.load.OutboundWait = time.Duration(n.parse(f[19])) * time.Microsecond
+	}
 	if o.run > unknown {
 		return ErrMalformedMessage
 	}
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -25,6 +25,8 @@
 	hop, queue, service stage
 	// abandoned is the time that calls remained in a stage after they were abandoned, by whether they are retryable.
 	abandoned *prometheus.HistogramVec
+	// linkWait is the time that large responses waited for the machine's outgoing link.
+	linkWait prometheus.Histogram
 }
 
 // stage is the histogram of one part of an attempt's time, by kind of route and outcome.
@@ -84,8 +86,11 @@
 	m.abandoned = prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Name: "chervilwell_abandoned_call_seconds", Help: "Time that a call remained in the queue, or ran at the target, after its caller had left.", Buckets: stageBuckets,
 	}, []string{"stage", "retryable"})
+	m.linkWait = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "chervilwell_response_link_wait_seconds", Help: "Time that a large response waited for the machine's outgoing link.", Buckets: stageBuckets,
+	})
 	if registerer != nil {
-		registerer.MustRegister(m.abandoned, m.requests, m.latency, m.gateOutcomes, m.retries, m.healthChecks, m.targetCrashes, m.noticesDropped, m.hop.vec, m.queue.vec, m.service.vec)
+		registerer.MustRegister(m.linkWait, m.abandoned, m.requests, m.latency, m.gateOutcomes, m.retries, m.healthChecks, m.targetCrashes, m.noticesDropped, m.hop.vec, m.queue.vec, m.service.vec)
 	}
 	return m
 }
--- a/proxy/peers.go
+++ b/proxy/peers.go
@@ -116,7 +116,7 @@
 // PeerHandler returns the handler of calls from other frontends to the gatekeeper.
 func PeerHandler(k *Gatekeeper) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		c := &call{method: r.Method, uri: r.RequestURI, host: r.Host, header: r.Header, length: r.ContentLength, lifetime: r.Context()}
+		c := &call{method: r.Method, uri: r.RequestURI, host: r.Host, header: r.Header, length: r.ContentLength, lifetime: r.Context(), fromPeer: true}
 		if err := parseCall(r.Header.Get(hopHeader), clock.Now(), c); err != nil {
 			k.cfg.Log.Warn().Err(err).Str("from", r.RemoteAddr).Msg(events.PeerMalformed)
 			http.Error(w, err.Error(), http.StatusBadRequest)
@@ -130,6 +130,8 @@
 			c.rest, c.setReadDeadline = r.Body, http.NewResponseController(w).SetReadDeadline
 		}
 		o := k.do(r.Context(), c)
+		w, done := k.paced(r.Context(), w, c, o)
+		defer done()
 		if err := writeOutcome(w, o); err != nil {
 			k.cfg.Log.Debug().Err(err).Msg(events.PeerDisconnected)
 			panic(http.ErrAbortHandler)
