node, pacer: count downloads against the link for state

A process whose target sends downloads has less of its link left for the state of others; it ranks by that, as one whose target receives uploads.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -109,12 +109,19 @@
 }
 
 // stateLinkRate returns the rate of the local link for the state of other processes, in bytes per second: what the bodies sent to the
-// local target leave of it.
+// local target, and its large responses, leave of it.
 func (n *Node) stateLinkRate() float64 {
-	if config := n.holder.Load().Config; config != nil && config.ReceivesUploads(n.settings.Service) {
-		return pacer.SpareRate(n.settings.LinkRate)
+	rate, config := n.settings.LinkRate, n.holder.Load().Config
+	if config == nil {
+		return rate
 	}
-	return n.settings.LinkRate
+	if config.ReceivesUploads(n.settings.Service) {
+		rate = min(rate, pacer.SpareRate(n.settings.LinkRate))
+	}
+	if config.SendsDownloads(n.settings.Service) {
+		rate = min(rate, pacer.SpareOutboundRate(n.settings.LinkRate))
+	}
+	return rate
 }
 
 // registerLineCounters registers the counters of log lines that were not written.
--- a/pacer/outbound.go
+++ b/pacer/outbound.go
@@ -65,6 +65,14 @@
 	return &Outbound{rate: outboundShare * rate, means: map[string]float64{}}
 }
 
+// SpareOutboundRate returns what large responses leave of a link, both in bytes per second; 0 if the rate is unknown.
+func SpareOutboundRate(rate float64) float64 {
+	if rate >= WideLinkRate {
+		return rate
+	}
+	return (1 - outboundShare) * rate
+}
+
 // Bounded reports whether large responses are scheduled.
 func (o *Outbound) Bounded() bool { return o.rate > 0 }
 
