balance: room of a region for the requests bound to it

The balancer pools the load reports and refusals of a service's targets by region. Bodies are announced to another region while at least a quarter of the requests is refused there, and unbound requests leave a region with bound ones from 85% of its slots on, back below 65%.

New: chervilwell_region_bytes_total, _announced_bodies_total, _left_total; two log lines.

--- a/proxy/frontend.go
+++ b/proxy/frontend.go
@@ -245,6 +245,7 @@
 	f.crashes().apply(o.notice)
 	took := clock.Now().Sub(start)
 	f.cfg.Metrics.attempt(req.route.Kind, o, took)
+	f.observeRegion(req, choice, c, o)
 	f.recordOutcome(ctx, req, choice, o, took)
 	f.logAttempt(req, choice, o)
 	return o
@@ -274,10 +275,11 @@
 		req.retryAfter = o.retryAfter
 	}
 	f.observeLink(req, t, choice.Distance, o, took)
-	f.balancer.Ended(clock.Now(), choice, balance.Completion{
+	change := f.balancer.Ended(clock.Now(), choice, balance.Completion{
 		Route: req.route.Name, Result: result, Load: o.load, RunTime: o.took, ResponseBytes: len(o.body), RoundTrip: took - o.gatekeeperTime,
 		TargetLeaving: o.targetLeaving,
 	})
+	f.logRoom(change)
 }
 
 // shouldRetry reports whether another attempt is allowed after o. Attempts that did not reach a target are limited by
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -23,6 +23,7 @@
 	// hop, queue and service split the time of an attempt: the network in both directions, the queue at the target's gate,
 	// and the target.
 	hop, queue, service stage
+	regions             regionMetrics
 	// abandoned is the time that calls remained in a stage after they were abandoned, by whether they are retryable.
 	abandoned *prometheus.HistogramVec
 }
@@ -78,6 +79,7 @@
 			Name: "chervilwell_notices_dropped_total", Help: "Notices about requests that crash targets that did not reach another process.",
 		}),
 	}
+	m.regions = newRegionMetrics()
 	m.hop = newStage("chervilwell_hop_seconds", "Time of an attempt on the way to the target's process and back.")
 	m.queue = newStage("chervilwell_queue_seconds", "Time of an attempt at the target's gate before it ran or was refused.")
 	m.service = newStage("chervilwell_service_seconds", "Time of an attempt at the target.")
@@ -85,6 +87,7 @@
 		Name: "chervilwell_abandoned_call_seconds", Help: "Time that a call remained in the queue, or ran at the target, after its caller had left.", Buckets: stageBuckets,
 	}, []string{"stage", "retryable"})
 	if registerer != nil {
+		registerer.MustRegister(m.regions.collectors()...)
 		registerer.MustRegister(m.abandoned, m.requests, m.latency, m.gateOutcomes, m.retries, m.healthChecks, m.targetCrashes, m.noticesDropped, m.hop.vec, m.queue.vec, m.service.vec)
 	}
 	return m
