--- a/balance/room.go
+++ b/balance/room.go
@@ -23,6 +23,8 @@
 	// follow a change within a few hundred milliseconds.
 	leavePerSecond  = 1.0
 	returnPerSecond = 0.25
+	// reportedShare is the share from which on it is reported that unbound requests leave.
+	reportedShare = 0.25
 	// maxRoomStep bounds the time that one report accounts for.
 	maxRoomStep = 250 * time.Millisecond
 	// displacedCost is the cost, in requests, of an unbound request in a full region: a bound one waits or is refused for it.
@@ -41,8 +43,9 @@
 	// refused; both are EWMAs as of at.
 	fill, refused float64
 	at            time.Time
-	// leaving is the share of the unbound requests that leaves the region, from 0 to 1.
-	leaving float64
+	// leaving is the share of the unbound requests that leaves the region, from 0 to 1. reported is set once this has been reported.
+	leaving  float64
+	reported bool
 }
 
 // RoomChange states that unbound requests begin to leave a region to those that are bound to it, or that the last of them are back.
@@ -97,17 +100,17 @@
 
 // adjust changes the share of unbound requests that leaves a region by what the last step in seconds allows.
 func (b *Balancer) adjust(now time.Time, service string, r *room, step float64) *RoomChange {
-	before := r.leaving
 	switch {
 	case r.fill >= fullShare && b.roomElsewhere(now, service, r):
 		r.leaving = min(r.leaving+leavePerSecond*step, 1)
 	case r.fill < roomyShare || !b.roomElsewhere(now, service, r):
 		r.leaving = max(r.leaving-returnPerSecond*step, 0)
 	}
-	if (before > 0) == (r.leaving > 0) {
+	if r.reported && r.leaving > 0 || !r.reported && r.leaving < reportedShare {
 		return nil
 	}
-	return &RoomChange{Service: service, Region: r.region, Fill: r.fill, Leaving: r.leaving > 0}
+	r.reported = !r.reported
+	return &RoomChange{Service: service, Region: r.region, Fill: r.fill, Leaving: r.reported}
 }
 
 // roomElsewhere reports whether a service has a region that is less full. One that nothing is known of counts as empty.
--- a/balance/room_test.go
+++ b/balance/room_test.go
@@ -133,3 +133,22 @@
 		t.Errorf("10 s after the last report %d of 1000 unbound requests leave", got)
 	}
 }
+
+// Load pattern: a region is full for 3 s and then half empty. One line for operators says that requests leave, one that they are back.
+func TestRoomChangesAreReportedOnce(t *testing.T) {
+	s, b := boundState(t), newBalancer()
+	target := byID(s, "n1")
+	var changes []bool
+	for i := range 200 {
+		running, at := 18, epoch.Add(time.Duration(i)*50*time.Millisecond)
+		if i >= 60 {
+			running = 9
+		}
+		if change := b.observeRoom(at, target, &gate.Load{Running: running, Slots: 18}, false); change != nil {
+			changes = append(changes, change.Leaving)
+		}
+	}
+	if len(changes) != 2 || !changes[0] || changes[1] {
+		t.Errorf("reported %v", changes)
+	}
+}
