connlimit: bound the connections of clients and their heads

A process accepted any number of connections, and the limits of the configuration on heads and times were not in force: 64 KB, 10 s and 10 min applied.

connlimit.Listener closes the connection that has waited longest without a request for a new one, counts the length of a head and the memory of its fields, and applies the limits in force.

--- /dev/null
+++ b/internal/connlimit/connlimit_test.go
@@ -0,0 +1,132 @@
+package connlimit
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// start serves with the limits and returns the listener.
+func start(t *testing.T, config Config) *Listener {
+	t.Helper()
+	inner, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if config.EndRequest == nil {
+		config.EndRequest = func() bool { return false }
+	}
+	l := New(inner, config)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(w, r.Body)
+	}), ConnState: l.ConnState}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { server.Close() })
+	return l
+}
+
+func dial(t *testing.T, l *Listener) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp4", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return conn
+}
+
+// get sends a request on conn and returns its status, or 0 if the connection was closed.
+func get(conn net.Conn, header string) int {
+	_, _ = io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\n"+header+"\r\n")
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return 0
+	}
+	return resp.StatusCode
+}
+
+// closed reports whether the other side closes conn within a time.
+func closed(conn net.Conn, within time.Duration) bool {
+	_ = conn.SetReadDeadline(time.Now().Add(within))
+	_, err := conn.Read(make([]byte, 1))
+	timeout, ok := err.(net.Error)
+	return err != nil && (!ok || !timeout.Timeout())
+}
+
+// Guards against silent connections that lock out others.
+func TestOldestWaitingConnectionIsDisplaced(t *testing.T) {
+	l := start(t, Config{MaxConns: 2, HeadMemory: 1 << 20, Limits: func() Limits { return Limits{} }})
+	silent, idle := dial(t, l), dial(t, l)
+	for get(idle, "") != http.StatusOK {
+		t.Fatal("not served")
+	}
+	if get(dial(t, l), "") != http.StatusOK {
+		t.Fatal("a new connection is locked out")
+	}
+	if !closed(silent, time.Second) || get(idle, "") != http.StatusOK {
+		t.Error("the silent connection had to be closed, and the other one kept")
+	}
+	if conns, _, causes := l.Usage(); conns != 2 || causes.Displaced != 1 {
+		t.Errorf("%d connections, %+v", conns, causes)
+	}
+}
+
+func TestHeadsAreBounded(t *testing.T) {
+	fields := func(count int) string {
+		var b strings.Builder
+		for i := range count {
+			fmt.Fprintf(&b, "A%d: x\r\n", i)
+		}
+		return b.String()
+	}
+	l := start(t, Config{MaxConns: 10, HeadMemory: 100 << 10, Limits: func() Limits { return Limits{HeadBytes: 4 << 10} }})
+	if got := get(dial(t, l), fields(200)); got != http.StatusOK {
+		t.Errorf("head inside the limits: status %d", got)
+	}
+	if got := get(dial(t, l), fields(5000)); got == http.StatusOK {
+		t.Error("head beyond the limit is served")
+	}
+	held := dial(t, l)
+	_, _ = io.WriteString(held, "GET / HTTP/1.1\r\n"+fields(300))
+	for _, memory, _ := l.Usage(); memory == 0; _, memory, _ = l.Usage() {
+		time.Sleep(time.Millisecond)
+	}
+	if got := get(dial(t, l), fields(300)); got != http.StatusOK {
+		t.Errorf("head beside one that does not end: status %d", got)
+	}
+	if !closed(held, time.Second) {
+		t.Error("the head that does not end is kept")
+	}
+	for _, memory, _ := l.Usage(); memory != 0; _, memory, _ = l.Usage() {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// Guards against a deadline of a head that outlives it.
+func TestTimeouts(t *testing.T) {
+	const timeout = 100 * time.Millisecond
+	l := start(t, Config{MaxConns: 10, HeadMemory: 1 << 20, Limits: func() Limits { return Limits{HeadTimeout: timeout, IdleTimeout: time.Hour} }})
+	conn := dial(t, l)
+	for range 2 {
+		if got := get(conn, ""); got != http.StatusOK {
+			t.Fatalf("status %d", got)
+		}
+		time.Sleep(2 * timeout)
+	}
+	_, _ = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nx")
+	time.Sleep(2 * timeout)
+	_, _ = io.WriteString(conn, "y")
+	if resp, err := http.ReadResponse(bufio.NewReader(conn), nil); err != nil || resp.StatusCode != http.StatusOK {
+		t.Errorf("slow body: %v", err)
+	}
+	unfinished := dial(t, l)
+	_, _ = io.WriteString(unfinished, "GET / HTTP/1.1\r\n")
+	if !closed(unfinished, 20*timeout) || !closed(dial(t, l), 20*timeout) {
+		t.Error("an unfinished head or a silent connection is kept")
+	}
+}
--- a/mesh/config.go
+++ b/mesh/config.go
@@ -73,8 +73,10 @@
 
 // Limits bound the requests of callers.
 type Limits struct {
-	// BodyBytes is the maximum length of a body; 0 means no limit.
-	BodyBytes int64
+	// BodyBytes is the maximum length of a body, HeadBytes that of a head; 0 means no limit.
+	BodyBytes, HeadBytes int64
+	// HeadTimeout is the time that a caller may take for a head, IdleTimeout the one for which its connection may be idle; 0 means no limit.
+	HeadTimeout, IdleTimeout time.Duration
 }
 
 // Config is one version of the operators' configuration, with its look-up tables. It must not be modified after NewConfig.
