proxy, node: one owner of the memory for bodies; bounded connections

A frontend reserved the announced length of each body before a byte had come, and bounded each body but not their sum; chunked bodies grew without a common bound; a streamed body that stopped kept its slot at the target until its deadline.

bodyroom.Room is the memory for bodies of requests, calls and responses, 20 % of the machine's. Memory is taken as bytes come. Without room, the body that has paused longest (250 ms), or the slowest below 8 KB/s, is ended, else the new one refused (503, not run, Retry-After). A streamed body that has paused for 2 s is ended when another call waits for its slot. Both listeners that clients reach are bounded by connlimit. A chunked body over the configured length is refused with 413. A refusal waits for the rest of a body for at most 5 s.

--- /dev/null
+++ b/internal/node/clients.go
@@ -0,0 +1,151 @@
+package node
+
+import (
+	"net"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/chervilwell/chervilwell/internal/connlimit"
+)
+
+// Shares of the machine that clients may take.
+const (
+	// bodyShare, connShare and headShare are the fractions of the memory for the bodies of requests and responses, for the connections of
+	// callers and of other processes, and for heads of unusual length at each listener.
+	bodyShare = 0.2
+	connShare = 0.2
+	headShare = 0.04
+	// callerShare and peerShare are the fractions of the descriptors, and of connShare, for the connections of callers and of other
+	// processes. The rest of the descriptors is for connections to targets, other processes and the store.
+	callerShare = 0.45
+	peerShare   = 0.25
+	// defaultMemoryBytes and defaultDescriptors apply if the settings have none.
+	defaultMemoryBytes = 256 << 20
+	defaultDescriptors = 4096
+	// minBodyMemory is the least memory for bodies, in bytes.
+	minBodyMemory = 12 << 20
+	// headTimeoutSlack is the time that the network may take for a head beside the caller, with two lost packets.
+	headTimeoutSlack = 2 * time.Second
+	// hopHeadBytes is what a process may add to a caller's head, in bytes.
+	hopHeadBytes = 8 << 10
+	// pauseForConn is the time for which a client must have paused in the middle of a body before its request is ended in favour of others.
+	pauseForConn = 250 * time.Millisecond
+)
+
+func memoryOr(bytes int64) float64 {
+	if bytes <= 0 {
+		return defaultMemoryBytes
+	}
+	return float64(bytes)
+}
+
+// bodyMemory returns the memory for bodies of a machine with the given memory, both in bytes.
+func bodyMemory(bytes int64) int64 { return max(int64(bodyShare*memoryOr(bytes)), minBodyMemory) }
+
+// maxConns returns the largest number of connections at a listener with the given share of a machine.
+func maxConns(memoryBytes int64, descriptors int, share float64) int {
+	if descriptors <= 0 {
+		descriptors = defaultDescriptors
+	}
+	byMemory := connShare * memoryOr(memoryBytes) / connlimit.ConnBytes
+	return max(int(share*min(float64(descriptors), byMemory/(callerShare+peerShare))), 1)
+}
+
+// clientListener describes a listener that clients can reach.
+type clientListener struct {
+	share  float64
+	into   **connlimit.Listener
+	limits func() connlimit.Limits
+}
+
+// limitClients bounds the connections of a listener, and registers its metrics.
+func (n *Node) limitClients(inner net.Listener, c *clientListener) *connlimit.Listener {
+	s := n.settings
+	l := connlimit.New(inner, connlimit.Config{
+		MaxConns: maxConns(s.MemoryBytes, s.Descriptors, c.share), HeadMemory: int64(headShare * memoryOr(s.MemoryBytes)),
+		Limits: c.limits, EndRequest: func() bool { return n.bodies.EndStalled(pauseForConn) },
+	})
+	*c.into = l
+	return l
+}
+
+// callerLimits returns the limits of callers in force.
+func (n *Node) callerLimits() connlimit.Limits {
+	l := connlimit.Limits{HeadBytes: maxHeadBytes, HeadTimeout: headTimeout, IdleTimeout: idleTimeout}
+	config := n.holder.Load().Config
+	if config == nil {
+		return l
+	}
+	if config.Limits.HeadBytes > 0 {
+		l.HeadBytes = config.Limits.HeadBytes
+	}
+	if config.Limits.HeadTimeout > 0 {
+		l.HeadTimeout = config.Limits.HeadTimeout + headTimeoutSlack
+	}
+	if config.Limits.IdleTimeout > 0 {
+		l.IdleTimeout = config.Limits.IdleTimeout
+	}
+	return l
+}
+
+// peerLimits returns the limits of other processes. Their times do not depend on those of callers.
+func (n *Node) peerLimits() connlimit.Limits {
+	l := n.callerLimits()
+	l.HeadBytes += hopHeadBytes
+	l.HeadTimeout, l.IdleTimeout = headTimeout, idleTimeout
+	return l
+}
+
+// clientCollector collects the metrics of what clients use.
+type clientCollector struct{ node *Node }
+
+var (
+	bodyBytesDesc   = prometheus.NewDesc("chervilwell_body_bytes", "Memory held by bodies of requests and responses.", nil, nil)
+	bodyLimitDesc   = prometheus.NewDesc("chervilwell_body_limit_bytes", "Memory that bodies of requests and responses may hold.", nil, nil)
+	bodyRefusedDesc = prometheus.NewDesc("chervilwell_body_refused_total", "Attempts to hold a body when there was no memory for it.", nil, nil)
+	bodyStalledDesc = prometheus.NewDesc("chervilwell_body_stalled_total", "Requests ended in the middle of the body, since their senders paused while others needed the room.", nil, nil)
+	connsDesc       = prometheus.NewDesc("chervilwell_client_connections", "Open connections of clients.", []string{"listener"}, nil)
+	connsLimitDesc  = prometheus.NewDesc("chervilwell_client_connections_limit", "Largest number of connections of clients.", []string{"listener"}, nil)
+	headBytesDesc   = prometheus.NewDesc("chervilwell_head_bytes", "Memory held by heads of unusual length.", []string{"listener"}, nil)
+	headLimitDesc   = prometheus.NewDesc("chervilwell_head_limit_bytes", "Memory that heads of unusual length may hold.", []string{"listener"}, nil)
+	connsClosedDesc = prometheus.NewDesc("chervilwell_client_connections_closed_total", "Connections of clients closed by a limit.", []string{"listener", "cause"}, nil)
+)
+
+// Describe implements prometheus.Collector.
+func (c clientCollector) Describe(out chan<- *prometheus.Desc) {
+	for _, d := range []*prometheus.Desc{
+		bodyBytesDesc, bodyLimitDesc, bodyRefusedDesc, bodyStalledDesc, connsDesc, connsLimitDesc, headBytesDesc, headLimitDesc, connsClosedDesc,
+	} {
+		out <- d
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (c clientCollector) Collect(out chan<- prometheus.Metric) {
+	gauge := func(d *prometheus.Desc, v float64, labels ...string) {
+		out <- prometheus.MustNewConstMetric(d, prometheus.GaugeValue, v, labels...)
+	}
+	counter := func(d *prometheus.Desc, v uint64, labels ...string) {
+		out <- prometheus.MustNewConstMetric(d, prometheus.CounterValue, float64(v), labels...)
+	}
+	u := c.node.bodies.Usage()
+	gauge(bodyBytesDesc, float64(u.Held))
+	gauge(bodyLimitDesc, float64(u.Bytes))
+	counter(bodyRefusedDesc, u.Refused)
+	counter(bodyStalledDesc, u.Stalled)
+	for name, l := range map[string]*connlimit.Listener{"callers": c.node.callers, "peers": c.node.peers} {
+		if l == nil {
+			continue
+		}
+		conns, heads, closed := l.Usage()
+		gauge(connsDesc, float64(conns), name)
+		gauge(connsLimitDesc, float64(l.MaxConns()), name)
+		gauge(headBytesDesc, float64(heads), name)
+		gauge(headLimitDesc, float64(l.HeadMemory()), name)
+		counter(connsClosedDesc, closed.Displaced, name, "displaced")
+		counter(connsClosedDesc, closed.Refused, name, "refused")
+		counter(connsClosedDesc, closed.LongHead, name, "long-head")
+		counter(connsClosedDesc, closed.HeadMemory, name, "head-memory")
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,7 +19,9 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/chervilwell/chervilwell/follow"
+	"github.com/chervilwell/chervilwell/internal/bodyroom"
 	"github.com/chervilwell/chervilwell/internal/clock"
+	"github.com/chervilwell/chervilwell/internal/connlimit"
 	"github.com/chervilwell/chervilwell/internal/disconnect"
 	"github.com/chervilwell/chervilwell/internal/events"
 	"github.com/chervilwell/chervilwell/mesh"
@@ -32,11 +34,10 @@
 
 // Limits and intervals of the process.
 const (
-	// headerTimeout, idleTimeout and maxHeaderBytes are above the limits that operators set for callers (seconds to tens of
-	// seconds, and 16 KB), so that a caller within those limits is never disconnected.
-	headerTimeout  = 10 * time.Second
-	idleTimeout    = 10 * time.Minute
-	maxHeaderBytes = 64 << 10
+	// headTimeout, idleTimeout and maxHeadBytes apply where the configuration has no limits.
+	headTimeout  = 10 * time.Second
+	idleTimeout  = 10 * time.Minute
+	maxHeadBytes = 64 << 10
 	// retryShare is the fraction of the permitted retries that is used. The remainder covers the calls made by retried
 	// requests, up to two for each.
 	retryShare = 0.35
@@ -63,6 +64,9 @@
 	gatekeeper *proxy.Gatekeeper
 	leaving    atomic.Bool
 	servers    []*http.Server
+	bodies     *bodyroom.Room
+	// callers and peers bound the connections of callers and of other processes.
+	callers, peers *connlimit.Listener
 }
 
 // Options are the settings of the daemon that do not come from the platform.
@@ -80,12 +84,15 @@
 	n := &Node{settings: s, options: o, log: log, holder: &mesh.Holder{}, registry: prometheus.NewRegistry()}
 	lineBudget := events.NewBudget(o.LogEvery)
 	n.registerLineCounters(lineBudget)
+	n.registry.MustRegister(clientCollector{n})
 	rng := func() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 	names, metrics := platform.Headers(), proxy.NewMetrics(n.registry)
+	n.bodies = bodyroom.NewRoom(bodyMemory(s.MemoryBytes))
 	peers := proxy.NewPeers(s.Peers.Port())
+	peers.ShareMemory(n.bodies)
 	decoder := platform.Decoder{Regions: s.Regions}
 	n.gatekeeper = proxy.NewGatekeeper(proxy.GatekeeperConfig{
-		Addr: s.Target, Service: s.Service, Peers: peers, LinkRate: s.LinkRate, Holder: n.holder, Names: names, DecodeNotice: platform.DecodeNotice,
+		Bodies: n.bodies, Addr: s.Target, Service: s.Service, Peers: peers, LinkRate: s.LinkRate, Holder: n.holder, Names: names, DecodeNotice: platform.DecodeNotice,
 		Log: log, LogBudget: lineBudget, Metrics: metrics,
 	})
 	n.registry.MustRegister(n.gatekeeper.HeldRequests()...)
@@ -153,19 +160,20 @@
 	type listener struct {
 		addr    netip.AddrPort
 		handler http.Handler
+		clients *clientListener
 	}
 	monitor := disconnect.NewMonitor(func(err error) { n.log.Error().Err(err).Msg(events.PollFailed) })
 	listeners := []listener{
-		{n.settings.Callers, monitor.Handler(n.frontend)},
-		{n.settings.Peers, n.peerHandler(monitor)},
-		{n.settings.Ready, http.HandlerFunc(n.serveReady)},
+		{n.settings.Callers, monitor.Handler(n.frontend), &clientListener{share: callerShare, into: &n.callers, limits: n.callerLimits}},
+		{n.settings.Peers, n.peerHandler(monitor), &clientListener{share: peerShare, into: &n.peers, limits: n.peerLimits}},
+		{n.settings.Ready, http.HandlerFunc(n.serveReady), nil},
 	}
 	if port := n.options.MetricsPort; port != 0 {
 		addr := netip.AddrPortFrom(n.settings.Target.Addr(), port)
 		mux := http.NewServeMux()
 		mux.Handle(proxy.HeldPath, proxy.HeldHandler(n.gatekeeper))
 		mux.Handle("/", promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{}))
-		listeners = append(listeners, listener{addr, mux})
+		listeners = append(listeners, listener{addr, mux, nil})
 	}
 	for _, l := range listeners {
 		listener, err := net.Listen("tcp4", l.addr.String())
@@ -174,7 +182,11 @@
 		}
 		server := &http.Server{
 			Handler: l.handler, ConnContext: disconnect.ConnContext,
-			ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+			ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes,
+		}
+		if l.clients != nil {
+			limited := n.limitClients(listener, l.clients)
+			listener, server.ConnState, server.MaxHeaderBytes = limited, limited.ConnState, http.DefaultMaxHeaderBytes
 		}
 		n.servers = append(n.servers, server)
 		go func() {
@@ -199,6 +211,7 @@
 			notices.ServeHTTP(w, r)
 			return
 		}
+		proxy.LimitUnreadBody(w, r)
 		n.follower.ServeHTTP(w, r)
 	})
 }
--- a/proxy/body.go
+++ b/proxy/body.go
@@ -24,6 +24,13 @@
 	keepAliveCount    = 2
 )
 
+// LimitUnreadBody limits the time for which the server reads a body that no handler reads, so that it can be answered.
+func LimitUnreadBody(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength != 0 {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout)) // fails only if the connection is closed
+	}
+}
+
 // setBody sets the body of req to the body of c.
 func setBody(req *http.Request, c *call) {
 	switch {
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"github.com/chervilwell/chervilwell/gate"
+	"github.com/chervilwell/chervilwell/internal/bodyroom"
 	"github.com/chervilwell/chervilwell/mesh"
 	"github.com/chervilwell/chervilwell/quarantine"
 )
@@ -50,7 +51,7 @@
 	header            http.Header
 	// body is the whole body, or the part read so far if rest is set.
 	body   []byte
-	rest   io.Reader
+	rest   *bodyroom.Arrival
 	length int64
 	// setReadDeadline sets the deadline of reads from rest. It is set if rest is.
 	setReadDeadline func(time.Time) error
@@ -111,6 +112,8 @@
 	reasonQuarantined = "quarantined"
 	reasonUnknownKey  = "unknown-key"
 	reasonStaleKeys   = "stale-keys"
+	reasonNoRoom      = "no-room"
+	reasonStalled     = "stalled"
 )
 
 // outcome is the result of a call.
@@ -169,10 +172,14 @@
 const smallResponse = 8 << 10
 
 // responseRoom limits the total size of the response bodies held in memory. It is safe for concurrent use.
-type responseRoom struct{ free *semaphore.Weighted }
+type responseRoom struct {
+	free *semaphore.Weighted
+	// shared is the memory for all bodies of the process.
+	shared *bodyroom.Room
+}
 
-func newResponseRoom() responseRoom {
-	return responseRoom{semaphore.NewWeighted(maxBufferedResponses)}
+func newResponseRoom(shared *bodyroom.Room) responseRoom {
+	return responseRoom{semaphore.NewWeighted(maxBufferedResponses), shared}
 }
 
 // acquire takes room for a number of bytes until ctx ends, and reports whether there was any.
@@ -180,7 +187,11 @@
 	if !r.free.TryAcquire(bytes) {
 		return false
 	}
-	context.AfterFunc(ctx, func() { r.free.Release(bytes) })
+	if !r.shared.TryAcquire(bytes) {
+		r.free.Release(bytes)
+		return false
+	}
+	context.AfterFunc(ctx, func() { r.free.Release(bytes); r.shared.Release(bytes) })
 	return true
 }
 
--- a/proxy/frontend.go
+++ b/proxy/frontend.go
@@ -98,6 +98,14 @@
 	// maxBufferedBody is the size in bytes up to which a body is read before the request is forwarded, so that it can be
 	// sent again to another target.
 	maxBufferedBody = 4 << 20
+	// smallBody is the size in bytes up to which a body needs no room among the larger ones, so that these can't keep it out.
+	smallBody = 8 << 10
+	// roomRetryAfter is the retry-after of a request for whose body there is no room.
+	roomRetryAfter = 500 * time.Millisecond
+	// refusedBodyTimeout is how long the rest of a refused body is read.
+	refusedBodyTimeout = 500 * time.Millisecond
+	// unreadBodyTimeout is how long the body of a request that is answered before its body has been read may still arrive.
+	unreadBodyTimeout = 5 * time.Second
 	// responseSlack is the time after the request's deadline within which the response of the last target may still arrive.
 	responseSlack = 60 * time.Millisecond
 	// noConfigRetryAfter is the retry-after of a process that has just started and has no configuration yet.
@@ -117,6 +125,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	req := &request{incoming: r, arrived: clock.Now(), state: f.cfg.Holder.Load()}
+	LimitUnreadBody(w, r)
 	if req.state.Config == nil {
 		o := noResponse(notRun, reasonNoConfig)
 		o.retryAfter = noConfigRetryAfter
@@ -138,8 +147,7 @@
 		return
 	}
 	if limit := req.state.Config.Limits.BodyBytes; limit > 0 && r.ContentLength > limit {
-		f.cfg.Metrics.observeRequest(kindNames[req.route.Kind], "413", reasonBodyTooLong, clock.Now().Sub(req.arrived))
-		http.Error(w, "body is longer than the configuration allows", http.StatusRequestEntityTooLarge)
+		f.refuseLongBody(w, req)
 		return
 	}
 	f.plan(req)
@@ -151,9 +159,10 @@
 		}
 		req.deadline = deadline
 	}
-	if err := f.readBody(w, req); err != nil {
-		f.cfg.Log.Debug().Err(err).Str("request", r.Header.Get(f.cfg.Names.RequestID)).Msg(events.RequestBodyIncomplete)
-		f.refuse(w, req, noResponse(notRun, reasonCancelled))
+	closeBody, err := f.readBody(w, req)
+	defer closeBody()
+	if err != nil {
+		f.refuseBody(w, req, err)
 		return
 	}
 	req.fingerprint = fingerprint(req)
@@ -331,6 +340,9 @@
 // writeResponse writes an outcome to the caller.
 func (f *Frontend) writeResponse(w http.ResponseWriter, req *request, o *outcome) {
 	if o.run != ran {
+		if req.rest != nil {
+			LimitUnreadBody(w, req.incoming)
+		}
 		f.refuse(w, req, o)
 		return
 	}
--- a/proxy/gatekeeper.go
+++ b/proxy/gatekeeper.go
@@ -19,7 +19,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/chervilwell/chervilwell/gate"
-	"github.com/chervilwell/chervilwell/internal/bodybuffer"
+	"github.com/chervilwell/chervilwell/internal/bodyroom"
 	"github.com/chervilwell/chervilwell/internal/clock"
 	"github.com/chervilwell/chervilwell/internal/events"
 	"github.com/chervilwell/chervilwell/internal/httppool"
@@ -53,6 +53,8 @@
 
 // GatekeeperConfig is the configuration of a Gatekeeper.
 type GatekeeperConfig struct {
+	// Bodies is the memory for bodies of the process. If it is nil, the gatekeeper has its own, of maxWaitingBodies.
+	Bodies *bodyroom.Room
 	// Addr is the address of the local target.
 	Addr netip.AddrPort
 	// Service is the service of the local target.
@@ -75,7 +77,7 @@
 type Gatekeeper struct {
 	cfg     GatekeeperConfig
 	pool    *httppool.Pool
-	bodies  *bodybuffer.Buffer
+	bodies  *bodyroom.Room
 	stopped atomic.Bool
 	active  atomic.Int64
 	// window is set once the process stops.
@@ -112,8 +114,8 @@
 
 // NewGatekeeper returns a gatekeeper that treats its target as cold until the target reports that it is warm.
 func NewGatekeeper(cfg GatekeeperConfig) *Gatekeeper {
-	k := &Gatekeeper{cfg: cfg, gate: gate.New(defaultSlots), inbound: pacer.NewInbound(cfg.LinkRate), responses: newResponseRoom(), noticeLog: rate.NewLimiter(noticeLinesPerSecond, noticeBurstLines)}
-	k.bodies = bodybuffer.New(maxWaitingBodies)
+	k := &Gatekeeper{cfg: cfg, gate: gate.New(defaultSlots), inbound: pacer.NewInbound(cfg.LinkRate), bodies: cmp.Or(cfg.Bodies, bodyroom.NewRoom(maxWaitingBodies)), noticeLog: rate.NewLimiter(noticeLinesPerSecond, noticeBurstLines)}
+	k.responses = newResponseRoom(k.bodies)
 	k.crashes.list, k.crashes.trial = quarantine.New(cfg.Addr.Addr().String()), make(chan struct{}, 1)
 	k.deliveries = semaphore.NewWeighted(maxDeliveries)
 	k.running, k.end = context.WithCancel(context.Background())
@@ -230,9 +232,7 @@
 		o = k.checkSuspect(c)
 	}
 	if o == nil {
-		var freeBody func()
-		freeBody, o = k.receiveBody(ctx, c)
-		defer freeBody()
+		o = k.receiveBody(ctx, c)
 	}
 	if o == nil {
 		o = k.admit(ctx, c)
@@ -280,6 +280,10 @@
 	reason := k.busyReason()
 	k.scheduleTick()
 	k.mu.Unlock()
+	if verdict != gate.Run {
+		stop := k.endStalledBodies()
+		defer stop()
+	}
 	switch verdict {
 	case gate.Refuse:
 		o := noResponse(notRun, reason)
@@ -300,6 +304,9 @@
 		k.release(req, -1)
 		return o
 	}
+	if c.rest != nil {
+		c.rest.Stream()
+	}
 	started := clock.Now()
 	o = k.run(ctx, c)
 	took := clock.Now().Sub(started)
--- a/proxy/peers.go
+++ b/proxy/peers.go
@@ -11,6 +11,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/chervilwell/chervilwell/internal/bodyroom"
 	"github.com/chervilwell/chervilwell/internal/clock"
 	"github.com/chervilwell/chervilwell/internal/events"
 	"github.com/chervilwell/chervilwell/internal/httppool"
@@ -42,9 +43,12 @@
 
 // NewPeers returns a client of the instances that listen on port of their machines.
 func NewPeers(port uint16) *Peers {
-	return &Peers{port: port, responses: newResponseRoom(), pools: map[netip.Addr]*httppool.Pool{}}
+	return &Peers{port: port, responses: newResponseRoom(bodyroom.NewRoom(maxBufferedResponses)), pools: map[netip.Addr]*httppool.Pool{}}
 }
 
+// ShareMemory makes the bodies of responses share the given memory. It must be called before the first call.
+func (p *Peers) ShareMemory(room *bodyroom.Room) { p.responses.shared = room }
+
 func (p *Peers) pool(addr netip.Addr) *httppool.Pool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -117,6 +121,7 @@
 func PeerHandler(k *Gatekeeper) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := &call{method: r.Method, uri: r.RequestURI, host: r.Host, header: r.Header, length: r.ContentLength, lifetime: r.Context()}
+		LimitUnreadBody(w, r)
 		if err := parseCall(r.Header.Get(hopHeader), clock.Now(), c); err != nil {
 			k.cfg.Log.Warn().Err(err).Str("from", r.RemoteAddr).Msg(events.PeerMalformed)
 			http.Error(w, err.Error(), http.StatusBadRequest)
@@ -127,9 +132,17 @@
 		delete(r.Header, hopHeader)
 		delete(r.Header, "Expect")
 		if r.ContentLength != 0 {
-			c.rest, c.setReadDeadline = r.Body, http.NewResponseController(w).SetReadDeadline
+			c.rest = k.bodies.Receive(r.Body, http.NewResponseController(w).SetReadDeadline)
+			defer c.rest.Close()
+			c.setReadDeadline = c.rest.SetReadDeadline
+			if err := c.setReadDeadline(time.Now().Add(remaining(c.deadline) + deadlineSlack)); err != nil {
+				return // the connection is closed
+			}
 		}
 		o := k.do(r.Context(), c)
+		if o.run != ran {
+			LimitUnreadBody(w, r)
+		}
 		if err := writeOutcome(w, o); err != nil {
 			k.cfg.Log.Debug().Err(err).Msg(events.PeerDisconnected)
 			panic(http.ErrAbortHandler)
--- a/proxy/receive.go
+++ b/proxy/receive.go
@@ -2,64 +2,68 @@
 
 import (
 	"context"
-	"io"
 	"os"
 	"time"
 
 	"github.com/pkg/errors"
 
-	"github.com/chervilwell/chervilwell/internal/bodybuffer"
+	"github.com/chervilwell/chervilwell/internal/bodyroom"
 	"github.com/chervilwell/chervilwell/internal/clock"
 	"github.com/chervilwell/chervilwell/pacer"
 )
 
-// maxWaitingBodies is the total size in bytes of the large request bodies that a gatekeeper holds in memory. Calls with further
-// ones are refused unless they can run at once.
+// maxWaitingBodies is the total size in bytes of the request bodies that a gatekeeper without shared memory holds.
 const maxWaitingBodies = 16 << 20
 
+// pauseForSlot is the time for which the sender of a body must have paused before its request is ended since others wait for its slot at
+// the target.
+const pauseForSlot = 2 * time.Second
+
 // receiveBody reads the body of a call before the call waits for a slot: the end of its connection can be noticed only behind the
-// body. If there is no room for a large body, it stays in c.rest. receiveBody returns the outcome if the call is refused, or nil.
-// The caller must call freeBody.
-func (k *Gatekeeper) receiveBody(ctx context.Context, c *call) (freeBody func(), o *outcome) {
-	freeBody = func() {}
+// body. If there is no room for a large body, it or its end stays in c.rest. receiveBody returns the outcome if the call is refused, or nil.
+func (k *Gatekeeper) receiveBody(ctx context.Context, c *call) *outcome {
 	if c.rest == nil || c.length <= 0 {
-		return freeBody, nil
+		return nil
 	}
 	if c.length >= pacer.LargeMessageBytes && k.inbound.Bounded() {
 		r, o := k.waitForLink(ctx, c)
 		if o != nil {
-			return freeBody, o
+			return o
 		}
 		defer k.endArrival(r)
 	} else if !k.fits(c) {
-		return freeBody, nil // the gate is about to refuse the call
+		return nil // the gate is about to refuse the call
 	}
 	if err := c.setReadDeadline(time.Now().Add(remaining(c.deadline))); err != nil {
-		return freeBody, bodyFailure(ctx, err)
+		return bodyFailure(ctx, err)
+	}
+	if c.length > smallBody && !k.bodies.Fits(c.length) {
+		return nil
 	}
-	body, free, err := k.readBody(c)
-	if errors.Is(err, bodybuffer.ErrFull) {
-		return freeBody, nil
+	body, _, err := c.rest.ReadUpTo(c.length, true, smallBody)
+	if errors.Is(err, bodyroom.ErrFull) {
+		c.body = body
+		return nil
 	}
 	if err != nil {
-		return freeBody, bodyFailure(ctx, err)
+		return bodyFailure(ctx, err)
 	}
 	c.body, c.rest = body, nil
 	if err := c.setReadDeadline(time.Time{}); err != nil {
-		return free, bodyFailure(ctx, err)
+		return bodyFailure(ctx, err)
 	}
-	return free, nil
+	return nil
 }
 
-// readBody reads the body of a call. A small one needs no room among the large ones, so that these can't keep it out. The caller
-// must call free.
-func (k *Gatekeeper) readBody(c *call) (body []byte, free func(), err error) {
-	if c.length >= pacer.LargeMessageBytes {
-		return k.bodies.Read(c.rest, c.length)
+// endStalledBodies ends a request that runs at the target while its sender has paused in the middle of the body, now and once more while
+// a call waits for a slot. The caller must call stop.
+func (k *Gatekeeper) endStalledBodies() (stop func()) {
+	if !k.bodies.Streamed() {
+		return func() {}
 	}
-	body = make([]byte, c.length)
-	_, err = io.ReadFull(c.rest, body)
-	return body, func() {}, err
+	k.bodies.EndStreamed(pauseForSlot)
+	timer := time.AfterFunc(pauseForSlot, func() { k.bodies.EndStreamed(pauseForSlot) })
+	return func() { timer.Stop() }
 }
 
 // bodyFailure returns the outcome of a call whose body could not be read.
@@ -69,6 +73,9 @@
 		reason = reasonTimeout
 	}
 	o := noResponse(notRun, failureReason(ctx, reason))
+	if errors.Is(err, bodyroom.ErrStalled) {
+		o.reason, o.retryAfter = reasonStalled, roomRetryAfter
+	}
 	o.err = err
 	return o
 }
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -1,11 +1,15 @@
 package proxy
 
 import (
-	"io"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
+	"github.com/chervilwell/chervilwell/internal/bodyroom"
+	"github.com/chervilwell/chervilwell/internal/clock"
+	"github.com/chervilwell/chervilwell/internal/events"
 	"github.com/chervilwell/chervilwell/internal/headers"
 	"github.com/chervilwell/chervilwell/mesh"
 	"github.com/chervilwell/chervilwell/quarantine"
@@ -25,8 +29,9 @@
 	softDeadline time.Time
 	deadline     time.Time
 	body         []byte
-	rest         io.Reader
-	length       int64
+	// rest is the part of the body that has not been read, or nil.
+	rest   *bodyroom.Arrival
+	length int64
 	// fingerprint identifies the request over the attempts of its caller. It is set once the body has been read.
 	fingerprint quarantine.Fingerprint
 	// atHome is set if the present attempt is that of a suspect at its home.
@@ -65,37 +70,79 @@
 }
 
 // readBody reads the body if it is at most maxBufferedBody long, so that it can be sent again. The start of a longer one may
-// be in req.body; req.rest is the remainder.
-func (f *Frontend) readBody(w http.ResponseWriter, req *request) error {
+// be in req.body; req.rest is the remainder. It returns bodyroom.ErrFull if there is no room for the body. The caller must call
+// closeBody at the end of the request.
+func (f *Frontend) readBody(w http.ResponseWriter, req *request) (closeBody func(), err error) {
 	r := req.incoming
 	req.length = r.ContentLength
 	if r.ContentLength == 0 {
-		return nil
+		return func() {}, nil
+	}
+	if limit := req.state.Config.Limits.BodyBytes; limit > 0 && r.ContentLength < 0 {
+		r.Body = http.MaxBytesReader(w, r.Body, limit)
 	}
-	req.setReadDeadline = http.NewResponseController(w).SetReadDeadline
+	body := f.bodies().Receive(r.Body, http.NewResponseController(w).SetReadDeadline)
+	req.setReadDeadline = body.SetReadDeadline
 	if err := req.setReadDeadline(time.Now().Add(remaining(req.deadline))); err != nil {
-		return err
+		return body.Close, err
 	}
 	if r.ContentLength > maxBufferedBody {
-		req.rest = r.Body
-		return nil
-	}
-	var err error
-	if r.ContentLength > 0 {
-		req.body = make([]byte, r.ContentLength)
-		_, err = io.ReadFull(r.Body, req.body)
-	} else {
-		req.body, err = io.ReadAll(io.LimitReader(r.Body, maxBufferedBody))
-		if len(req.body) == maxBufferedBody {
-			req.rest = r.Body
-			return err
-		}
-		req.length = int64(len(req.body))
+		req.rest = body
+		return body.Close, nil
+	}
+	sized, limit := r.ContentLength > 0, int64(maxBufferedBody)
+	if sized {
+		limit = r.ContentLength
 	}
+	if sized && limit > smallBody && !f.bodies().Fits(limit) {
+		return body.Close, bodyroom.ErrFull
+	}
+	more := false
+	req.body, more, err = body.ReadUpTo(limit, sized, smallBody)
 	if err != nil {
-		return err
+		return body.Close, err
+	}
+	if more {
+		req.rest = body
+		return body.Close, nil
+	}
+	req.length = int64(len(req.body))
+	return body.Close, req.setReadDeadline(time.Time{})
+}
+
+// bodies returns the memory for bodies.
+func (f *Frontend) bodies() *bodyroom.Room { return f.cfg.Gatekeeper.bodies }
+
+// refuseBody refuses a request whose body was not read. No byte of it has been sent.
+func (f *Frontend) refuseBody(w http.ResponseWriter, req *request, err error) {
+	f.cfg.Log.Debug().Err(err).Str("request", req.incoming.Header.Get(f.cfg.Names.RequestID)).Msg(events.RequestBodyIncomplete)
+	var tooLong *http.MaxBytesError
+	if errors.As(err, &tooLong) {
+		f.refuseLongBody(w, req)
+		return
+	}
+	o := noResponse(notRun, reasonCancelled)
+	if errors.Is(err, bodyroom.ErrFull) || errors.Is(err, bodyroom.ErrStalled) {
+		o.reason, o.retryAfter = bodyReason(err), roomRetryAfter
+		w.Header().Set("Connection", "close")
+		// Reading on for a short time lets the refusal reach a caller that is still sending.
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(refusedBodyTimeout)) // fails only if the connection is closed
+	}
+	f.refuse(w, req, o)
+}
+
+// refuseLongBody answers a request whose body is longer than the configuration allows.
+func (f *Frontend) refuseLongBody(w http.ResponseWriter, req *request) {
+	f.cfg.Metrics.observeRequest(kindNames[req.route.Kind], "413", reasonBodyTooLong, clock.Now().Sub(req.arrived))
+	http.Error(w, "body is longer than the configuration allows", http.StatusRequestEntityTooLarge)
+}
+
+// bodyReason returns the reason of a refusal for want of memory.
+func bodyReason(err error) string {
+	if errors.Is(err, bodyroom.ErrStalled) {
+		return reasonStalled
 	}
-	return req.setReadDeadline(time.Time{})
+	return reasonNoRoom
 }
 
 // recordAttempt records the outcome of an attempt that did not end the request.
