node: leave descriptors for the connections that requests of clients need

With 45 % of the descriptors for callers and 25 % for other processes, callers whose requests all go to other processes could take the rest: each needs a second descriptor. Now 26 % and 20 %. The connections of other processes get a share of the memory of their own, 13 %.

--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -30,7 +30,7 @@
 	// fieldBytes is the memory in bytes that a field of a head takes beside its text.
 	fieldBytes = 256
 	// freeHeadBytes is the memory in bytes for a head that every connection may take.
-	freeHeadBytes = 16 << 10
+	freeHeadBytes = 8 << 10
 	// ConnBytes is the memory in bytes that a connection may take beside bodies and the heads above freeHeadBytes.
 	ConnBytes = 24<<10 + freeHeadBytes
 	// overflowShare is the fraction of MaxConns by which the connections may exceed it while requests are ended in favour of new ones.
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -11,15 +11,17 @@
 
 // Shares of the machine that clients may take.
 const (
-	// bodyShare, connShare and headShare are the fractions of the memory for the bodies of requests and responses, for the connections of
-	// callers and of other processes, and for heads of unusual length at each listener.
+	// bodyShare and headShare are the fractions of the memory for the bodies of requests and responses, and for heads of unusual length at
+	// each listener.
 	bodyShare = 0.2
-	connShare = 0.2
 	headShare = 0.04
-	// callerShare and peerShare are the fractions of the descriptors, and of connShare, for the connections of callers and of other
-	// processes. The rest of the descriptors is for connections to targets, other processes and the store.
-	callerShare = 0.45
-	peerShare   = 0.25
+	// callerMemoryShare and peerMemoryShare are the fractions of the memory for the connections of callers and of other processes.
+	callerMemoryShare = 0.12
+	peerMemoryShare   = 0.13
+	// callerDescriptorShare and peerDescriptorShare are the fractions of the descriptors for them. Each of their requests may need another
+	// one, for a connection to the target or to another process; the rest is for the store and for listeners.
+	callerDescriptorShare = 0.26
+	peerDescriptorShare   = 0.2
 	// defaultMemoryBytes and defaultDescriptors apply if the settings have none.
 	defaultMemoryBytes = 256 << 20
 	defaultDescriptors = 4096
@@ -43,27 +45,27 @@
 // bodyMemory returns the memory for bodies of a machine with the given memory, both in bytes.
 func bodyMemory(bytes int64) int64 { return max(int64(bodyShare*memoryOr(bytes)), minBodyMemory) }
 
-// maxConns returns the largest number of connections at a listener with the given share of a machine.
-func maxConns(memoryBytes int64, descriptors int, share float64) int {
+// maxConns returns the largest number of connections at a listener with the given shares of a machine.
+func maxConns(memoryBytes int64, descriptors int, memoryShare, descriptorShare float64) int {
 	if descriptors <= 0 {
 		descriptors = defaultDescriptors
 	}
-	byMemory := connShare * memoryOr(memoryBytes) / connlimit.ConnBytes
-	return max(int(share*min(float64(descriptors), byMemory/(callerShare+peerShare))), 1)
+	return max(int(min(descriptorShare*float64(descriptors), memoryShare*memoryOr(memoryBytes)/connlimit.ConnBytes)), 1)
 }
 
 // clientListener describes a listener that clients can reach.
 type clientListener struct {
-	share  float64
-	into   **connlimit.Listener
-	limits func() connlimit.Limits
+	// memoryShare and descriptorShare are its fractions of the machine.
+	memoryShare, descriptorShare float64
+	into                         **connlimit.Listener
+	limits                       func() connlimit.Limits
 }
 
-// limitClients bounds the connections of a listener, and registers its metrics.
+// limitClients bounds the connections of a listener.
 func (n *Node) limitClients(inner net.Listener, c *clientListener) *connlimit.Listener {
 	s := n.settings
 	l := connlimit.New(inner, connlimit.Config{
-		MaxConns: maxConns(s.MemoryBytes, s.Descriptors, c.share), HeadMemory: int64(headShare * memoryOr(s.MemoryBytes)),
+		MaxConns: maxConns(s.MemoryBytes, s.Descriptors, c.memoryShare, c.descriptorShare), HeadMemory: int64(headShare * memoryOr(s.MemoryBytes)),
 		Limits: c.limits, EndRequest: func() bool { return n.bodies.EndStalled(pauseForConn) },
 	})
 	*c.into = l
