--- a/internal/bodyroom/bodyroom.go
+++ b/internal/bodyroom/bodyroom.go
@@ -23,10 +23,10 @@
 
 const (
 	// pauseForRoom is the time for which a sender must have paused before its body is ended for want of memory.
-	pauseForRoom = 250 * time.Millisecond
+	pauseForRoom = time.Second
 	// slowAfter is the time that a body must have been waited for, and slowRate the rate in bytes per second below which it must have
 	// arrived meanwhile, to be ended for its slowness.
-	slowAfter = time.Second
+	slowAfter = 5 * time.Second
 	slowRate  = 8 << 10
 	// firstPiece is the memory in bytes that a sized body takes first. Each further piece doubles what the body has.
 	firstPiece = 64 << 10
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -32,7 +32,7 @@
 	// hopHeadBytes is what a process may add to a caller's head, in bytes.
 	hopHeadBytes = 8 << 10
 	// pauseForConn is the time for which a client must have paused in the middle of a body before its request is ended in favour of others.
-	pauseForConn = 250 * time.Millisecond
+	pauseForConn = time.Second
 )
 
 func memoryOr(bytes int64) float64 {
