quota/exchange, proxy: quotas of organisations over all processes

Processes report their counters at the peers' port to the collector of their region, which reports its sum to the top one. A request over the quota gets 429 with the time at which room is expected before its body is read; one that ends as not run gives its quota back. Metrics, a status page, the command quotas and trail show and explain it. It is idle without a quota in the configuration.

--- a/cmd/chervilwellnode/held.go
+++ b/cmd/chervilwellnode/held.go
@@ -59,24 +59,29 @@
 
 // fetchHeld asks a daemon for the requests that it holds.
 func fetchHeld(ctx context.Context, addr string) ([]proxy.HeldRequest, error) {
-	target := url.URL{Scheme: "http", Host: addr, Path: proxy.HeldPath}
+	var held []proxy.HeldRequest
+	if err := fetchJSON(ctx, addr, proxy.HeldPath, &held); err != nil {
+		return nil, errors.Wrap(ErrHeld, err.Error())
+	}
+	return held, nil
+}
+
+// fetchJSON decodes what a daemon returns at a path of its metrics address.
+func fetchJSON(ctx context.Context, addr, path string, into any) error {
+	target := url.URL{Scheme: "http", Host: addr, Path: path}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target.String(), nil)
 	if err != nil {
-		return nil, errors.Wrap(ErrHeld, err.Error())
+		return err
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		return nil, errors.Wrap(ErrHeld, err.Error())
+		return err
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
-		return nil, errors.Wrapf(ErrHeld, "status %d", resp.StatusCode)
+		return errors.Errorf("status %d", resp.StatusCode)
 	}
-	var held []proxy.HeldRequest
-	if err := json.NewDecoder(resp.Body).Decode(&held); err != nil {
-		return nil, errors.Wrap(ErrHeld, err.Error())
-	}
-	return held, nil
+	return json.NewDecoder(resp.Body).Decode(into)
 }
 
 // printHeld prints held requests as a table.
--- a/cmd/chervilwellnode/main.go
+++ b/cmd/chervilwellnode/main.go
@@ -45,6 +45,7 @@
 	subcommands.Register(&runCommand{}, "")
 	subcommands.Register(&checkCommand{}, "")
 	subcommands.Register(&heldCommand{}, "")
+	subcommands.Register(&quotasCommand{}, "")
 	flag.Parse()
 	os.Exit(int(subcommands.Execute(context.Background())))
 }
--- a/follow/tree.go
+++ b/follow/tree.go
@@ -113,6 +113,22 @@
 	return order
 }
 
+// Order returns the instances of a region in the order of its relay tree. It contains this instance if that is in the region.
+func (f *Follower) Order(region string) []netip.Addr {
+	addrs := f.cfg.Holder.Load().InstanceAddrs(region)
+	names := f.byLink(region, addrs)
+	if region == f.cfg.Region {
+		names = f.order(addrs)
+	}
+	out := make([]netip.Addr, 0, len(names))
+	for _, name := range names {
+		if addr, err := netip.ParseAddr(name); err == nil {
+			out = append(out, addr)
+		}
+	}
+	return out
+}
+
 // exchangeAsRoot polls a random process at each waitShare while this process is the first of its region. Reports of links otherwise travel
 // along the tree only, so that two processes that both count themselves as the first would each keep a tree of its own.
 func (f *Follower) exchangeAsRoot(ctx context.Context) {
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -57,6 +57,9 @@
 	AttemptEnded          = "attempt ended"
 	NoRoute               = "no route"
 	KeyRefused            = "key refused"
+	QuotaRefused          = "organisation is over its quota"
+	QuotaCollector        = "collector of quotas replies"
+	QuotaReportFailed     = "report of quotas failed"
 	RequestBodyIncomplete = "request body broke off"
 	ResponseIncomplete    = "answer not sent whole"
 	CallRefused           = "call refused"
@@ -121,6 +124,9 @@
 	{RequestFailed, "no target responded and the request may have run, or the target responded with an error", []string{"request", "route", "service", "target", "status", "reason", "tried", "took", "left", "config", "age"}},
 	{AttemptEnded, "an attempt at a target did not succeed; wait is the expected wait at the target, known the age of the load report that it follows from", []string{"request", "target", "domain", "run", "reason", "arrived", "wait", "known", "running", "waiting", "slots", "left", "revision"}},
 	{KeyRefused, "no organisation of the configuration in force holds the key of the request, or it has none; the key itself is not logged", []string{"request", "route", "config", "age"}},
+	{QuotaRefused, "a request was refused by the quota of its organisation; cause is over-quota if the organisation exceeds it and the collector lets a fraction pass, unreported if this process waits for its next report, no-collector if it admits only its part of the quota since no collector replies; back is the retry-after that the collector expects", []string{"request", "route", "organisation", "cause", "fraction", "rate", "burst", "back", "config"}},
+	{QuotaCollector, "another process, or this one, now settles the use of quotas for this process", []string{"collector"}},
+	{QuotaReportFailed, "a process did not reply to a report of the use of quotas; the next candidate gets it", []string{"collector", "error"}},
 	{NoRoute, "no route of the configuration in force matches the request", []string{"request", "host", "path", "config", "age"}},
 	{RequestBodyIncomplete, "the caller disconnected while it sent the request body", []string{"request", "error"}},
 	{ResponseIncomplete, "the response could not be sent completely; the caller's connection was closed", []string{"request", "error"}},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -26,6 +26,7 @@
 	"github.com/chervilwell/chervilwell/pacer"
 	"github.com/chervilwell/chervilwell/platform"
 	"github.com/chervilwell/chervilwell/proxy"
+	"github.com/chervilwell/chervilwell/quota/exchange"
 	"github.com/chervilwell/chervilwell/retrybudget"
 	"github.com/chervilwell/chervilwell/shutdown"
 )
@@ -61,6 +62,7 @@
 	follower   *follow.Follower
 	frontend   *proxy.Frontend
 	gatekeeper *proxy.Gatekeeper
+	quotas     *exchange.Exchange
 	leaving    atomic.Bool
 	servers    []*http.Server
 }
@@ -89,17 +91,22 @@
 		Log: log, LogBudget: lineBudget, Metrics: metrics,
 	})
 	n.registry.MustRegister(n.gatekeeper.HeldRequests()...)
+	n.quotas = exchange.New(exchange.Config{
+		Holder: n.holder, Self: s.Target.Addr(), Port: s.Peers.Port(), FailureDomain: s.FailureDomain, Region: s.Region, Bounds: s.Quota,
+		Order: func(region string) []netip.Addr { return n.follower.Order(region) }, Log: log, Rand: rng(),
+	})
+	n.registry.MustRegister(exchange.NewMetrics(n.quotas))
 	n.frontend = proxy.NewFrontend(proxy.FrontendConfig{
 		Service: s.Service, FailureDomain: s.FailureDomain, Region: s.Region, Holder: n.holder, Gatekeeper: n.gatekeeper,
 		Peers: peers, Names: names, Log: log, LogBudget: lineBudget, Metrics: metrics, Rand: rng(),
 		StoreAge:    func() time.Duration { return n.follower.Age() },
-		ApplyWithin: s.ApplyWithin, RevokeWithin: s.RevokeWithin,
+		ApplyWithin: s.ApplyWithin, RevokeWithin: s.RevokeWithin, Quotas: n.quotas,
 		RetryBudget: retrybudget.Limits{Ratio: retryShare * s.RetryRatio, Slack: retryShare * s.RetrySlack / assumedProcesses, Window: s.RetryWindow},
 	})
 	n.follower = follow.New(follow.Config{
 		Source: platform.NewStore(s.Store, decoder, func(err error) { log.Warn().Err(err).Msg(events.EntryIgnored) }),
 		Peers:  follow.NewPeerClient(s.Peers.Port()), Decode: decoder.Decode, Self: s.Target.Addr(), Region: s.Region,
-		Holder: n.holder, ApplyWithin: s.ApplyWithin, Changed: func(*mesh.State) { n.gatekeeper.Update() }, Log: log, Metrics: follow.NewMetrics(n.registry), Rand: rng(),
+		Holder: n.holder, ApplyWithin: s.ApplyWithin, Changed: n.stateChanged, Log: log, Metrics: follow.NewMetrics(n.registry), Rand: rng(),
 		LinkRate: n.stateLinkRate,
 	})
 	n.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
@@ -117,6 +124,12 @@
 	return n.settings.LinkRate
 }
 
+// stateChanged passes a new state to the parts that keep something of it.
+func (n *Node) stateChanged(state *mesh.State) {
+	n.gatekeeper.Update()
+	n.quotas.Update(state)
+}
+
 // registerLineCounters registers the counters of log lines that were not written.
 func (n *Node) registerLineCounters(lineBudget *events.Budget) {
 	register := func(name, help string, value func() uint64) {
@@ -138,6 +151,7 @@
 	}
 	supervisor := suture.New("node", suture.Spec{EventHook: func(e suture.Event) { n.log.Error().Str("detail", e.String()).Msg(events.ComponentFailed) }})
 	supervisor.Add(n.follower)
+	supervisor.Add(n.quotas)
 	done := supervisor.ServeBackground(serveCtx)
 	<-ctx.Done()
 	n.stop()
@@ -164,6 +178,7 @@
 		addr := netip.AddrPortFrom(n.settings.Target.Addr(), port)
 		mux := http.NewServeMux()
 		mux.Handle(proxy.HeldPath, proxy.HeldHandler(n.gatekeeper))
+		mux.Handle(exchange.StatusPath, n.quotas.StatusHandler())
 		mux.Handle("/", promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{}))
 		listeners = append(listeners, listener{addr, mux})
 	}
@@ -199,6 +214,10 @@
 			notices.ServeHTTP(w, r)
 			return
 		}
+		if r.URL.Path == exchange.Path {
+			n.quotas.ServeHTTP(w, r)
+			return
+		}
 		n.follower.ServeHTTP(w, r)
 	})
 }
--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -129,6 +129,9 @@
 	"peer-broken":      "the connection to the process beside the target failed after the request was sent; it is not known whether the request ran",
 	"no-target":        "no target of the service was listed and in service in the route's home regions",
 	"link-busy":        "a link on the path of the request body is saturated: the link of the target's machine or the link to the only region with targets; small requests are still accepted",
+	"over-quota":       "the organisation's quota over all processes left no room; the cause of the line \"organisation is over its quota\" tells whether it exceeds its quota, or this process had no reply of a collector",
+	"unknown-key":      "no organisation of the configuration in force holds the key of the request",
+	"stale-keys":       "the process had no contact with the store for so long that it could not know whether the key is valid",
 	"no-configuration": "the process had just started and had no configuration yet",
 	"no-route":         "the configuration in force had no route for the host and path; compare its version with the version in force in other processes",
 	"suspected":        "the request was in flight when a target crashed and runs only at one target until that answers it; another suspect was running there",
@@ -145,13 +148,34 @@
 			return fmt.Sprintf("answered with status %s by %s after %s ms", l.Get("status"), l.Get("target"), l.Get("took"))
 		case events.NoRoute:
 			return fmt.Sprintf("configuration %s has no route for %s%s", l.Get("config"), l.Get("host"), l.Get("path"))
+		case events.KeyRefused:
+			return fmt.Sprintf("key refused with status 401: no organisation of configuration %s, in force with an age of %s ms, holds it; compare with the version that added or removed the key", l.Get("config"), l.Get("age"))
+		case events.QuotaRefused:
+			return "refused with status 429 by the quota of organisation " + l.Get("organisation") + ": " + describeQuota(l)
 		case events.RequestRefused, events.RequestFailed:
+			if l.Get("reason") == overQuota && i > 0 && lines[i-1].Event == events.QuotaRefused {
+				continue // that line says more
+			}
 			return fmt.Sprintf("%s with status %s (%s): %s", l.Event, l.Get("status"), l.Get("reason"), describeReason(l))
 		}
 	}
 	return "the logs do not show how the request ended; add the log of the instance that received it from the caller"
 }
 
+// overQuota is the reason of requests that were refused by the quota of their organisation.
+const overQuota = "over-quota"
+
+// describeQuota describes a refusal by a quota.
+func describeQuota(l Line) string {
+	switch l.Get("cause") {
+	case "unreported":
+		return "the process had admitted as many requests as it may between two reports; this is rare unless demand has just moved to it, or reports fail"
+	case "no-collector":
+		return "no collector replied to this process, which admits only its part of the quota until one does; see its lines \"collector of quotas replies\" and the links from its failure domain"
+	}
+	return fmt.Sprintf("it exceeds %s requests per second with a burst of %s over all processes, of which a fraction of %s was admitted", l.Get("rate"), l.Get("burst"), l.Get("fraction"))
+}
+
 // describeReason describes the reason of the line. If it has none, the status came from the target of the last attempt.
 func describeReason(line Line) string {
 	if text := causes[line.Get("reason")]; text != "" {
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -111,6 +111,7 @@
 	reasonQuarantined = "quarantined"
 	reasonUnknownKey  = "unknown-key"
 	reasonStaleKeys   = "stale-keys"
+	reasonOverQuota   = "over-quota"
 )
 
 // outcome is the result of a call.
--- a/proxy/frontend.go
+++ b/proxy/frontend.go
@@ -44,8 +44,10 @@
 	ApplyWithin time.Duration
 	// RevokeWithin is the age of the state from which on keys are not accepted any more, or 0 if it does not matter.
 	RevokeWithin time.Duration
-	Metrics      *Metrics
-	Rand         *rand.Rand
+	// Quotas bounds the requests of organisations. It may be nil.
+	Quotas  Quotas
+	Metrics *Metrics
+	Rand    *rand.Rand
 }
 
 // Frontend serves the callers of one instance. It is safe for concurrent use.
@@ -151,6 +153,9 @@
 		}
 		req.deadline = deadline
 	}
+	if !f.admit(w, req) {
+		return
+	}
 	if err := f.readBody(w, req); err != nil {
 		f.cfg.Log.Debug().Err(err).Str("request", r.Header.Get(f.cfg.Names.RequestID)).Msg(events.RequestBodyIncomplete)
 		f.refuse(w, req, noResponse(notRun, reasonCancelled))
@@ -358,8 +363,13 @@
 			status = http.StatusGatewayTimeout
 		}
 	case o.reason == reasonQuarantined:
+		f.refund(req)
 		status = http.StatusUnprocessableEntity
 	default:
+		if o.reason == reasonOverQuota {
+			status = http.StatusTooManyRequests
+		}
+		f.refund(req)
 		retryAfter = f.computeRetryAfter(req, o)
 		w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -19,8 +19,10 @@
 	route    *mesh.Route
 	// organisation is that of the caller's key, or nil.
 	organisation *mesh.Organisation
-	service      string
-	arrived      time.Time
+	// admitted is set once the request is counted towards the quota of its organisation.
+	admitted bool
+	service  string
+	arrived  time.Time
 	// softDeadline is the end of the latency objective. It counts from the caller's first attempt.
 	softDeadline time.Time
 	deadline     time.Time
--- a/quota/account.go
+++ b/quota/account.go
@@ -73,7 +73,7 @@
 	ownAt        time.Time
 }
 
-// NewAccount returns an account without a collector, whose own part of each quota is empty at now.
+// NewAccount returns an account without a collector, whose own part of each quota is one request at now.
 func NewAccount(now time.Time, id string, rng *rand.Rand) *Account {
 	return &Account{id: id, incarnation: rng.Uint64(), rand: rng, terms: &Terms{Processes: 1}, usage: map[string]*usage{}, repliedAt: now}
 }
@@ -101,6 +101,9 @@
 	u := a.usage[organisation]
 	if u == nil {
 		u = &usage{credit: a.rand.Float64(), ownAt: a.repliedAt}
+		if !a.leased {
+			u.own = 1 // the time until the first reply is short, and a request for each process is within the slack
+		}
 		a.usage[organisation] = u
 	}
 	u.counts.Offered++
@@ -128,7 +131,7 @@
 			return Decision{Cause: OverQuota, Wait: time.Duration(u.rule.WaitMs) * time.Millisecond, Fraction: fraction}
 		}
 	}
-	if unreported := u.counts.minus(u.settled).net() - u.ownUsed; fresh && unreported+1 <= allowance {
+	if unreported := u.counts.Minus(u.settled).net() - u.ownUsed; fresh && unreported+1 <= allowance {
 		u.credit = max(u.credit-1, 0)
 		return Decision{ReportNow: unreported+2 > allowance}
 	}
--- a/quota/collector.go
+++ b/quota/collector.go
@@ -14,6 +14,10 @@
 // the reporter states as settled.
 const memberMemory = time.Minute
 
+// ownMemory is the time for which a collector that decides itself keeps counts for another one that it may have to report to. What was used
+// before then was within its part of the quota.
+const ownMemory = time.Second
+
 // minRateAge is the age up to which an estimate of demand is too uncertain to be corrected further.
 const minRateAge = 400 * time.Millisecond
 
@@ -89,6 +93,9 @@
 type ledger struct {
 	// direct are the counts of processes, which the top collector does not get from other regions; settled those that it has confirmed.
 	direct, settled Counts
+	// mark holds the counts at markedAt, while this collector decides itself.
+	mark     Counts
+	markedAt time.Time
 	// demand is the estimate since that time.
 	demand decayingRate
 	since  time.Time
@@ -205,16 +212,19 @@
 			m.uses[u.Organisation] = use
 		}
 		before := use.counts.or(u.Settled)
-		added := u.Counts.minus(before)
+		added := u.Counts.Minus(before)
 		use.counts = before.or(u.Counts)
 		use.demand.add(now, added.demand())
 		l.demand.add(now, added.demand())
 		if !r.Region {
-			l.direct = l.direct.plus(added)
+			l.direct = l.direct.Plus(added)
 		}
 		if c.top {
 			// A debt beyond the excess would be of a time before the window.
 			l.level = max(l.level-added.net(), -c.terms.Bounds.excess(limit))
+			if now.Sub(l.markedAt) >= ownMemory {
+				l.settled, l.mark, l.markedAt = l.settled.or(l.mark), l.direct, now
+			}
 		}
 	}
 	return m
@@ -266,7 +276,7 @@
 		amount, g.named, g.low = float64(rule.Allowance), true, rule.Allowance < uint32(reporting)
 		g.fraction, g.wait = float64(rule.Fraction), time.Duration(rule.WaitMs)*time.Millisecond
 	}
-	g.amount = max(amount-l.direct.minus(l.settled).net(), 0)
+	g.amount = max(amount-l.direct.Minus(l.settled).net(), 0)
 	late := now.Sub(c.repliedAt) >= lateReply
 	g.named = g.named || g.amount < amount/2
 	g.low = g.low || late && g.amount < float64(reporting)
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -91,12 +91,13 @@
 // demand returns the number of requests that count as demand: those that were refunded come again.
 func (c Counts) demand() float64 { return float64(c.Offered) - float64(c.Refunded) }
 
-func (c Counts) plus(o Counts) Counts {
+// Plus returns the sums of the counts.
+func (c Counts) Plus(o Counts) Counts {
 	return Counts{Offered: c.Offered + o.Offered, Admitted: c.Admitted + o.Admitted, Refunded: c.Refunded + o.Refunded}
 }
 
-// minus returns the counts beyond o, which are 0 where o is larger.
-func (c Counts) minus(o Counts) Counts {
+// Minus returns the counts beyond o, which are 0 where o is larger.
+func (c Counts) Minus(o Counts) Counts {
 	return Counts{Offered: c.Offered - min(c.Offered, o.Offered), Admitted: c.Admitted - min(c.Admitted, o.Admitted), Refunded: c.Refunded - min(c.Refunded, o.Refunded)}
 }
 
