--- a/internal/trail/trail_test.go
+++ b/internal/trail/trail_test.go
@@ -37,12 +37,16 @@
 
 func TestCauseOfEachOutcome(t *testing.T) {
 	for text, want := range map[string]string{
-		`msg="request answered" status=200 target=i-1 took=12`:     "answered with status 200 by i-1",
-		`msg="no route" host=h path=/x config=4`:                   "configuration 4 has no route for h/x",
-		`msg="request failed" status=502 reason=peer-broken`:       "it is not known whether the request ran",
-		`msg="request failed" status=500 reason=- target=i-2`:      "target i-2 returned this status itself",
-		`msg="attempt ended" reason=busy`:                          "the logs do not show how the request ended",
-		`msg="request refused" status=503 reason=no-configuration`: "had just started",
+		`msg="request answered" status=200 target=i-1 took=12`:                   "answered with status 200 by i-1",
+		`msg="no route" host=h path=/x config=4`:                                 "configuration 4 has no route for h/x",
+		`msg="key refused" route=a config=4 age=12`:                              "no organisation of configuration 4",
+		`msg="organisation is over its quota" organisation=o cause=over-quota`:   "status 429 by the quota of organisation o: it exceeds",
+		`msg="organisation is over its quota" organisation=o cause=no-collector`: "admits only its part",
+		`msg="organisation is over its quota" organisation=o cause=unreported`:   "between two reports",
+		`msg="request failed" status=502 reason=peer-broken`:                     "it is not known whether the request ran",
+		`msg="request failed" status=500 reason=- target=i-2`:                    "target i-2 returned this status itself",
+		`msg="attempt ended" reason=busy`:                                        "the logs do not show how the request ended",
+		`msg="request refused" status=503 reason=no-configuration`:               "had just started",
 	} {
 		l, err := Parse("time=2026-03-31T07:10:37.000Z level=info " + text + " request=r")
 		if err != nil {
@@ -54,6 +58,15 @@
 	}
 }
 
+func TestRefusalByQuotaIsExplainedByItsOwnLine(t *testing.T) {
+	text := `time=2026-03-31T07:10:37.000Z level=info msg="organisation is over its quota" request=r organisation=o cause=over-quota rate=10 burst=5 fraction=0.25
+time=2026-03-31T07:10:37.000Z level=warn msg="request refused" request=r status=429 reason=over-quota`
+	lines, err := Collect("r", strings.NewReader(text))
+	if want := "exceeds 10 requests per second with a burst of 5 over all processes, of which a fraction of 0.25"; err != nil || !strings.Contains(Cause(lines), want) {
+		t.Errorf("got %q, %v, want %q", Cause(lines), err, want)
+	}
+}
+
 // Regression: an error response of the target was explained with the reason of an earlier attempt.
 func TestResponseOfTargetIsNotExplainedByEarlierAttempt(t *testing.T) {
 	var lines []Line
--- a/quota/collector.go
+++ b/quota/collector.go
@@ -16,7 +16,7 @@
 
 // ownMemory is the time for which a collector that decides itself keeps counts for another one that it may have to report to. What was used
 // before then was within its part of the quota.
-const ownMemory = time.Second
+const ownMemory = 400 * time.Millisecond
 
 // minRateAge is the age up to which an estimate of demand is too uncertain to be corrected further.
 const minRateAge = 400 * time.Millisecond
@@ -182,6 +182,8 @@
 func (c *Collector) settle(now time.Time, r *Report) *member {
 	id := memberID{r.From, r.Incarnation, r.Region}
 	m := c.members[id]
+	// The first report of a region may be about a longer time, during which its collector decided itself.
+	backlog := m == nil && r.Region
 	if m == nil {
 		for other, old := range c.members {
 			if now.Sub(old.lastReport) >= memberMemory {
@@ -214,8 +216,10 @@
 		before := use.counts.or(u.Settled)
 		added := u.Counts.Minus(before)
 		use.counts = before.or(u.Counts)
-		use.demand.add(now, added.demand())
-		l.demand.add(now, added.demand())
+		if !backlog {
+			use.demand.add(now, added.demand())
+			l.demand.add(now, added.demand())
+		}
 		if !r.Region {
 			l.direct = l.direct.Plus(added)
 		}
--- a/quota/exchange/exchange.go
+++ b/quota/exchange/exchange.go
@@ -1,8 +1,9 @@
 // Package exchange runs the accounts and collectors of package quota in the processes of a mesh, and carries their reports over HTTP.
 //
-// The collector of a region is the first process of the region's order that replies: the first, or the first one of another failure
-// domain, or the first one of the process's own failure domain, which is in reach if that domain is cut off. The top collector is that
-// of the first region. A collector that reaches none above it decides itself. Nothing is elected: whoever gets reports collects.
+// The collector of a region is the first of these that replies: the first process of the region's order, the first one of another failure
+// domain, the first one of the reporter's own failure domain, which is in reach if that domain is cut off. In a large region, each group
+// of processes has such a collector. The top collector is the first of one region. A collector that reaches none above it decides itself.
+// Nothing is elected: whoever gets reports collects.
 package exchange
 
 import (
@@ -44,6 +45,8 @@
 	reportTimeout = 250 * time.Millisecond
 	// ejectionTime is the time for which a process that did not reply gets no reports, unless there is no other.
 	ejectionTime = 2 * time.Second
+	// maxGroup is the maximum number of processes that report to one collector. A larger region has several, each for a group.
+	maxGroup = 64
 	// orderMemory is the time for which the order of collectors is used.
 	orderMemory = time.Second
 	// maxMessage is the maximum size of a report or reply in bytes: some ten thousand organisations.
@@ -342,7 +345,8 @@
 // itself; the latter end before the process.
 func collectors(state *mesh.State, order func(region string) []netip.Addr, self netip.Addr, region, domain string) (below, above []netip.Addr) {
 	own := order(region)
-	below = leaders(state, own)
+	groups := max((len(own)+maxGroup-1)/maxGroup, 1)
+	below = leaders(state, own[min(max(slices.Index(own, self), 0)%groups, len(own)):])
 	for _, addr := range own {
 		if addr == self || state.FailureDomainOf(addr) == domain {
 			if !slices.Contains(below, addr) {
--- a/quota/exchange/exchange_test.go
+++ b/quota/exchange/exchange_test.go
@@ -148,7 +148,7 @@
 		self                 int
 		region, domain, want string
 	}{
-		{1, "a", "a1", "1 3"}, {2, "a", "a2", "1 3"}, {4, "a", "a3", "1 3 4"}, {6, "b", "b1", "6 7"},
+		{0, "a", "a1", "1 3"}, {1, "a", "a1", "1 3"}, {2, "a", "a2", "1 3"}, {4, "a", "a3", "1 3 4"}, {6, "b", "b1", "6 7"},
 	} {
 		if below, _ := collectors(state, state.InstanceAddrs, address(test.self), test.region, test.domain); text(below) != test.want {
 			t.Errorf("process %d: got %s, want %s", test.self+1, text(below), test.want)
@@ -163,6 +163,21 @@
 	}
 }
 
+func TestLargeRegionHasSeveralCollectors(t *testing.T) {
+	domains := make([]string, 3*maxGroup)
+	for i := range domains {
+		domains[i] = "a" + fmt.Sprint(i%2)
+	}
+	state, reporters := newState(nil, domains...), map[netip.Addr]int{}
+	for i, domain := range domains {
+		below, _ := collectors(state, state.InstanceAddrs, address(i), "a", domain)
+		reporters[below[0]]++
+	}
+	if len(reporters) != 3 || reporters[address(0)] != maxGroup {
+		t.Errorf("got %v, want 3 collectors with %d processes each", reporters, maxGroup)
+	}
+}
+
 func TestMalformedReportIsRefused(t *testing.T) {
 	f := startFleet(t)
 	for body, want := range map[string]int{"\xff": http.StatusBadRequest, strings.Repeat("x", 2*maxMessage): http.StatusBadRequest} {
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -345,3 +345,30 @@
 		t.Errorf("%d requests were refused, though none ran", refused)
 	}
 }
+
+// TestFailedCollectorsCauseFewRefusals kills the collectors of both regions in turn, each for a second, while demand is below the quota.
+func TestFailedCollectorsCauseFewRefusals(t *testing.T) {
+	const maxShare = 1.0 / 200
+	for _, n := range []int{3, 78, 300} {
+		for _, limit := range []Limit{{7, 7}, {216, 216}} {
+			h := newHistory(5, n, limit)
+			rate := func(int) float64 { return limit.PerSecond / 1.6 / float64(n) }
+			h.run(2*time.Second, rate)
+			h.refused, h.offered = 0, nil
+			for k := range 12 {
+				h.processes[k%2].downTill = h.now + time.Second
+				h.start(k % 2)
+				h.run(5*time.Second, rate)
+			}
+			offered := 0
+			for _, k := range h.offered {
+				offered += k
+			}
+			share := float64(h.refused) / float64(offered)
+			t.Logf("%d processes, %v: %d of %d refused", n, limit, h.refused, offered)
+			if share > maxShare {
+				t.Errorf("%d processes, %v: %.4f refused, want at most %.4f", n, limit, share, maxShare)
+			}
+		}
+	}
+}
