--- a/proxy/call.go
+++ b/proxy/call.go
@@ -118,6 +118,7 @@
 	reasonStaleKeys   = "stale-keys"
 	reasonNoRoom      = "no-room"
 	reasonStalled     = "stalled"
+	reasonOverQuota   = "over-quota"
 )
 
 // outcome is the result of a call.
