--- a/internal/trail/trail.go
+++ b/internal/trail/trail.go
@@ -134,6 +134,8 @@
 	"stale-keys":       "the process had no contact with the store for so long that it could not know whether the key is valid",
 	"no-configuration": "the process had just started and had no configuration yet",
 	"no-route":         "the configuration in force had no route for the host and path; compare its version with the version in force in other processes",
+	"no-room":          "the process had no memory for the request's body; chervilwell_body_bytes shows what is in use",
+	"stalled":          "the caller paused in the middle of the body while others needed its room or its slot",
 	"suspected":        "the request was in flight when a target crashed and runs only at one target until that answers it; another suspect was running there",
 	"quarantined":      "the request crashed the targets that ran it; it must not be sent again, and the owner of the service has to find the cause",
 	"body-too-long":    "the request body exceeded the limit of the configuration",
