node: messages of other processes are read within the memory for bodies

The peers' listener read reports and notices of up to 1 MB each without a common bound; any client that reaches it can send them.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -229,11 +229,16 @@
 			calls.ServeHTTP(w, r)
 			return
 		}
+		proxy.LimitUnreadBody(w, r)
+		free, ok := n.receiveMessage(w, r)
+		defer free()
+		if !ok {
+			return
+		}
 		if proxy.IsQuarantineNotice(r) {
 			notices.ServeHTTP(w, r)
 			return
 		}
-		proxy.LimitUnreadBody(w, r)
 		if r.URL.Path == exchange.Path {
 			n.quotas.ServeHTTP(w, r)
 			return
