--- a/quota/collector.go
+++ b/quota/collector.go
@@ -96,7 +96,7 @@
 	// mark holds the counts at markedAt, while this collector decides itself.
 	mark     Counts
 	markedAt time.Time
-	// demand is the estimate since that time.
+	// demand is an estimate that began at since.
 	demand decayingRate
 	since  time.Time
 	// level is the level of the token bucket at levelAt. Below 0 it is a debt.
--- a/quota/exchange/exchange.go
+++ b/quota/exchange/exchange.go
@@ -12,6 +12,7 @@
 	"context"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -97,9 +98,10 @@
 // New returns an exchange that uses cfg.
 func New(cfg Config) *Exchange {
 	account := quota.NewAccount(clock.Now(), cfg.Self.String(), cfg.Rand)
+	dialer := net.Dialer{Timeout: reportTimeout}
 	return &Exchange{
 		cfg: cfg, account: account, collector: quota.NewCollector(account), wake: make(chan struct{}, 1), ejected: map[netip.Addr]time.Time{},
-		client: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, DisableCompression: true}},
+		client: &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1, DisableCompression: true}},
 	}
 }
 
@@ -135,7 +137,11 @@
 func (e *Exchange) Update(state *mesh.State) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if state.Config == nil {
+	if state.Config == nil || state.Config == e.config && !e.limited {
+		return
+	}
+	if !e.limited && !hasQuota(state.Config) {
+		e.config = state.Config
 		return
 	}
 	processes := max(len(state.InstanceAddrs("")), 1)
@@ -156,6 +162,11 @@
 	}
 }
 
+// hasQuota reports whether a configuration has an organisation with a quota.
+func hasQuota(config *mesh.Config) bool {
+	return slices.ContainsFunc(config.Organisations, func(o *mesh.Organisation) bool { return o.Quota.Limited() })
+}
+
 // Serve reports until ctx ends and returns the context's error. It implements suture.Service.
 func (e *Exchange) Serve(ctx context.Context) error {
 	var reportedAt, forwardedAt time.Time
