--- a/internal/bodyroom/bodyroom.go
+++ b/internal/bodyroom/bodyroom.go
@@ -29,7 +29,7 @@
 	slowAfter = 5 * time.Second
 	slowRate  = 8 << 10
 	// firstPiece is the memory in bytes that a sized body takes first. Each further piece doubles what the body has.
-	firstPiece = 64 << 10
+	firstPiece = 256 << 10
 	// firstUnsizedPiece is firstPiece for a body of unknown length.
 	firstUnsizedPiece = 8 << 10
 )
