--- a/mesh/config.go
+++ b/mesh/config.go
@@ -91,8 +91,40 @@
 	hosts         map[string][]*Route
 	// keys maps each key to the organisation that holds it.
 	keys map[string]*Organisation
+	// shares holds the shares of the organisations with quotas by name, and meanShare that of the others.
+	shares    map[string]float64
+	meanShare float64
 	// uploads is the set of services that routes of kind Upload lead to.
 	uploads map[string]bool
+	// downloads is the set of services that routes of kind Download lead to.
+	downloads map[string]bool
+	// boundRegions lists, by service, the regions to which requests for it are bound.
+	boundRegions map[string][]string
+}
+
+// BoundRegions returns the regions to which some of a service's requests are bound, by their route or their organisation. The
+// caller must not modify the slice.
+func (c *Config) BoundRegions(service string) []string { return c.boundRegions[service] }
+
+// addBoundRegions records the home regions of the routes and organisations.
+func (c *Config) addBoundRegions() {
+	add := func(service string, regions []string) {
+		for _, region := range regions {
+			if !slices.Contains(c.boundRegions[service], region) {
+				c.boundRegions[service] = append(c.boundRegions[service], region)
+			}
+		}
+	}
+	for _, r := range c.Routes {
+		for _, part := range r.Parts {
+			add(part.Service, r.HomeRegions)
+		}
+	}
+	for service := range c.Services {
+		for _, o := range c.Organisations {
+			add(service, o.HomeRegions)
+		}
+	}
 }
 
 // ErrConfig is returned for an invalid configuration. It is rejected as a whole, and the one in force stays in force.
@@ -100,7 +132,7 @@
 
 // NewConfig validates a configuration and builds its look-up tables. Errors wrap ErrConfig.
 func NewConfig(version uint64, routes []*Route, services []*Service, limits Limits, organisations ...*Organisation) (*Config, error) {
-	c := &Config{Version: version, Routes: routes, Services: make(map[string]*Service, len(services)), Limits: limits, hosts: map[string][]*Route{}, uploads: map[string]bool{}}
+	c := &Config{Version: version, Routes: routes, Services: make(map[string]*Service, len(services)), Limits: limits, hosts: map[string][]*Route{}, uploads: map[string]bool{}, downloads: map[string]bool{}, boundRegions: map[string][]string{}}
 	if err := c.addOrganisations(organisations); err != nil {
 		return nil, err
 	}
@@ -114,14 +146,19 @@
 		if err := c.checkRoute(r); err != nil {
 			return nil, err
 		}
-		if r.Kind == Upload {
-			for _, part := range r.Parts {
+		for _, part := range r.Parts {
+			switch r.Kind {
+			case Upload:
 				c.uploads[part.Service] = true
+			case Download:
+				c.downloads[part.Service] = true
+			case Safe, Once:
 			}
 		}
 		host := strings.ToLower(r.Host)
 		c.hosts[host] = append(c.hosts[host], r)
 	}
+	c.addBoundRegions()
 	for _, list := range c.hosts {
 		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
@@ -151,6 +188,9 @@
 // ReceivesUploads reports whether a route of kind Upload leads to a service.
 func (c *Config) ReceivesUploads(service string) bool { return c.uploads[service] }
 
+// SendsDownloads reports whether a route of kind Download leads to a service.
+func (c *Config) SendsDownloads(service string) bool { return c.downloads[service] }
+
 // Match returns the route of host with the longest prefix of path, or nil. The host may include a port.
 func (c *Config) Match(host, path string) *Route {
 	if i := strings.LastIndexByte(host, ':'); i >= 0 {
--- a/proxy/frontend.go
+++ b/proxy/frontend.go
@@ -17,6 +17,7 @@
 	"github.com/chervilwell/chervilwell/internal/clock"
 	"github.com/chervilwell/chervilwell/internal/events"
 	"github.com/chervilwell/chervilwell/internal/headers"
+	"github.com/chervilwell/chervilwell/internal/stream"
 	"github.com/chervilwell/chervilwell/mesh"
 	"github.com/chervilwell/chervilwell/quarantine"
 	"github.com/chervilwell/chervilwell/retrybudget"
@@ -44,8 +45,10 @@
 	ApplyWithin time.Duration
 	// RevokeWithin is the age of the state from which on keys are not accepted any more, or 0 if it does not matter.
 	RevokeWithin time.Duration
-	Metrics      *Metrics
-	Rand         *rand.Rand
+	// Quotas bounds the requests of organisations. It may be nil.
+	Quotas  Quotas
+	Metrics *Metrics
+	Rand    *rand.Rand
 }
 
 // Frontend serves the callers of one instance. It is safe for concurrent use.
@@ -159,6 +162,9 @@
 		}
 		req.deadline = deadline
 	}
+	if !f.admit(w, req) {
+		return
+	}
 	closeBody, err := f.readBody(w, req)
 	defer closeBody()
 	if err != nil {
@@ -199,7 +205,8 @@
 			return req.final(last)
 		}
 		last = f.attemptHedged(ctx, req, choice)
-		if last.run == ran && !f.retryableFailure(req, last) {
+		if f.succeeded(req, last) {
+			req.failedResponse.discard()
 			return last
 		}
 		req.recordAttempt(last)
@@ -254,6 +261,7 @@
 	f.crashes().apply(o.notice)
 	took := clock.Now().Sub(start)
 	f.cfg.Metrics.attempt(req.route.Kind, o, took)
+	f.observeRegion(req, choice, c, o)
 	f.recordOutcome(ctx, req, choice, o, took)
 	f.logAttempt(req, choice, o)
 	return o
@@ -283,10 +291,11 @@
 		req.retryAfter = o.retryAfter
 	}
 	f.observeLink(req, t, choice.Distance, o, took)
-	f.balancer.Ended(clock.Now(), choice, balance.Completion{
+	change := f.balancer.Ended(clock.Now(), choice, balance.Completion{
 		Route: req.route.Name, Result: result, Load: o.load, RunTime: o.took, ResponseBytes: len(o.body), RoundTrip: took - o.gatekeeperTime,
 		TargetLeaving: o.targetLeaving,
 	})
+	f.logRoom(change)
 }
 
 // shouldRetry reports whether another attempt is allowed after o. Attempts that did not reach a target are limited by
@@ -356,7 +365,7 @@
 	f.recordRequest(req, o, o.status, 0)
 	if err := writeBody(w, o); err != nil {
 		f.cfg.Log.Debug().Err(err).Str("request", req.incoming.Header.Get(f.cfg.Names.RequestID)).Msg(events.ResponseIncomplete)
-		panic(http.ErrAbortHandler) // aborts the connection so that the caller detects the truncated response
+		stream.Abort(w, req.incoming)
 	}
 }
 
@@ -370,8 +379,13 @@
 			status = http.StatusGatewayTimeout
 		}
 	case o.reason == reasonQuarantined:
+		f.refund(req)
 		status = http.StatusUnprocessableEntity
 	default:
+		if o.reason == reasonOverQuota {
+			status = http.StatusTooManyRequests
+		}
+		f.refund(req)
 		retryAfter = f.computeRetryAfter(req, o)
 		w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
--- a/proxy/peers.go
+++ b/proxy/peers.go
@@ -15,6 +15,7 @@
 	"github.com/chervilwell/chervilwell/internal/clock"
 	"github.com/chervilwell/chervilwell/internal/events"
 	"github.com/chervilwell/chervilwell/internal/httppool"
+	"github.com/chervilwell/chervilwell/internal/stream"
 	"github.com/chervilwell/chervilwell/mesh"
 )
 
@@ -120,7 +121,7 @@
 // PeerHandler returns the handler of calls from other frontends to the gatekeeper.
 func PeerHandler(k *Gatekeeper) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		c := &call{method: r.Method, uri: r.RequestURI, host: r.Host, header: r.Header, length: r.ContentLength, lifetime: r.Context()}
+		c := &call{method: r.Method, uri: r.RequestURI, host: r.Host, header: r.Header, length: r.ContentLength, lifetime: r.Context(), fromPeer: true}
 		LimitUnreadBody(w, r)
 		if err := parseCall(r.Header.Get(hopHeader), clock.Now(), c); err != nil {
 			k.cfg.Log.Warn().Err(err).Str("from", r.RemoteAddr).Msg(events.PeerMalformed)
@@ -143,9 +144,11 @@
 		if o.run != ran {
 			LimitUnreadBody(w, r)
 		}
+		w, done := k.paced(r.Context(), w, c, o)
+		defer done()
 		if err := writeOutcome(w, o); err != nil {
 			k.cfg.Log.Debug().Err(err).Msg(events.PeerDisconnected)
-			panic(http.ErrAbortHandler)
+			stream.Abort(w, r)
 		}
 	})
 }
