node: receive messages of other processes within the memory for bodies

Notices and quota reports were read up to 512 KiB and 1 MiB each, without a bound together: 700 connections at the peers' listener of a machine could hold 700 MB.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -1,7 +1,10 @@
 package node
 
 import (
+	"bytes"
+	"io"
 	"net"
+	"net/http"
 	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
@@ -31,6 +34,11 @@
 	headTimeoutSlack = 2 * time.Second
 	// hopHeadBytes is what a process may add to a caller's head, in bytes.
 	hopHeadBytes = 8 << 10
+	// smallMessageBytes is the size up to which a message needs no room among the longer bodies.
+	smallMessageBytes = 8 << 10
+	// maxMessageBytes is the longest message of another process, messageTimeout the time in which it has to arrive.
+	maxMessageBytes = 1 << 20
+	messageTimeout  = 5 * time.Second
 	// pauseForConn is the time for which a client must have paused in the middle of a body before its request is ended in favour of others.
 	pauseForConn = time.Second
 )
@@ -99,6 +107,42 @@
 	return l
 }
 
+// receiveMessage returns a handler that receives the body of a message of another process, within the memory for bodies, before it calls
+// next. Without room, or if the sender pauses while others need it, the answer is 503.
+func (n *Node) receiveMessage(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.ContentLength == 0 {
+			next.ServeHTTP(w, r)
+			return
+		}
+		body := n.bodies.Receive(r.Body, http.NewResponseController(w).SetReadDeadline)
+		defer body.Close()
+		if err := body.SetReadDeadline(time.Now().Add(messageTimeout)); err != nil {
+			return // the connection is closed
+		}
+		sized, limit := r.ContentLength > 0, int64(maxMessageBytes)
+		if sized {
+			limit = min(limit, r.ContentLength)
+		}
+		data, more, err := body.ReadUpTo(limit, sized, smallMessageBytes)
+		switch {
+		case err != nil:
+			w.Header().Set("Connection", "close")
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		case more || r.ContentLength > limit:
+			w.Header().Set("Connection", "close")
+			http.Error(w, "message is too long; run the same version everywhere", http.StatusRequestEntityTooLarge)
+			return
+		}
+		if err := body.SetReadDeadline(time.Time{}); err != nil {
+			return
+		}
+		r.Body = io.NopCloser(bytes.NewReader(data))
+		next.ServeHTTP(w, r)
+	})
+}
+
 // clientCollector collects the metrics of what clients use.
 type clientCollector struct{ node *Node }
 
--- a/internal/node/clients_test.go
+++ b/internal/node/clients_test.go
@@ -1,6 +1,10 @@
 package node
 
 import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -52,3 +56,41 @@
 		t.Errorf("other processes: %+v", got)
 	}
 }
+
+// Guards against messages of other processes, which any client can send, that are bounded one by one but not together.
+func TestMessagesNeedRoom(t *testing.T) {
+	n := New(&platform.Settings{}, Options{}, zerolog.Nop())
+	server := httptest.NewServer(n.receiveMessage(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(w, r.Body)
+	})))
+	t.Cleanup(server.Close)
+	check := func(length int64, sized bool, want int) {
+		t.Helper()
+		req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL, strings.NewReader(strings.Repeat("x", int(length))))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if !sized {
+			req.ContentLength = -1
+		}
+		resp, err := http.DefaultClient.Do(req)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		if n, _ := io.Copy(io.Discard, resp.Body); resp.StatusCode != want || want == http.StatusOK && n != length {
+			t.Errorf("%d bytes, sized %v: status %d, %d bytes", length, sized, resp.StatusCode, n)
+		}
+	}
+	for _, sized := range []bool{true, false} {
+		check(10, sized, http.StatusOK)
+		check(maxMessageBytes-1, sized, http.StatusOK)
+		check(maxMessageBytes+1, sized, http.StatusRequestEntityTooLarge)
+	}
+	room := bodyMemory(0)
+	if !n.bodies.TryAcquire(room) {
+		t.Fatalf("room is not given back: %+v", n.bodies.Usage())
+	}
+	check(10, true, http.StatusOK)
+	check(2*smallMessageBytes, true, http.StatusServiceUnavailable)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -223,7 +223,8 @@
 // peerHandler returns the handler for other processes: it serves their requests for the local target, their notices and their queries of
 // the state.
 func (n *Node) peerHandler(monitor *disconnect.Monitor) http.Handler {
-	calls, notices := monitor.Handler(proxy.PeerHandler(n.gatekeeper)), proxy.QuarantineHandler(n.gatekeeper)
+	calls, notices := monitor.Handler(proxy.PeerHandler(n.gatekeeper)), n.receiveMessage(proxy.QuarantineHandler(n.gatekeeper))
+	quotas := n.receiveMessage(n.quotas)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if proxy.IsCall(r) {
 			calls.ServeHTTP(w, r)
@@ -233,11 +234,11 @@
 			notices.ServeHTTP(w, r)
 			return
 		}
-		proxy.LimitUnreadBody(w, r)
 		if r.URL.Path == exchange.Path {
-			n.quotas.ServeHTTP(w, r)
+			quotas.ServeHTTP(w, r)
 			return
 		}
+		proxy.LimitUnreadBody(w, r)
 		n.follower.ServeHTTP(w, r)
 	})
 }
