--- a/proxy/frontend.go
+++ b/proxy/frontend.go
@@ -17,6 +17,7 @@
 	"github.com/chervilwell/chervilwell/internal/clock"
 	"github.com/chervilwell/chervilwell/internal/events"
 	"github.com/chervilwell/chervilwell/internal/headers"
+	"github.com/chervilwell/chervilwell/internal/stream"
 	"github.com/chervilwell/chervilwell/mesh"
 	"github.com/chervilwell/chervilwell/quarantine"
 	"github.com/chervilwell/chervilwell/retrybudget"
@@ -190,7 +191,8 @@
 			return req.final(last)
 		}
 		last = f.attemptHedged(ctx, req, choice)
-		if last.run == ran && !f.retryableFailure(req, last) {
+		if f.succeeded(req, last) {
+			req.failedResponse.discard()
 			return last
 		}
 		req.recordAttempt(last)
@@ -346,7 +348,7 @@
 	f.recordRequest(req, o, o.status, 0)
 	if err := writeBody(w, o); err != nil {
 		f.cfg.Log.Debug().Err(err).Str("request", req.incoming.Header.Get(f.cfg.Names.RequestID)).Msg(events.ResponseIncomplete)
-		panic(http.ErrAbortHandler) // aborts the connection so that the caller detects the truncated response
+		stream.Abort(w, req.incoming)
 	}
 }
 
