pacer: responses that are not read do not count as waiting

Cause: a response whose receiver is cut off stays in the schedule until its connection ends, and its length made the gatekeeper refuse downloads and report a wait that was not there. After 0.3 s without asking for its next part it does not count; TestStalledResponseHoldsUpNoOther checks it.

--- a/pacer/outbound.go
+++ b/pacer/outbound.go
@@ -19,6 +19,9 @@
 	// maxBacklog limits the responses that wait for the link, expressed as their transfer time. A caller that is told to come
 	// back later is served sooner than behind a longer backlog.
 	maxBacklog = 2 * time.Second
+	// stallTime is the time after which a response that has not asked for its next part counts as stalled: several round trips
+	// between regions, or the transfer of a few large responses over the receiver's own link.
+	stallTime = 300 * time.Millisecond
 	// defaultResponseBytes is the length assumed for the responses of a route without samples.
 	defaultResponseBytes = 64 << 10
 	// responseWeight is the EWMA weight of one response in the mean length of its route.
@@ -37,6 +40,8 @@
 
 	left   int64
 	asking bool
+	// grantedAt is the time of the last grant.
+	grantedAt time.Time
 }
 
 // Outbound schedules the large responses that leave over a machine's link, so that small messages do not queue behind them. Responses
@@ -120,7 +125,7 @@
 func (o *Outbound) wait(now time.Time, late bool) time.Duration {
 	bytes := o.expected
 	for _, r := range o.responses {
-		if late || !o.isLate(now, r) {
+		if (late || !o.isLate(now, r)) && !r.stalled(now) {
 			bytes += float64(r.left)
 		}
 	}
@@ -176,7 +181,7 @@
 			bytes = min(r.left, partBytes)
 		}
 		r.left = max(r.left-bytes, 0)
-		r.asking = false
+		r.asking, r.grantedAt = false, now
 		if o.freeAt.Before(now) {
 			o.freeAt = now
 		}
@@ -215,6 +220,11 @@
 	return a.SoftDeadline.Before(b.SoftDeadline)
 }
 
+// stalled reports whether the receiver of a response does not read it, so that it does not use the link at present.
+func (r *Response) stalled(now time.Time) bool {
+	return !r.asking && !r.grantedAt.IsZero() && now.Sub(r.grantedAt) > stallTime
+}
+
 // isLate reports whether a response would miss its objective even if the link carried nothing else.
 func (o *Outbound) isLate(now time.Time, r *Response) bool {
 	return now.Add(o.TransferTime(float64(r.left))).After(r.SoftDeadline)
--- a/pacer/outbound_test.go
+++ b/pacer/outbound_test.go
@@ -135,6 +135,12 @@
 	if granted != 1 || other.arrived.After(other.SoftDeadline) {
 		t.Errorf("%d parts granted to the stalled one; the other arrived after %v", granted, other.arrived.Sub(epoch))
 	}
+	if wait := o.Wait(epoch.Add(100 * time.Millisecond)); wait < o.TransferTime(bytes-partBytes) {
+		t.Errorf("wait of %v while the first response is being sent", wait)
+	}
+	if wait := o.Wait(epoch.Add(time.Second)); wait > 0 {
+		t.Errorf("wait of %v behind a response that is not read", wait)
+	}
 	o.Remove(epoch.Add(time.Minute), stalled)
 	if o.Waiting() != 0 || o.Wait(epoch.Add(time.Minute)) != 0 {
 		t.Errorf("%d responses and a wait of %v remain", o.Waiting(), o.Wait(epoch.Add(time.Minute)))
