proxy: a response on a narrow link is given up at the call's deadline

A receiver that stopped reading without closing its connection, as one behind a cut link does, held the response in memory until the connection ended. TestResponseThatIsNotReadLeavesScheduleAtDeadline fails without the deadline.

--- a/proxy/response.go
+++ b/proxy/response.go
@@ -72,13 +72,16 @@
 	waited time.Duration
 }
 
-// paced returns a writer for the response to a call, which is w unless the response is large and leaves over a narrow link. The caller
-// must call done after the response has been written.
+// paced returns a writer for the response to a call, which is w unless the response is large and leaves over a narrow link. Writing fails
+// once the deadline of the call is over, also if the receiver does not read. The caller must call done after the response has been written.
 func (k *Gatekeeper) paced(ctx context.Context, w http.ResponseWriter, c *call, o *outcome) (_ http.ResponseWriter, done func()) {
 	if o.run != ran || o.length < pacer.LargeMessageBytes || !k.schedulesResponse(k.cfg.Holder.Load(), c) {
 		return w, func() {}
 	}
 	p := &pacedWriter{ResponseWriter: w, ctx: ctx, keeper: k, granted: make(chan int, 1)}
+	if err := http.NewResponseController(w).SetWriteDeadline(time.Now().Add(remaining(c.deadline) + responseSlack)); err != nil {
+		return w, func() {}
+	}
 	p.response = &pacer.Response{Priority: c.priority, SoftDeadline: c.softDeadline, Grant: func(bytes int) { p.granted <- bytes }}
 	k.mu.Lock()
 	defer k.mu.Unlock()
@@ -122,6 +125,7 @@
 
 // done removes the response from the link's schedule.
 func (p *pacedWriter) done() {
+	_ = http.NewResponseController(p.ResponseWriter).SetWriteDeadline(time.Time{}) // fails only on a connection that has ended
 	k := p.keeper
 	k.cfg.Metrics.linkWait.Observe(p.waited.Seconds())
 	k.mu.Lock()
--- a/proxy/response_test.go
+++ b/proxy/response_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"reflect"
@@ -86,6 +87,29 @@
 	}
 }
 
+// Guards against a response that stays in the schedule, and in memory, behind a receiver that stopped reading without closing its
+// connection, as one behind a cut link does.
+func TestResponseThatIsNotReadLeavesScheduleAtDeadline(t *testing.T) {
+	c := startDownloads(t, 8<<20) // more than the buffers of the connection hold
+	k := c.nodes[1].gatekeeper
+	waiting := func() int {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		return k.outbound.Waiting()
+	}
+	k.outbound = pacer.NewOutbound(pacer.WideLinkRate - 1)
+	peer := dialRaw(t, c.nodes[1].peerAddr)
+	now := time.Now()
+	const timeout = time.Second
+	fmt.Fprintf(peer, "GET / HTTP/1.1\r\nHost: h.example\r\nX-Id: id\r\n%s: %s\r\n\r\n", hopHeader, formatCall(&call{
+		targetID: "t1", startedMs: 1, route: "route", caller: "caller0", retryable: true, softDeadline: now.Add(timeout), deadline: now.Add(timeout),
+	}, now))
+	waitFor(t, "the response to be sent", func() bool { return waiting() == 1 })
+	if !holdsWithin(timeout+leaveTimeout, func() bool { return waiting() == 0 }) {
+		t.Errorf("the response is still scheduled %v after its deadline", leaveTimeout)
+	}
+}
+
 func TestOutcomeRoundTrip(t *testing.T) {
 	for _, load := range []*gate.Load{
 		nil,
