--- a/proxy/response.go
+++ b/proxy/response.go
@@ -23,7 +23,10 @@
 	now, bytes := clock.Now(), k.outbound.MeanBytes(c.route)
 	c.transfer = k.outbound.TransferTime(bytes)
 	run, latest, late := k.gate.Expect(now, k.gateRequest(c))
-	if fits, retryAfter := k.outbound.Fits(now, bytes, run, latest.Add(c.transfer), late); !fits {
+	if latest = latest.Add(c.transfer); latest.After(c.deadline) { // the gate's limit leaves time for the response only within the objective
+		latest = c.deadline
+	}
+	if fits, retryAfter := k.outbound.Fits(now, bytes, run, latest, late); !fits {
 		o := noResponse(notRun, reasonLinkBusy)
 		o.retryAfter = max(retryAfter, minRetryAfter)
 		k.logLinkBusy(now)
