--- a/pacer/outbound.go
+++ b/pacer/outbound.go
@@ -8,7 +8,7 @@
 // Limits of large responses.
 const (
 	// outboundShare is the fraction of a machine's link that large responses may use. The rest is for small responses, calls, state
-	// and the headers of packets, some 0.12 of a link of 10 Mbit/s, and for the link not to queue at its rate.
+	// and the headers of packets; with less than that the link queues.
 	outboundShare = 0.75
 	// partBytes is the size in bytes of the parts in which large responses are sent, so that a more urgent one need not wait for
 	// the end of another.
--- a/pacer/outbound_test.go
+++ b/pacer/outbound_test.go
@@ -50,8 +50,8 @@
 	return longest
 }
 
-// Load pattern: ten downloads of 90 KB leave a machine with 10 Mbit/s at the same moment, for which the schedule has 0.96 s. A small response or the
-// handshake of a connection waits for at most two parts, and the link does not idle.
+// Load pattern: ten downloads of 90 KB leave a machine with 10 Mbit/s at the same moment, for which the schedule has 0.96 s. A small response
+// or the handshake of a connection waits for at most two parts, and the link does not idle.
 func TestSmallMessagesPassLargeResponses(t *testing.T) {
 	const rate, bytes = 10e6 / 8, 90_000
 	o := NewOutbound(rate)
