httppool, proxy: one function forms request targets; a path reaches the target as it was sent

A path that begins with two slashes was sent as an absolute URI, with another host and path. httppool.SetTarget sets the target of a request for all senders (calls, health checks, notices, the larger product), and a Pool sends it byte for byte; the query is not taken apart any more. An absolute URI of a caller is sent in origin form (httppool.OriginForm), and a route is matched on what is sent. The larger product lost an empty query and escaped bytes that are allowed unescaped; it still matches routes on the decoded path, since prefixes of its catalogue are not escaped.

--- a/internal/frontend/transport.go
+++ b/internal/frontend/transport.go
@@ -7,7 +7,6 @@
 	"io"
 	"net"
 	"net/http"
-	"net/url"
 	"sync"
 	"time"
 
@@ -174,13 +173,8 @@
 
 func (a *Attempt) prepare() *http.Request {
 	out := a.Request
-	out.URL = &url.URL{
-		Scheme:   "https",
-		Host:     a.Target.RequestAddr,
-		Path:     a.Request.URL.Path,
-		RawPath:  a.Request.URL.RawPath,
-		RawQuery: a.Request.URL.RawQuery,
-	}
+	target, _ := httppool.OriginForm(out) // a request without a path has no route
+	httppool.SetTarget(out, a.Target.RequestAddr, target)
 	out.RequestURI = ""
 	out.Header[headers.Route] = []string{a.Route}
 	out.Header[headers.Organisation] = []string{a.Organisation}
--- a/internal/gatekeeper/gatekeeper.go
+++ b/internal/gatekeeper/gatekeeper.go
@@ -5,7 +5,6 @@
 import (
 	"context"
 	"net/http"
-	"net/url"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -327,13 +326,8 @@
 	r := call.Request
 	headers.StripHopByHop(r.Header)
 	out := r.WithContext(ctx)
-	out.URL = &url.URL{
-		Scheme:   "http",
-		Host:     g.config.TargetAddr,
-		Path:     r.URL.Path,
-		RawPath:  r.URL.RawPath,
-		RawQuery: r.URL.RawQuery,
-	}
+	target, _ := httppool.OriginForm(r) // a request without a path has no route
+	httppool.SetTarget(out, g.config.TargetAddr, target)
 	out.RequestURI = ""
 	out.Close = false
 	if r.ContentLength == 0 {
--- a/internal/httppool/conn.go
+++ b/internal/httppool/conn.go
@@ -186,7 +186,7 @@
 }
 
 func (x *exchange) write(req *http.Request) error {
-	if err := req.Write(x.out); err != nil {
+	if err := writeTo(x.out, req); err != nil {
 		return err
 	}
 	return x.out.Flush()
--- a/proxy/frontend.go
+++ b/proxy/frontend.go
@@ -17,6 +17,7 @@
 	"github.com/chervilwell/chervilwell/internal/clock"
 	"github.com/chervilwell/chervilwell/internal/events"
 	"github.com/chervilwell/chervilwell/internal/headers"
+	"github.com/chervilwell/chervilwell/internal/httppool"
 	"github.com/chervilwell/chervilwell/internal/stream"
 	"github.com/chervilwell/chervilwell/mesh"
 	"github.com/chervilwell/chervilwell/quarantine"
@@ -124,8 +125,12 @@
 		f.refuse(w, req, o)
 		return
 	}
-	path, _, _ := strings.Cut(r.RequestURI, "?")
-	req.route = req.state.Config.Match(r.Host, path)
+	target, ok := httppool.OriginForm(r)
+	path, _, _ := strings.Cut(target, "?")
+	if ok {
+		r.RequestURI = target // sent as it was matched
+		req.route = req.state.Config.Match(r.Host, path)
+	}
 	if req.route == nil {
 		if f.cfg.LogBudget.Allow() {
 			f.cfg.Log.Info().Str("request", r.Header.Get(f.cfg.Names.RequestID)).Str("host", r.Host).Str("path", path).
--- a/proxy/gatekeeper.go
+++ b/proxy/gatekeeper.go
@@ -6,9 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"net/url"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -489,13 +487,12 @@
 	return newRequest(ctx, c, k.cfg.Addr.String())
 }
 
-// newRequest builds a request to addr with the method, URI, headers and body of the call unchanged.
+// newRequest builds a request to addr with the method, path, query, headers and body of the call unchanged.
 func newRequest(ctx context.Context, c *call, addr string) *http.Request {
-	path, query, forced := strings.Cut(c.uri, "?")
 	req := &http.Request{
-		Method: c.method, URL: &url.URL{Scheme: "http", Host: addr, Opaque: path, RawQuery: query, ForceQuery: forced && query == ""},
-		Host: c.host, Header: c.header, ContentLength: c.length, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Method: c.method, Host: c.host, Header: c.header, ContentLength: c.length, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
+	httppool.SetTarget(req, addr, c.uri)
 	stream.SuppressDefaultUserAgent(c.header)
 	setBody(req, c)
 	return req.WithContext(ctx)
--- a/proxy/health.go
+++ b/proxy/health.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"net/url"
 	"strconv"
 	"time"
 
@@ -11,6 +10,7 @@
 
 	"github.com/chervilwell/chervilwell/internal/clock"
 	"github.com/chervilwell/chervilwell/internal/events"
+	"github.com/chervilwell/chervilwell/internal/httppool"
 )
 
 // Timeouts and intervals of health checks. Each check occupies a slot of the target.
@@ -125,9 +125,10 @@
 	ctx, cancel := context.WithTimeout(context.Background(), healthCheckTimeout)
 	defer cancel()
 	req := &http.Request{
-		Method: http.MethodGet, URL: &url.URL{Scheme: "http", Host: k.cfg.Addr.String(), Opaque: path}, Host: k.cfg.Addr.String(),
+		Method: http.MethodGet, Host: k.cfg.Addr.String(),
 		Header: http.Header{"User-Agent": {""}}, Body: http.NoBody, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
+	httppool.SetTarget(req, k.cfg.Addr.String(), path)
 	k.cfg.Metrics.healthChecks.Inc()
 	sent := clock.Now()
 	k.mu.Lock()
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -82,7 +82,7 @@
 	return append([]received(nil), s.received...)
 }
 
-func startFakeTarget(t *testing.T, ip string) *fakeTarget {
+func startFakeTarget(t testing.TB, ip string) *fakeTarget {
 	t.Helper()
 	l, err := net.Listen("tcp4", ip+":0")
 	if err != nil {
@@ -196,9 +196,9 @@
 const testService = "s"
 
 // startCluster starts two processes in separate failure domains.
-func startCluster(t *testing.T, kind mesh.Kind) *cluster { return startClusterOf(t, kind, 2) }
+func startCluster(t testing.TB, kind mesh.Kind) *cluster { return startClusterOf(t, kind, 2) }
 
-func startClusterOf(t *testing.T, kind mesh.Kind, size int) *cluster {
+func startClusterOf(t testing.TB, kind mesh.Kind, size int) *cluster {
 	t.Helper()
 	c := &cluster{replica: mesh.NewReplica(), monitor: disconnect.NewMonitor(func(err error) { t.Error(err) })}
 	var port uint16
@@ -242,7 +242,7 @@
 }
 
 // setConfig puts a configuration with one route for all requests, and organisations, in force.
-func (c *cluster) setConfig(t *testing.T, version uint64, kind mesh.Kind, public bool, organisations ...*mesh.Organisation) {
+func (c *cluster) setConfig(t testing.TB, version uint64, kind mesh.Kind, public bool, organisations ...*mesh.Organisation) {
 	t.Helper()
 	config, err := mesh.NewConfig(version, []*mesh.Route{{
 		Name: "route", Host: "h.example", Prefix: "/", Kind: kind, Timeout: time.Second, Objective: 500 * time.Millisecond,
--- a/proxy/quarantine.go
+++ b/proxy/quarantine.go
@@ -9,7 +9,6 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
-	"net/url"
 	"slices"
 	"time"
 
@@ -18,6 +17,7 @@
 
 	"github.com/chervilwell/chervilwell/internal/clock"
 	"github.com/chervilwell/chervilwell/internal/events"
+	"github.com/chervilwell/chervilwell/internal/httppool"
 	"github.com/chervilwell/chervilwell/internal/periodic"
 	"github.com/chervilwell/chervilwell/mesh"
 	"github.com/chervilwell/chervilwell/quarantine"
@@ -172,9 +172,10 @@
 	defer cancel()
 	host := netip.AddrPortFrom(addr, p.port).String()
 	req := &http.Request{
-		Method: method, URL: &url.URL{Scheme: "http", Host: host, Opaque: QuarantinePath}, Host: host, Header: http.Header{"User-Agent": {""}},
+		Method: method, Host: host, Header: http.Header{"User-Agent": {""}},
 		Body: http.NoBody, ContentLength: int64(len(data)), Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
+	httppool.SetTarget(req, host, QuarantinePath)
 	if len(data) > 0 {
 		req.Body = io.NopCloser(bytes.NewReader(data))
 	}
