--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -197,7 +197,7 @@
 
 // listenOnOnePort listens on the same port of several loopback addresses. A port that is free on the first address may be in use on
 // another one; then it tries the next.
-func listenOnOnePort(t *testing.T, size int) []net.Listener {
+func listenOnOnePort(t testing.TB, size int) []net.Listener {
 	t.Helper()
 	const tries = 20
 	var err error
