quarantine, proxy: a long body is known by a digest of what passes

Requests whose body is not held in memory were known by path and length only, so that answers to other uploads of the same path and length cleared the one that crashes its targets, and a crash convicted the others. The gatekeeper computes a digest of the body as it passes, without a copy, and the request is known by its head and by what had passed of its body. Once one is suspected, frontends read the bodies of requests with the same head completely, as far as there is room, and otherwise the gatekeeper keeps back the end of the body until its digest is known. A call states in the lowest bit of its fingerprint that this covers the head only.

--- a/proxy/call.go
+++ b/proxy/call.go
@@ -68,6 +68,9 @@
 	caller    string
 	// fingerprint identifies the request over the attempts of its caller.
 	fingerprint quarantine.Fingerprint
+	// prefix is what the fingerprint covers of a long body. digest is that of the body if it is not in memory when the call runs.
+	prefix quarantine.Prefix
+	digest *quarantine.Digest
 	// atHome is set if the frontend knows the request as a suspect and has chosen its home. notice is what it knows.
 	atHome bool
 	notice *quarantine.Notice
--- a/proxy/crash.go
+++ b/proxy/crash.go
@@ -50,15 +50,14 @@
 	f(t.list, clock.Now())
 }
 
-// fingerprint identifies a request by its method, host, path, query and body. Of a body that is not buffered only the start and the
-// length count. The caller's service does not count: it is that of the instance, and a caller may send a request again at any instance.
+// fingerprint identifies a request by its method, host, path, query and body, which is in memory. The caller's service does not count: it is that of the instance, and a caller may send a request again at any instance.
 func fingerprint(req *request) quarantine.Fingerprint {
 	in := req.incoming
 	r := quarantine.Request{Route: in.Host, Method: in.Method, Target: in.RequestURI}
-	if len(req.body) > 0 || req.rest != nil {
+	if len(req.body) > 0 {
 		r.BodyDigest = xxhash.Sum64(req.body) + uint64(req.length)
 	}
-	return quarantine.FingerprintOf(r)
+	return quarantine.FingerprintOf(r) &^ headOnly
 }
 
 // callLabel describes the request of a call to operators. It does not refer to the call, whose body would stay in memory with it.
@@ -128,7 +127,7 @@
 // beginRun records that a call is about to be sent to the target. It returns the outcome if the call is refused, since its state has
 // changed while it waited.
 func (k *Gatekeeper) beginRun(c *call) (*quarantine.Run, *outcome) {
-	run := &quarantine.Run{Fingerprint: c.fingerprint, Label: &callLabel{c.method, c.host, c.uri, c.caller}}
+	run := &quarantine.Run{Fingerprint: c.fingerprint, Body: c.digest, Prefix: c.prefix, Label: &callLabel{c.method, c.host, c.uri, c.caller}}
 	var v quarantine.Verdict
 	k.crashes.withList(func(l *quarantine.List, now time.Time) { v = l.Begin(now, run, c.atHome) })
 	return run, k.refusal(c, v)
@@ -143,6 +142,7 @@
 	how := [...]quarantine.Ending{ran: quarantine.Answered, notRun: quarantine.NotRun, unknown: quarantine.Unanswered}[o.run]
 	var notice quarantine.Notice
 	k.crashes.withList(func(l *quarantine.List, now time.Time) { notice = l.End(now, run, how) })
+	c.fingerprint = run.Fingerprint
 	k.spread(notice)
 	if how == quarantine.Unanswered && !run.Crashed() {
 		k.watchUnanswered(c.incarnation())
--- a/proxy/frontend.go
+++ b/proxy/frontend.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/rs/zerolog"
+	"golang.org/x/sync/semaphore"
 
 	"github.com/chervilwell/chervilwell/balance"
 	"github.com/chervilwell/chervilwell/internal/clock"
@@ -66,11 +67,13 @@
 	splits    map[string]*split
 	deadlines callerDeadlines
 	links     links
+	// identified limits the long bodies that are read completely to identify their requests.
+	identified *semaphore.Weighted
 }
 
 // NewFrontend returns a frontend that uses cfg.
 func NewFrontend(cfg FrontendConfig) *Frontend {
-	f := &Frontend{cfg: cfg, budgets: map[string]*retrybudget.Budget{}, splits: map[string]*split{}, links: links{}, deadlines: callerDeadlines{}}
+	f := &Frontend{cfg: cfg, budgets: map[string]*retrybudget.Budget{}, splits: map[string]*split{}, links: links{}, deadlines: callerDeadlines{}, identified: semaphore.NewWeighted(maxIdentifiedBodies)}
 	f.running, f.end = context.WithCancel(context.Background())
 	f.balancer = balance.New(balance.Location{FailureDomain: cfg.FailureDomain, Region: cfg.Region, IsLocal: f.isLocal}, cfg.Rand)
 	return f
@@ -157,12 +160,15 @@
 		}
 		req.deadline = deadline
 	}
-	if err := f.readBody(w, req); err != nil {
+	err := f.readBody(w, req)
+	if err == nil {
+		err = f.identifyRequest(req)
+	}
+	if err != nil {
 		f.cfg.Log.Debug().Err(err).Str("request", r.Header.Get(f.cfg.Names.RequestID)).Msg(events.RequestBodyIncomplete)
 		f.refuse(w, req, noResponse(notRun, reasonCancelled))
 		return
 	}
-	req.fingerprint = fingerprint(req)
 	abandoned := watchAbandonment(r.Context())
 	defer abandoned.stop()
 	o := f.forward(r.Context(), req)
--- a/proxy/gatekeeper.go
+++ b/proxy/gatekeeper.go
@@ -232,6 +232,9 @@
 		freeBody, o = k.receiveBody(ctx, c)
 		defer freeBody()
 	}
+	if o == nil {
+		o = k.identify(c)
+	}
 	if o == nil {
 		o = k.admit(ctx, c)
 	}
@@ -473,6 +476,10 @@
 func (k *Gatekeeper) targetFailure(ctx context.Context, err error) *outcome {
 	o := noResponse(unknown, failureReason(ctx, reasonBroken))
 	o.arrived = true
+	if errors.Is(err, errSuspectBody) {
+		o.reason, o.err = reasonSuspected, err
+		return o
+	}
 	if errors.Is(err, httppool.ErrNotWritten) {
 		o = noResponse(notRun, failureReason(ctx, reasonTargetDown))
 	}
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -29,6 +29,8 @@
 	length       int64
 	// fingerprint identifies the request over the attempts of its caller. It is set once the body has been read.
 	fingerprint quarantine.Fingerprint
+	// head is the fingerprint of the request without its body. It is set if the body was too long to be read completely.
+	head quarantine.Fingerprint
 	// atHome is set if the present attempt is that of a suspect at its home.
 	atHome bool
 	// setReadDeadline sets the deadline of reads from rest. It is set if rest is.
@@ -142,7 +144,7 @@
 		setReadDeadline: req.setReadDeadline, lifetime: req.incoming.Context(),
 		targetID: t.ID, startedMs: t.StartedMs, route: req.route.Name, priority: f.rank(req),
 		retryable: req.route.Kind.Retryable(), caller: f.cfg.Service, softDeadline: req.softDeadline, deadline: req.deadline,
-		fingerprint: req.fingerprint, atHome: atHome,
+		fingerprint: req.hopFingerprint(), atHome: atHome,
 	}
 	if atHome {
 		c.notice = f.crashes().about(req.fingerprint)
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -160,6 +160,8 @@
 	ExpiresInMs int64 `cbor:"4,keyasint"`
 	// Label describes the request to operators. It may be empty.
 	Label string `cbor:"5,keyasint,omitempty"`
+	// Prefix is set for a request that is known by its head and the start of its body.
+	Prefix Prefix `cbor:"6,keyasint,omitzero"`
 }
 
 // Notice informs other instances of crashes and clearances.
@@ -192,6 +194,7 @@
 	since       time.Time
 	until       time.Time
 	label       string
+	prefix      Prefix
 }
 
 // suspected returns the number of crashes that are not cleared, and whether one of them was caused by no other request.
@@ -210,6 +213,11 @@
 	// Fingerprint identifies the request; Label describes it to operators and may be nil.
 	Fingerprint Fingerprint
 	Label       fmt.Stringer
+	// Body is set if the request's body is passed on while it is read, so that its fingerprint follows from what has passed. Fingerprint
+	// is that of the request's head then, until the end of the run.
+	Body *Digest
+	// Prefix is what the fingerprint covers of a request with a long body. It is set by the List if Body is set.
+	Prefix Prefix
 	// crash is the ID of the crash of the target that ended the run; valid if crashed is set.
 	crash   uint64
 	crashed bool
@@ -319,6 +327,7 @@
 // End records the end of a run. The returned notice announces a clearance; send it unless it is Empty.
 func (l *List) End(now time.Time, r *Run, how Ending) Notice {
 	delete(l.running, r)
+	r.identify()
 	if l.trial == r {
 		l.trial = nil
 	}
@@ -408,7 +417,8 @@
 	suspects := map[Fingerprint]*Run{}
 	for r := range l.running {
 		r.crash, r.crashed = id, true
-		if l.trial == nil && !l.answeredLately(now, r.Fingerprint) {
+		r.identify()
+		if l.trial == nil && !r.unidentified() && !l.answeredLately(now, r.Fingerprint) {
 			suspects[r.Fingerprint] = r
 		}
 	}
@@ -417,7 +427,7 @@
 		l.trial = nil
 	} else {
 		for _, u := range l.unanswered {
-			if now.Sub(u.at) < unansweredTTL && !l.answeredLately(now, u.run.Fingerprint) {
+			if now.Sub(u.at) < unansweredTTL && !u.run.unidentified() && !l.answeredLately(now, u.run.Fingerprint) {
 				suspects[u.run.Fingerprint] = u.run
 			}
 		}
@@ -426,7 +436,7 @@
 	clear(l.running)
 	n := Notice{From: l.self, Down: []string{target}}
 	for f, r := range suspects {
-		record := Record{Fingerprint: f, Crashes: []Crash{{ID: id, Alone: len(suspects) == 1}}, ExpiresInMs: SuspicionTTL.Milliseconds()}
+		record := Record{Fingerprint: f, Crashes: []Crash{{ID: id, Alone: len(suspects) == 1}}, ExpiresInMs: SuspicionTTL.Milliseconds(), Prefix: r.Prefix}
 		if r.Label != nil {
 			record.Label = r.Label.String()
 		}
@@ -446,6 +456,7 @@
 	e := l.entries[f]
 	return Record{
 		Fingerprint: f, Crashes: slices.Clone(e.crashes), Quarantined: e.quarantined, ExpiresInMs: e.until.Sub(now).Milliseconds(), Label: e.label,
+		Prefix: e.prefix,
 	}
 }
 
@@ -473,7 +484,7 @@
 	known := l.entry(now, r.Fingerprint)
 	e := known
 	if e == nil {
-		e = &entry{since: now, label: r.Label[:min(len(r.Label), maxLabelBytes)]}
+		e = &entry{since: now, label: r.Label[:min(len(r.Label), maxLabelBytes)], prefix: r.Prefix}
 	}
 	news := false
 	for _, c := range r.Crashes[:min(len(r.Crashes), maxCrashes)] {
