proxy: an early answer reaches a sender that pauses

The server waited for the rest of the request's body before it sent an answer that came early, so that the answer of a target at another instance was kept back while its caller paused in its body.

Before: TestEarlyResponseReachesCallerThatPauses fails 2 of 4 cases (remote target, with a length and in chunks); after: passes (3 runs, 1 with -race).

--- a/proxy/frontend.go
+++ b/proxy/frontend.go
@@ -355,6 +355,7 @@
 		h[name] = values
 	}
 	f.recordRequest(req, o, o.status, 0)
+	answerEarly(w, req.rest)
 	if err := writeBody(w, o); err != nil {
 		f.cfg.Log.Debug().Err(err).Str("request", req.incoming.Header.Get(f.cfg.Names.RequestID)).Msg(events.ResponseIncomplete)
 		stream.Abort(w, req.incoming)
--- a/proxy/hop.go
+++ b/proxy/hop.go
@@ -185,5 +185,13 @@
 	return err
 }
 
+// answerEarly makes the server send a response at once although the rest of the request's body, or nil, may not have been read. By default it
+// waits for a sender that pauses. The rest is discarded, and the connection closed if it is long.
+func answerEarly(w http.ResponseWriter, rest io.Reader) {
+	if rest != nil {
+		_ = http.NewResponseController(w).EnableFullDuplex() // fails only for protocols that never wait
+	}
+}
+
 // remaining returns the time until t.
 func remaining(t time.Time) time.Duration { return t.Sub(clock.Now()) }
--- a/proxy/peers.go
+++ b/proxy/peers.go
@@ -131,6 +131,7 @@
 			c.rest, c.setReadDeadline = r.Body, http.NewResponseController(w).SetReadDeadline
 		}
 		o := k.do(r.Context(), c)
+		answerEarly(w, c.rest)
 		if err := writeOutcome(w, o); err != nil {
 			k.cfg.Log.Debug().Err(err).Msg(events.PeerDisconnected)
 			stream.Abort(w, r)
