--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -57,13 +57,20 @@
 	AttemptEnded          = "attempt ended"
 	NoRoute               = "no route"
 	KeyRefused            = "key refused"
+	QuotaRefused          = "organisation is over its quota"
+	QuotaCollector        = "collector of quotas replies"
+	QuotaReportFailed     = "report of quotas failed"
 	RequestBodyIncomplete = "request body broke off"
 	ResponseIncomplete    = "answer not sent whole"
 	CallRefused           = "call refused"
 	CallFailed            = "call failed"
 	CallerLeft            = "caller left"
 	CallAbandoned         = "call was abandoned"
+	LinkBusy              = "link is busy with responses"
 	RequestQuarantined    = "request is quarantined"
+
+	RegionFull  = "region is full"
+	RegionRoomy = "region has room"
 )
 
 // Event describes one kind of log line. Every line also has the fields time, level, msg (the name) and instance.
@@ -111,16 +118,22 @@
 	{HealthCheckFailed, "the local target failed a health check", []string{"error"}},
 	{TargetCrashed, "the local target broke off requests and refuses connections; fingerprints are those of the requests that may be the cause, of which some are quarantined and the others suspected from now on", []string{"target", "suspects", "quarantined", "fingerprints"}},
 	{RequestQuarantined, "a request has crashed its targets and is refused from now on; crashes is the number of targets, what describes the request", []string{"fingerprint", "crashes", "what"}},
+	{RegionFull, "the targets of a service in a region are nearly full, and requests that are not bound to it begin to go elsewhere; fill is the number of running and waiting requests per slot", []string{"service", "region", "fill"}},
+	{RegionRoomy, "the targets of a service in a region have room again, and the last requests that went elsewhere are back", []string{"service", "region", "fill"}},
 	{RateLimitStated, "the local target states, in a response or a health check (field source), the rate of requests per second that it accepts; before is the limit until then, 0 if none", []string{"target", "rate", "before", "source"}},
 	{RateLimitEnded, "the local target no longer limits the rate of requests", []string{"target", "before", "source"}},
 	{TargetAnnouncedLeaving, "the local target states that it is about to stop", []string{"target", "source"}},
 	{NoticeInvalid, "a header in which the local target describes its state is invalid and is ignored", []string{"source", "error"}},
 
+	{LinkBusy, "a download was refused because its response would not have left over the machine's link in time; wait is the time until the link is free for another one, responses the number of those that wait; reported once a second at most", []string{"wait", "responses"}},
 	{RequestAnswered, "a target's response was returned to the caller; only a sample of these events is logged", []string{"request", "route", "service", "target", "status", "tried", "took", "left", "config", "age"}},
 	{RequestRefused, "the request did not run and will not run; the caller received a retry-after (field back)", []string{"request", "route", "service", "status", "reason", "tried", "took", "left", "back", "config", "age"}},
 	{RequestFailed, "no target responded and the request may have run, or the target responded with an error", []string{"request", "route", "service", "target", "status", "reason", "tried", "took", "left", "config", "age"}},
 	{AttemptEnded, "an attempt at a target did not succeed; wait is the expected wait at the target, known the age of the load report that it follows from", []string{"request", "target", "domain", "run", "reason", "arrived", "wait", "known", "running", "waiting", "slots", "left", "revision"}},
 	{KeyRefused, "no organisation of the configuration in force holds the key of the request, or it has none; the key itself is not logged", []string{"request", "route", "config", "age"}},
+	{QuotaRefused, "a request was refused by the quota of its organisation; cause is over-quota if the organisation exceeds it and the collector lets a fraction pass, unreported if this process waits for its next report, no-collector if it admits only its part of the quota since no collector replies; back is the retry-after that the collector expects", []string{"request", "route", "organisation", "cause", "fraction", "rate", "burst", "back", "config"}},
+	{QuotaCollector, "another process, or this one, now settles the use of quotas for this process", []string{"collector"}},
+	{QuotaReportFailed, "a process did not reply to a report of the use of quotas; the next candidate gets it", []string{"collector", "error"}},
 	{NoRoute, "no route of the configuration in force matches the request", []string{"request", "host", "path", "config", "age"}},
 	{RequestBodyIncomplete, "the caller disconnected while it sent the request body", []string{"request", "error"}},
 	{ResponseIncomplete, "the response could not be sent completely; the caller's connection was closed", []string{"request", "error"}},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,24 +19,26 @@
 	"github.com/thejerf/suture/v4"
 
 	"github.com/chervilwell/chervilwell/follow"
+	"github.com/chervilwell/chervilwell/internal/bodyroom"
 	"github.com/chervilwell/chervilwell/internal/clock"
+	"github.com/chervilwell/chervilwell/internal/connlimit"
 	"github.com/chervilwell/chervilwell/internal/disconnect"
 	"github.com/chervilwell/chervilwell/internal/events"
 	"github.com/chervilwell/chervilwell/mesh"
 	"github.com/chervilwell/chervilwell/pacer"
 	"github.com/chervilwell/chervilwell/platform"
 	"github.com/chervilwell/chervilwell/proxy"
+	"github.com/chervilwell/chervilwell/quota/exchange"
 	"github.com/chervilwell/chervilwell/retrybudget"
 	"github.com/chervilwell/chervilwell/shutdown"
 )
 
 // Limits and intervals of the process.
 const (
-	// headerTimeout, idleTimeout and maxHeaderBytes are above the limits that operators set for callers (seconds to tens of
-	// seconds, and 16 KB), so that a caller within those limits is never disconnected.
-	headerTimeout  = 10 * time.Second
-	idleTimeout    = 10 * time.Minute
-	maxHeaderBytes = 64 << 10
+	// headTimeout, idleTimeout and maxHeadBytes apply where the configuration has no limits.
+	headTimeout  = 10 * time.Second
+	idleTimeout  = 10 * time.Minute
+	maxHeadBytes = 64 << 10
 	// retryShare is the fraction of the permitted retries that is used. The remainder covers the calls made by retried
 	// requests, up to two for each.
 	retryShare = 0.35
@@ -61,8 +63,12 @@
 	follower   *follow.Follower
 	frontend   *proxy.Frontend
 	gatekeeper *proxy.Gatekeeper
+	quotas     *exchange.Exchange
 	leaving    atomic.Bool
 	servers    []*http.Server
+	bodies     *bodyroom.Room
+	// callers and peers bound the connections of callers and of other processes.
+	callers, peers *connlimit.Listener
 }
 
 // Options are the settings of the daemon that do not come from the platform.
@@ -80,26 +86,34 @@
 	n := &Node{settings: s, options: o, log: log, holder: &mesh.Holder{}, registry: prometheus.NewRegistry()}
 	lineBudget := events.NewBudget(o.LogEvery)
 	n.registerLineCounters(lineBudget)
+	n.registry.MustRegister(clientCollector{n})
 	rng := func() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 	names, metrics := platform.Headers(), proxy.NewMetrics(n.registry)
+	n.bodies = bodyroom.NewRoom(bodyMemory(s.MemoryBytes))
 	peers := proxy.NewPeers(s.Peers.Port())
+	peers.ShareMemory(n.bodies)
 	decoder := platform.Decoder{Regions: s.Regions}
 	n.gatekeeper = proxy.NewGatekeeper(proxy.GatekeeperConfig{
-		Addr: s.Target, Service: s.Service, Peers: peers, LinkRate: s.LinkRate, Holder: n.holder, Names: names, DecodeNotice: platform.DecodeNotice,
+		Bodies: n.bodies, Addr: s.Target, Service: s.Service, Peers: peers, LinkRate: s.LinkRate, Holder: n.holder, Names: names, DecodeNotice: platform.DecodeNotice,
 		Log: log, LogBudget: lineBudget, Metrics: metrics,
 	})
 	n.registry.MustRegister(n.gatekeeper.HeldRequests()...)
+	n.quotas = exchange.New(exchange.Config{
+		Holder: n.holder, Self: s.Target.Addr(), Port: s.Peers.Port(), FailureDomain: s.FailureDomain, Region: s.Region, Bounds: s.Quota,
+		Order: func(region string) []netip.Addr { return n.follower.Order(region) }, Log: log, Rand: rng(),
+	})
+	n.registry.MustRegister(exchange.NewMetrics(n.quotas))
 	n.frontend = proxy.NewFrontend(proxy.FrontendConfig{
 		Service: s.Service, FailureDomain: s.FailureDomain, Region: s.Region, Holder: n.holder, Gatekeeper: n.gatekeeper,
 		Peers: peers, Names: names, Log: log, LogBudget: lineBudget, Metrics: metrics, Rand: rng(),
 		StoreAge:    func() time.Duration { return n.follower.Age() },
-		ApplyWithin: s.ApplyWithin, RevokeWithin: s.RevokeWithin,
+		ApplyWithin: s.ApplyWithin, RevokeWithin: s.RevokeWithin, Quotas: n.quotas,
 		RetryBudget: retrybudget.Limits{Ratio: retryShare * s.RetryRatio, Slack: retryShare * s.RetrySlack / assumedProcesses, Window: s.RetryWindow},
 	})
 	n.follower = follow.New(follow.Config{
 		Source: platform.NewStore(s.Store, decoder, func(err error) { log.Warn().Err(err).Msg(events.EntryIgnored) }),
 		Peers:  follow.NewPeerClient(s.Peers.Port()), Decode: decoder.Decode, Self: s.Target.Addr(), Region: s.Region,
-		Holder: n.holder, ApplyWithin: s.ApplyWithin, Changed: func(*mesh.State) { n.gatekeeper.Update() }, Log: log, Metrics: follow.NewMetrics(n.registry), Rand: rng(),
+		Holder: n.holder, ApplyWithin: s.ApplyWithin, Changed: n.stateChanged, Log: log, Metrics: follow.NewMetrics(n.registry), Rand: rng(),
 		LinkRate: n.stateLinkRate,
 	})
 	n.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
@@ -109,12 +123,25 @@
 }
 
 // stateLinkRate returns the rate of the local link for the state of other processes, in bytes per second: what the bodies sent to the
-// local target leave of it.
+// local target, and its large responses, leave of it.
 func (n *Node) stateLinkRate() float64 {
-	if config := n.holder.Load().Config; config != nil && config.ReceivesUploads(n.settings.Service) {
-		return pacer.SpareRate(n.settings.LinkRate)
+	rate, config := n.settings.LinkRate, n.holder.Load().Config
+	if config == nil {
+		return rate
+	}
+	if config.ReceivesUploads(n.settings.Service) {
+		rate = min(rate, pacer.SpareRate(n.settings.LinkRate))
 	}
-	return n.settings.LinkRate
+	if config.SendsDownloads(n.settings.Service) {
+		rate = min(rate, pacer.SpareOutboundRate(n.settings.LinkRate))
+	}
+	return rate
+}
+
+// stateChanged passes a new state to the parts that keep something of it.
+func (n *Node) stateChanged(state *mesh.State) {
+	n.gatekeeper.Update()
+	n.quotas.Update(state)
 }
 
 // registerLineCounters registers the counters of log lines that were not written.
@@ -138,6 +165,7 @@
 	}
 	supervisor := suture.New("node", suture.Spec{EventHook: func(e suture.Event) { n.log.Error().Str("detail", e.String()).Msg(events.ComponentFailed) }})
 	supervisor.Add(n.follower)
+	supervisor.Add(n.quotas)
 	done := supervisor.ServeBackground(serveCtx)
 	<-ctx.Done()
 	n.stop()
@@ -153,19 +181,21 @@
 	type listener struct {
 		addr    netip.AddrPort
 		handler http.Handler
+		clients *clientListener
 	}
 	monitor := disconnect.NewMonitor(func(err error) { n.log.Error().Err(err).Msg(events.PollFailed) })
 	listeners := []listener{
-		{n.settings.Callers, monitor.Handler(n.frontend)},
-		{n.settings.Peers, n.peerHandler(monitor)},
-		{n.settings.Ready, http.HandlerFunc(n.serveReady)},
+		{n.settings.Callers, monitor.Handler(n.frontend), &clientListener{callerMemoryShare, callerDescriptorShare, &n.callers, n.callerLimits}},
+		{n.settings.Peers, n.peerHandler(monitor), &clientListener{peerMemoryShare, peerDescriptorShare, &n.peers, n.peerLimits}},
+		{n.settings.Ready, http.HandlerFunc(n.serveReady), nil},
 	}
 	if port := n.options.MetricsPort; port != 0 {
 		addr := netip.AddrPortFrom(n.settings.Target.Addr(), port)
 		mux := http.NewServeMux()
 		mux.Handle(proxy.HeldPath, proxy.HeldHandler(n.gatekeeper))
+		mux.Handle(exchange.StatusPath, n.quotas.StatusHandler())
 		mux.Handle("/", promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{}))
-		listeners = append(listeners, listener{addr, mux})
+		listeners = append(listeners, listener{addr, mux, nil})
 	}
 	for _, l := range listeners {
 		listener, err := net.Listen("tcp4", l.addr.String())
@@ -174,7 +204,11 @@
 		}
 		server := &http.Server{
 			Handler: l.handler, ConnContext: disconnect.ConnContext,
-			ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+			ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes,
+		}
+		if l.clients != nil {
+			limited := n.limitClients(listener, l.clients)
+			listener, server.ConnState, server.MaxHeaderBytes = limited, limited.ConnState, http.DefaultMaxHeaderBytes
 		}
 		n.servers = append(n.servers, server)
 		go func() {
@@ -199,6 +233,11 @@
 			notices.ServeHTTP(w, r)
 			return
 		}
+		proxy.LimitUnreadBody(w, r)
+		if r.URL.Path == exchange.Path {
+			n.quotas.ServeHTTP(w, r)
+			return
+		}
 		n.follower.ServeHTTP(w, r)
 	})
 }
--- a/proxy/body.go
+++ b/proxy/body.go
@@ -24,9 +24,18 @@
 	keepAliveCount    = 2
 )
 
+// LimitUnreadBody limits the time for which the server reads a body that no handler reads, so that it can be answered.
+func LimitUnreadBody(w http.ResponseWriter, r *http.Request) {
+	if r.ContentLength != 0 {
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout)) // fails only if the connection is closed
+	}
+}
+
 // setBody sets the body of req to the body of c.
 func setBody(req *http.Request, c *call) {
 	switch {
+	case c.passing != nil:
+		req.Body = io.NopCloser(c.passing)
 	case c.rest != nil:
 		req.Body = io.NopCloser(io.MultiReader(bytes.NewReader(c.body), c.rest))
 	case len(c.body) > 0:
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"github.com/chervilwell/chervilwell/gate"
+	"github.com/chervilwell/chervilwell/internal/bodyroom"
 	"github.com/chervilwell/chervilwell/mesh"
 	"github.com/chervilwell/chervilwell/quarantine"
 )
@@ -50,7 +51,7 @@
 	header            http.Header
 	// body is the whole body, or the part read so far if rest is set.
 	body   []byte
-	rest   io.Reader
+	rest   *bodyroom.Arrival
 	length int64
 	// setReadDeadline sets the deadline of reads from rest. It is set if rest is.
 	setReadDeadline func(time.Time) error
@@ -71,11 +72,17 @@
 	// prefix is what the fingerprint covers of a long body. digest is that of the body if it is not in memory when the call runs.
 	prefix quarantine.Prefix
 	digest *quarantine.Digest
+	// passing reads body and rest if they pass on their way through digest.
+	passing io.Reader
 	// atHome is set if the frontend knows the request as a suspect and has chosen its home. notice is what it knows.
 	atHome bool
 	notice *quarantine.Notice
 	// softDeadline is the end of the latency objective.
 	softDeadline, deadline time.Time
+	// fromPeer is set by the gatekeeper if the call came from another process. transfer is the time for which the response is expected
+	// to occupy the machine's link, or 0 if it is not scheduled.
+	fromPeer bool
+	transfer time.Duration
 }
 
 // run states whether a request ran.
@@ -114,6 +121,9 @@
 	reasonQuarantined = "quarantined"
 	reasonUnknownKey  = "unknown-key"
 	reasonStaleKeys   = "stale-keys"
+	reasonNoRoom      = "no-room"
+	reasonStalled     = "stalled"
+	reasonOverQuota   = "over-quota"
 )
 
 // outcome is the result of a call.
@@ -172,10 +182,14 @@
 const smallResponse = 8 << 10
 
 // responseRoom limits the total size of the response bodies held in memory. It is safe for concurrent use.
-type responseRoom struct{ free *semaphore.Weighted }
+type responseRoom struct {
+	free *semaphore.Weighted
+	// shared is the memory for all bodies of the process.
+	shared *bodyroom.Room
+}
 
-func newResponseRoom() responseRoom {
-	return responseRoom{semaphore.NewWeighted(maxBufferedResponses)}
+func newResponseRoom(shared *bodyroom.Room) responseRoom {
+	return responseRoom{semaphore.NewWeighted(maxBufferedResponses), shared}
 }
 
 // acquire takes room for a number of bytes until ctx ends, and reports whether there was any.
@@ -183,7 +197,11 @@
 	if !r.free.TryAcquire(bytes) {
 		return false
 	}
-	context.AfterFunc(ctx, func() { r.free.Release(bytes) })
+	if !r.shared.TryAcquire(bytes) {
+		r.free.Release(bytes)
+		return false
+	}
+	context.AfterFunc(ctx, func() { r.free.Release(bytes); r.shared.Release(bytes) })
 	return true
 }
 
--- a/proxy/frontend.go
+++ b/proxy/frontend.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/rs/zerolog"
-	"golang.org/x/sync/semaphore"
 
 	"github.com/chervilwell/chervilwell/balance"
 	"github.com/chervilwell/chervilwell/internal/clock"
@@ -47,8 +46,10 @@
 	ApplyWithin time.Duration
 	// RevokeWithin is the age of the state from which on keys are not accepted any more, or 0 if it does not matter.
 	RevokeWithin time.Duration
-	Metrics      *Metrics
-	Rand         *rand.Rand
+	// Quotas bounds the requests of organisations. It may be nil.
+	Quotas  Quotas
+	Metrics *Metrics
+	Rand    *rand.Rand
 }
 
 // Frontend serves the callers of one instance. It is safe for concurrent use.
@@ -67,13 +68,11 @@
 	splits    map[string]*split
 	deadlines callerDeadlines
 	links     links
-	// identified limits the long bodies that are read completely to identify their requests.
-	identified *semaphore.Weighted
 }
 
 // NewFrontend returns a frontend that uses cfg.
 func NewFrontend(cfg FrontendConfig) *Frontend {
-	f := &Frontend{cfg: cfg, budgets: map[string]*retrybudget.Budget{}, splits: map[string]*split{}, links: links{}, deadlines: callerDeadlines{}, identified: semaphore.NewWeighted(maxIdentifiedBodies)}
+	f := &Frontend{cfg: cfg, budgets: map[string]*retrybudget.Budget{}, splits: map[string]*split{}, links: links{}, deadlines: callerDeadlines{}}
 	f.running, f.end = context.WithCancel(context.Background())
 	f.balancer = balance.New(balance.Location{FailureDomain: cfg.FailureDomain, Region: cfg.Region, IsLocal: f.isLocal}, cfg.Rand)
 	return f
@@ -103,6 +102,14 @@
 	// maxBufferedBody is the size in bytes up to which a body is read before the request is forwarded, so that it can be
 	// sent again to another target.
 	maxBufferedBody = 4 << 20
+	// smallBody is the size in bytes up to which a body needs no room among the larger ones, so that these can't keep it out.
+	smallBody = 8 << 10
+	// roomRetryAfter is the retry-after of a request for whose body there is no room.
+	roomRetryAfter = 500 * time.Millisecond
+	// refusedBodyTimeout is how long the rest of a refused body is read.
+	refusedBodyTimeout = 500 * time.Millisecond
+	// unreadBodyTimeout is how long the body of a request that is answered before its body has been read may still arrive.
+	unreadBodyTimeout = 5 * time.Second
 	// responseSlack is the time after the request's deadline within which the response of the last target may still arrive.
 	responseSlack = 60 * time.Millisecond
 	// noConfigRetryAfter is the retry-after of a process that has just started and has no configuration yet.
@@ -122,6 +129,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	req := &request{incoming: r, arrived: clock.Now(), state: f.cfg.Holder.Load()}
+	LimitUnreadBody(w, r)
 	if req.state.Config == nil {
 		o := noResponse(notRun, reasonNoConfig)
 		o.retryAfter = noConfigRetryAfter
@@ -147,8 +155,7 @@
 		return
 	}
 	if limit := req.state.Config.Limits.BodyBytes; limit > 0 && r.ContentLength > limit {
-		f.cfg.Metrics.observeRequest(kindNames[req.route.Kind], "413", reasonBodyTooLong, clock.Now().Sub(req.arrived))
-		http.Error(w, "body is longer than the configuration allows", http.StatusRequestEntityTooLarge)
+		f.refuseLongBody(w, req)
 		return
 	}
 	f.plan(req)
@@ -160,13 +167,16 @@
 		}
 		req.deadline = deadline
 	}
-	err := f.readBody(w, req)
+	if !f.admit(w, req) {
+		return
+	}
+	closeBody, err := f.readBody(w, req)
+	defer closeBody()
 	if err == nil {
 		err = f.identifyRequest(req)
 	}
 	if err != nil {
-		f.cfg.Log.Debug().Err(err).Str("request", r.Header.Get(f.cfg.Names.RequestID)).Msg(events.RequestBodyIncomplete)
-		f.refuse(w, req, noResponse(notRun, reasonCancelled))
+		f.refuseBody(w, req, err)
 		return
 	}
 	abandoned := watchAbandonment(r.Context())
@@ -258,6 +268,7 @@
 	f.crashes().apply(o.notice)
 	took := clock.Now().Sub(start)
 	f.cfg.Metrics.attempt(req.route.Kind, o, took)
+	f.observeRegion(req, choice, c, o)
 	f.recordOutcome(ctx, req, choice, o, took)
 	f.logAttempt(req, choice, o)
 	return o
@@ -287,10 +298,11 @@
 		req.retryAfter = o.retryAfter
 	}
 	f.observeLink(req, t, choice.Distance, o, took)
-	f.balancer.Ended(clock.Now(), choice, balance.Completion{
+	change := f.balancer.Ended(clock.Now(), choice, balance.Completion{
 		Route: req.route.Name, Result: result, Load: o.load, RunTime: o.took, ResponseBytes: len(o.body), RoundTrip: took - o.gatekeeperTime,
 		TargetLeaving: o.targetLeaving,
 	})
+	f.logRoom(change)
 }
 
 // shouldRetry reports whether another attempt is allowed after o. Attempts that did not reach a target are limited by
@@ -344,6 +356,9 @@
 // writeResponse writes an outcome to the caller.
 func (f *Frontend) writeResponse(w http.ResponseWriter, req *request, o *outcome) {
 	if o.run != ran {
+		if req.rest != nil {
+			LimitUnreadBody(w, req.incoming)
+		}
 		f.refuse(w, req, o)
 		return
 	}
@@ -355,7 +370,7 @@
 		h[name] = values
 	}
 	f.recordRequest(req, o, o.status, 0)
-	answerEarly(w, req.rest)
+	answerEarly(w, req.rest != nil)
 	if err := writeBody(w, o); err != nil {
 		f.cfg.Log.Debug().Err(err).Str("request", req.incoming.Header.Get(f.cfg.Names.RequestID)).Msg(events.ResponseIncomplete)
 		stream.Abort(w, req.incoming)
@@ -372,8 +387,13 @@
 			status = http.StatusGatewayTimeout
 		}
 	case o.reason == reasonQuarantined:
+		f.refund(req)
 		status = http.StatusUnprocessableEntity
 	default:
+		if o.reason == reasonOverQuota {
+			status = http.StatusTooManyRequests
+		}
+		f.refund(req)
 		retryAfter = f.computeRetryAfter(req, o)
 		w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
--- a/proxy/gatekeeper.go
+++ b/proxy/gatekeeper.go
@@ -17,7 +17,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/chervilwell/chervilwell/gate"
-	"github.com/chervilwell/chervilwell/internal/bodybuffer"
+	"github.com/chervilwell/chervilwell/internal/bodyroom"
 	"github.com/chervilwell/chervilwell/internal/clock"
 	"github.com/chervilwell/chervilwell/internal/events"
 	"github.com/chervilwell/chervilwell/internal/httppool"
@@ -51,6 +51,8 @@
 
 // GatekeeperConfig is the configuration of a Gatekeeper.
 type GatekeeperConfig struct {
+	// Bodies is the memory for bodies of the process. If it is nil, the gatekeeper has its own, of maxWaitingBodies.
+	Bodies *bodyroom.Room
 	// Addr is the address of the local target.
 	Addr netip.AddrPort
 	// Service is the service of the local target.
@@ -73,7 +75,7 @@
 type Gatekeeper struct {
 	cfg     GatekeeperConfig
 	pool    *httppool.Pool
-	bodies  *bodybuffer.Buffer
+	bodies  *bodyroom.Room
 	stopped atomic.Bool
 	active  atomic.Int64
 	// window is set once the process stops.
@@ -87,6 +89,11 @@
 	mu      sync.Mutex
 	gate    *gate.Gate
 	inbound *pacer.Inbound
+	// outbound schedules the large responses that leave over the machine's link, linkTimer its next Tick.
+	outbound  *pacer.Outbound
+	linkTimer *time.Timer
+	// linkBusyLogged is the time of the last log line that reports a busy link.
+	linkBusyLogged time.Time
 	// responses limits the bodies of the target's responses in memory.
 	responses responseRoom
 	// entry is the target's entry as last applied, or nil.
@@ -110,8 +117,11 @@
 
 // NewGatekeeper returns a gatekeeper that treats its target as cold until the target reports that it is warm.
 func NewGatekeeper(cfg GatekeeperConfig) *Gatekeeper {
-	k := &Gatekeeper{cfg: cfg, gate: gate.New(defaultSlots), inbound: pacer.NewInbound(cfg.LinkRate), responses: newResponseRoom(), noticeLog: rate.NewLimiter(noticeLinesPerSecond, noticeBurstLines)}
-	k.bodies = bodybuffer.New(maxWaitingBodies)
+	k := &Gatekeeper{
+		cfg: cfg, gate: gate.New(defaultSlots), inbound: pacer.NewInbound(cfg.LinkRate), outbound: pacer.NewOutbound(cfg.LinkRate),
+		bodies: cmp.Or(cfg.Bodies, bodyroom.NewRoom(maxWaitingBodies)), noticeLog: rate.NewLimiter(noticeLinesPerSecond, noticeBurstLines),
+	}
+	k.responses = newResponseRoom(k.bodies)
 	k.crashes.list, k.crashes.trial = quarantine.New(cfg.Addr.Addr().String()), make(chan struct{}, 1)
 	k.deliveries = semaphore.NewWeighted(maxDeliveries)
 	k.running, k.end = context.WithCancel(context.Background())
@@ -228,9 +238,12 @@
 		o = k.checkSuspect(c)
 	}
 	if o == nil {
-		var freeBody func()
-		freeBody, o = k.receiveBody(ctx, c)
-		defer freeBody()
+		var forget func()
+		forget, o = k.expectResponse(state, c)
+		defer forget()
+	}
+	if o == nil {
+		o = k.receiveBody(ctx, c)
 	}
 	if o == nil {
 		o = k.identify(c)
@@ -257,12 +270,15 @@
 	now := clock.Now()
 	l := k.gate.Load(now)
 	l.ReserveInbound, l.InboundWait = k.inbound.Bounded(), k.inbound.Wait(now)
+	if k.outbound.Used() {
+		l.OutboundRate, l.OutboundWait = k.outbound.Rate(), k.outbound.Wait(now)
+	}
 	return l
 }
 
 // gateRequest returns the gate's request for a call.
 func (k *Gatekeeper) gateRequest(c *call) *gate.Request {
-	r := &gate.Request{Route: c.route, Priority: c.priority, SoftDeadline: c.softDeadline, Deadline: c.deadline}
+	r := &gate.Request{Route: c.route, Priority: c.priority, SoftDeadline: c.softDeadline.Add(-c.transfer), Deadline: c.deadline}
 	if config := k.cfg.Holder.Load().Config; config != nil && config.HasOrganisations() {
 		if names := c.header[k.cfg.Names.Organisation]; len(names) > 0 {
 			r.Flow, r.Weight = names[0], config.ShareOf(names[0])
@@ -287,6 +303,10 @@
 	reason := k.busyReason()
 	k.scheduleTick()
 	k.mu.Unlock()
+	if verdict != gate.Run {
+		stop := k.endStalledBodies()
+		defer stop()
+	}
 	switch verdict {
 	case gate.Refuse:
 		o := noResponse(notRun, reason)
@@ -307,6 +327,9 @@
 		k.release(req, -1)
 		return o
 	}
+	if c.rest != nil {
+		c.rest.Stream()
+	}
 	started := clock.Now()
 	o = k.run(ctx, c)
 	took := clock.Now().Sub(started)
--- a/proxy/longbody.go
+++ b/proxy/longbody.go
@@ -16,12 +16,8 @@
 // digest of the body as it passes. Once a request with the same head is a suspect or quarantined, frontends read the whole body first, as far
 // as there is room, so that they know whether it is that request.
 
-const (
-	// maxIdentifiedBodies is the total size in bytes of the long bodies that a frontend holds in order to identify their requests.
-	maxIdentifiedBodies = 16 << 20
-	// identifiedPiece is the size in bytes of the pieces in which room is taken for such a body.
-	identifiedPiece = 1 << 20
-)
+// maxIdentifiedBody is the length in bytes up to which a frontend reads a long body completely in order to identify its request.
+const maxIdentifiedBody = 16 << 20
 
 // headOnly is the bit of a call's fingerprint that states that it covers only the head of the request.
 const headOnly quarantine.Fingerprint = 1
@@ -54,26 +50,35 @@
 
 // readRest reads the rest of a body into memory as far as there is room, and reports whether it is whole.
 func (f *Frontend) readRest(req *request) (whole bool, err error) {
-	held := req.incoming.Context()
+	limit := req.length
+	if limit < 0 {
+		limit = maxIdentifiedBody
+	}
+	if limit > maxIdentifiedBody {
+		return false, nil
+	}
+	room, taken := f.bodies(), int64(0)
+	defer func() { context.AfterFunc(req.incoming.Context(), func() { room.Release(taken) }) }()
 	for {
-		start, size := len(req.body), identifiedPiece
-		if req.length >= 0 {
-			size = min(size, int(req.length)-start)
-		}
-		if !f.identified.TryAcquire(int64(size)) {
-			return false, nil
+		if len(req.body) == cap(req.body) {
+			larger := min(max(2*int64(len(req.body)), maxBufferedBody), limit)
+			if larger == int64(len(req.body)) || !room.TryAcquire(larger) {
+				return false, nil
+			}
+			req.body = append(make([]byte, 0, larger), req.body...)
+			room.Release(taken)
+			taken = larger
 		}
-		context.AfterFunc(held, func() { f.identified.Release(int64(size)) })
-		req.body = append(req.body, make([]byte, size)...)
-		n, err := io.ReadFull(req.rest, req.body[start:])
-		req.body = req.body[:start+n]
-		ended := err == io.EOF || errors.Is(err, io.ErrUnexpectedEOF)
-		if err != nil && !(ended && req.length < 0) {
-			return false, err
-		}
-		if ended || int64(len(req.body)) == req.length {
+		n, err := req.rest.Read(req.body[len(req.body):cap(req.body)])
+		req.body = req.body[:len(req.body)+n]
+		switch {
+		case int64(len(req.body)) == req.length, err == io.EOF && req.length < 0:
 			req.rest = nil
 			return true, req.setReadDeadline(time.Time{})
+		case err == io.EOF:
+			return false, io.ErrUnexpectedEOF
+		case err != nil:
+			return false, err
 		}
 	}
 }
@@ -100,11 +105,10 @@
 	}
 	c.digest = quarantine.NewDigest()
 	head := c.fingerprint
-	c.rest = &digestedBody{
+	c.passing = &digestedBody{
 		body: io.MultiReader(bytes.NewReader(c.body), c.rest), digest: c.digest, left: c.length,
 		check: func() error { return k.checkPassed(c, head) },
 	}
-	c.body = nil
 	return nil
 }
 
--- a/proxy/metrics.go
+++ b/proxy/metrics.go
@@ -23,8 +23,11 @@
 	// hop, queue and service split the time of an attempt: the network in both directions, the queue at the target's gate,
 	// and the target.
 	hop, queue, service stage
+	regions             regionMetrics
 	// abandoned is the time that calls remained in a stage after they were abandoned, by whether they are retryable.
 	abandoned *prometheus.HistogramVec
+	// linkWait is the time that large responses waited for the machine's outgoing link.
+	linkWait prometheus.Histogram
 }
 
 // stage is the histogram of one part of an attempt's time, by kind of route and outcome.
@@ -78,14 +81,19 @@
 			Name: "chervilwell_notices_dropped_total", Help: "Notices about requests that crash targets that did not reach another process.",
 		}),
 	}
+	m.regions = newRegionMetrics()
 	m.hop = newStage("chervilwell_hop_seconds", "Time of an attempt on the way to the target's process and back.")
 	m.queue = newStage("chervilwell_queue_seconds", "Time of an attempt at the target's gate before it ran or was refused.")
 	m.service = newStage("chervilwell_service_seconds", "Time of an attempt at the target.")
 	m.abandoned = prometheus.NewHistogramVec(prometheus.HistogramOpts{
 		Name: "chervilwell_abandoned_call_seconds", Help: "Time that a call remained in the queue, or ran at the target, after its caller had left.", Buckets: stageBuckets,
 	}, []string{"stage", "retryable"})
+	m.linkWait = prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: "chervilwell_response_link_wait_seconds", Help: "Time that a large response waited for the machine's outgoing link.", Buckets: stageBuckets,
+	})
 	if registerer != nil {
-		registerer.MustRegister(m.abandoned, m.requests, m.latency, m.gateOutcomes, m.retries, m.healthChecks, m.targetCrashes, m.noticesDropped, m.hop.vec, m.queue.vec, m.service.vec)
+		registerer.MustRegister(m.linkWait, m.abandoned, m.requests, m.latency, m.gateOutcomes, m.retries, m.healthChecks, m.targetCrashes, m.noticesDropped, m.hop.vec, m.queue.vec, m.service.vec)
+		registerer.MustRegister(m.regions.collectors()...)
 	}
 	return m
 }
