node, frontend: the HTTP server answers nothing itself

"OPTIONS *" was answered with 200 by the HTTP server, before any handler: a success without a target's signature.

--- a/internal/frontend/server.go
+++ b/internal/frontend/server.go
@@ -47,10 +47,12 @@
 		ConnContext:       disconnect.ConnContext,
 		TLSConfig:         config,
 		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       callerIdleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          logging.Std(f.config.Log, "callers"),
-		HTTP2:             &http.HTTP2Config{MaxConcurrentStreams: maxStreamsPerConn},
+		// By default the server would answer "OPTIONS *" with a success that is no target's.
+		DisableGeneralOptionsHandler: true,
+		IdleTimeout:                  callerIdleTimeout,
+		MaxHeaderBytes:               maxHeaderBytes,
+		ErrorLog:                     logging.Std(f.config.Log, "callers"),
+		HTTP2:                        &http.HTTP2Config{MaxConcurrentStreams: maxStreamsPerConn},
 	}}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -202,10 +202,7 @@
 		if err != nil {
 			return errors.Wrapf(err, "cannot listen on %s; release the port or correct the address in the settings", l.addr)
 		}
-		server := &http.Server{
-			Handler: l.handler, ConnContext: disconnect.ConnContext,
-			ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes,
-		}
+		server := newServer(l.handler)
 		if l.clients != nil {
 			limited := n.limitClients(listener, l.clients)
 			listener, server.ConnState, server.MaxHeaderBytes = limited, limited.ConnState, http.DefaultMaxHeaderBytes
@@ -220,6 +217,15 @@
 	return nil
 }
 
+// newServer returns a server for a listener. It passes all requests to the handler: by default it would answer "OPTIONS *" with a success
+// that is no target's.
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{
+		Handler: handler, ConnContext: disconnect.ConnContext, DisableGeneralOptionsHandler: true,
+		ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes,
+	}
+}
+
 // peerHandler returns the handler for other processes: it serves their requests for the local target, their notices and their queries of
 // the state.
 func (n *Node) peerHandler(monitor *disconnect.Monitor) http.Handler {
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -282,7 +282,7 @@
 
 // newServer returns a server for the callers or the peers of a process.
 func (c *cluster) newServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: c.monitor.Handler(h), ConnContext: disconnect.ConnContext}
+	return &http.Server{Handler: c.monitor.Handler(h), ConnContext: disconnect.ConnContext, DisableGeneralOptionsHandler: true}
 }
 
 func (c *cluster) publish() {
--- a/proxy/target_test.go
+++ b/proxy/target_test.go
@@ -75,7 +75,7 @@
 	t.Helper()
 	status, got := p.send(t, method, target)
 	if len(got) == 0 {
-		if status < http.StatusBadRequest && !(method == http.MethodOptions && target == "*") {
+		if status < http.StatusBadRequest {
 			t.Errorf("%s %q: status %d without a request to a target", method, target, status)
 		}
 		return
