proxy: tests of long bodies hold little memory

The package's test with -race grew to 4.9 GB (17 MB bodies, side by side, all kept by the fake targets). The bodies are 5 MB again, the case without room has a small room instead, one at a time, and the targets drop what they have checked: 10 sends became 6, the bounds are the same or closer (17 of 18 others served instead of 27 of 30).

--- a/proxy/hedge_test.go
+++ b/proxy/hedge_test.go
@@ -96,12 +96,12 @@
 		for _, sized := range []bool{true, false} {
 			for _, failure := range []string{"slow", "broken", "failed", "shed"} {
 				t.Run(fmt.Sprintf("%s, sized %v, %s", kindNames[kind], sized, failure), func(t *testing.T) {
-					t.Parallel()
 					c := startHedgingCluster(t, kind)
 					var sends, changed atomic.Int64
 					for _, n := range c.nodes {
 						n.target.set(func(conn net.Conn, r *http.Request, s received) bool {
 							sends.Add(1)
+							n.target.forget()
 							if _, err := r.Body.Read(make([]byte, 1)); err == io.EOF && !bytes.Equal(s.body, body) {
 								changed.Add(1)
 							}
--- a/proxy/longbody_test.go
+++ b/proxy/longbody_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/chervilwell/chervilwell/internal/bodyroom"
 	"github.com/chervilwell/chervilwell/mesh"
 )
 
@@ -38,6 +39,13 @@
 	return resp.StatusCode
 }
 
+// forget drops the requests received, whose bodies would stay in memory.
+func (s *fakeTarget) forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.received = nil
+}
+
 // startUploadCluster starts processes whose targets crash at a body that begins with "P", and are back after restartDelay.
 func startUploadCluster(t *testing.T) (c *cluster, crashes *atomic.Int64) {
 	c, crashes = startClusterOf(t, mesh.Upload, 3), &atomic.Int64{}
@@ -49,6 +57,7 @@
 			if _, err := r.Body.Read(make([]byte, 1)); err != io.EOF {
 				return false // the body is not whole
 			}
+			n.target.forget()
 			if got.body[0] != 'P' {
 				return respondOK(conn, r, got)
 			}
@@ -71,14 +80,15 @@
 	for _, sized := range []bool{true, false} {
 		for _, room := range []bool{true, false} {
 			t.Run(fmt.Sprintf("sized %v, room to identify %v", sized, room), func(t *testing.T) {
-				t.Parallel()
 				c, crashes := startUploadCluster(t)
 				poison, others := bytes.Repeat([]byte("P"), maxBufferedBody+1<<20), 0
 				if !room {
-					poison = bytes.Repeat([]byte("P"), maxIdentifiedBody+1<<20)
+					for _, n := range c.nodes {
+						n.gatekeeper.bodies = bodyroom.NewRoom(7 << 20) // enough to stream a body, but not to hold it
+					}
 				}
 				last, quarantined := 0, 0
-				for i := range 10 {
+				for i := range 6 {
 					last = c.nodes[i%len(c.nodes)].uploadTo(t, fmt.Sprint("poison", i), poison, sized)
 					time.Sleep(restartDelay + 100*time.Millisecond)
 					for k := range 3 {
@@ -91,15 +101,15 @@
 						}
 					}
 				}
-				t.Logf("%d crashes, %d of 30 others served, last status %d", crashes.Load(), others, last)
+				t.Logf("%d crashes, %d of 18 others served, last status %d", crashes.Load(), others, last)
 				if crashes.Load() > 3 {
 					t.Errorf("one upload crashed %d targets, want at most 3", crashes.Load())
 				}
 				if room && last != http.StatusUnprocessableEntity || last == http.StatusOK {
 					t.Errorf("the last response is %d, want %d", last, http.StatusUnprocessableEntity)
 				}
-				if others < 27 || quarantined > 0 {
-					t.Errorf("%d of 30 other uploads served, %d refused as the cause of crashes", others, quarantined)
+				if others < 17 || quarantined > 0 {
+					t.Errorf("%d of 18 other uploads served, %d refused as the cause of crashes", others, quarantined)
 				}
 			})
 		}
