--- a/proxy/body.go
+++ b/proxy/body.go
@@ -34,6 +34,8 @@
 // setBody sets the body of req to the body of c.
 func setBody(req *http.Request, c *call) {
 	switch {
+	case c.passing != nil:
+		req.Body = io.NopCloser(c.passing)
 	case c.rest != nil:
 		req.Body = io.NopCloser(io.MultiReader(bytes.NewReader(c.body), c.rest))
 	case len(c.body) > 0:
--- a/proxy/frontend.go
+++ b/proxy/frontend.go
@@ -17,6 +17,7 @@
 	"github.com/chervilwell/chervilwell/internal/clock"
 	"github.com/chervilwell/chervilwell/internal/events"
 	"github.com/chervilwell/chervilwell/internal/headers"
+	"github.com/chervilwell/chervilwell/internal/httppool"
 	"github.com/chervilwell/chervilwell/internal/stream"
 	"github.com/chervilwell/chervilwell/mesh"
 	"github.com/chervilwell/chervilwell/quarantine"
@@ -135,8 +136,12 @@
 		f.refuse(w, req, o)
 		return
 	}
-	path, _, _ := strings.Cut(r.RequestURI, "?")
-	req.route = req.state.Config.Match(r.Host, path)
+	target, ok := httppool.OriginForm(r)
+	path, _, _ := strings.Cut(target, "?")
+	if ok {
+		r.RequestURI = target // sent as it was matched
+		req.route = req.state.Config.Match(r.Host, path)
+	}
 	if req.route == nil {
 		if f.cfg.LogBudget.Allow() {
 			f.cfg.Log.Info().Str("request", r.Header.Get(f.cfg.Names.RequestID)).Str("host", r.Host).Str("path", path).
@@ -167,11 +172,13 @@
 	}
 	closeBody, err := f.readBody(w, req)
 	defer closeBody()
+	if err == nil {
+		err = f.identifyRequest(req)
+	}
 	if err != nil {
 		f.refuseBody(w, req, err)
 		return
 	}
-	req.fingerprint = fingerprint(req)
 	abandoned := watchAbandonment(r.Context())
 	defer abandoned.stop()
 	o := f.forward(r.Context(), req)
@@ -363,6 +370,7 @@
 		h[name] = values
 	}
 	f.recordRequest(req, o, o.status, 0)
+	answerEarly(w, req.rest != nil)
 	if err := writeBody(w, o); err != nil {
 		f.cfg.Log.Debug().Err(err).Str("request", req.incoming.Header.Get(f.cfg.Names.RequestID)).Msg(events.ResponseIncomplete)
 		stream.Abort(w, req.incoming)
--- a/proxy/gatekeeper.go
+++ b/proxy/gatekeeper.go
@@ -6,9 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
-	"net/url"
 	"strconv"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -247,6 +245,9 @@
 	if o == nil {
 		o = k.receiveBody(ctx, c)
 	}
+	if o == nil {
+		o = k.identify(c)
+	}
 	if o == nil {
 		o = k.admit(ctx, c)
 	}
@@ -498,6 +499,10 @@
 func (k *Gatekeeper) targetFailure(ctx context.Context, err error) *outcome {
 	o := noResponse(unknown, failureReason(ctx, reasonBroken))
 	o.arrived = true
+	if errors.Is(err, errSuspectBody) {
+		o.reason, o.err = reasonSuspected, err
+		return o
+	}
 	if errors.Is(err, httppool.ErrNotWritten) {
 		o = noResponse(notRun, failureReason(ctx, reasonTargetDown))
 	}
@@ -518,13 +523,12 @@
 	return newRequest(ctx, c, k.cfg.Addr.String())
 }
 
-// newRequest builds a request to addr with the method, URI, headers and body of the call unchanged.
+// newRequest builds a request to addr with the method, path, query, headers and body of the call unchanged.
 func newRequest(ctx context.Context, c *call, addr string) *http.Request {
-	path, query, forced := strings.Cut(c.uri, "?")
 	req := &http.Request{
-		Method: c.method, URL: &url.URL{Scheme: "http", Host: addr, Opaque: path, RawQuery: query, ForceQuery: forced && query == ""},
-		Host: c.host, Header: c.header, ContentLength: c.length, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
+		Method: c.method, Host: c.host, Header: c.header, ContentLength: c.length, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
 	}
+	httppool.SetTarget(req, addr, c.uri)
 	stream.SuppressDefaultUserAgent(c.header)
 	setBody(req, c)
 	return req.WithContext(ctx)
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -82,7 +82,7 @@
 	return append([]received(nil), s.received...)
 }
 
-func startFakeTarget(t *testing.T, ip string) *fakeTarget {
+func startFakeTarget(t testing.TB, ip string) *fakeTarget {
 	t.Helper()
 	l, err := net.Listen("tcp4", ip+":0")
 	if err != nil {
@@ -197,7 +197,7 @@
 
 // listenOnOnePort listens on the same port of several loopback addresses. A port that is free on the first address may be in use on
 // another one; then it tries the next.
-func listenOnOnePort(t *testing.T, size int) []net.Listener {
+func listenOnOnePort(t testing.TB, size int) []net.Listener {
 	t.Helper()
 	const tries = 20
 	var err error
@@ -224,9 +224,9 @@
 }
 
 // startCluster starts two processes in separate failure domains.
-func startCluster(t *testing.T, kind mesh.Kind) *cluster { return startClusterOf(t, kind, 2) }
+func startCluster(t testing.TB, kind mesh.Kind) *cluster { return startClusterOf(t, kind, 2) }
 
-func startClusterOf(t *testing.T, kind mesh.Kind, size int) *cluster {
+func startClusterOf(t testing.TB, kind mesh.Kind, size int) *cluster {
 	t.Helper()
 	c := &cluster{replica: mesh.NewReplica(), monitor: disconnect.NewMonitor(func(err error) { t.Error(err) })}
 	listeners := listenOnOnePort(t, size)
@@ -266,7 +266,7 @@
 }
 
 // setConfig puts a configuration with one route for all requests, and organisations, in force.
-func (c *cluster) setConfig(t *testing.T, version uint64, kind mesh.Kind, public bool, organisations ...*mesh.Organisation) {
+func (c *cluster) setConfig(t testing.TB, version uint64, kind mesh.Kind, public bool, organisations ...*mesh.Organisation) {
 	t.Helper()
 	config, err := mesh.NewConfig(version, []*mesh.Route{{
 		Name: "route", Host: "h.example", Prefix: "/", Kind: kind, Timeout: time.Second, Objective: 500 * time.Millisecond,
@@ -282,7 +282,7 @@
 
 // newServer returns a server for the callers or the peers of a process.
 func (c *cluster) newServer(h http.Handler) *http.Server {
-	return &http.Server{Handler: c.monitor.Handler(h), ConnContext: disconnect.ConnContext}
+	return &http.Server{Handler: c.monitor.Handler(h), ConnContext: disconnect.ConnContext, DisableGeneralOptionsHandler: true}
 }
 
 func (c *cluster) publish() {
