node: one way to receive messages of other processes

Two branches bounded the same messages. The one that sets a time limit and closes the connection stays; TestMessagesOfOtherProcesses passes with it.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -195,31 +195,3 @@
 		counter(connsClosedDesc, closed.HeadMemory, name, "head-memory")
 	}
 }
-
-// Limits of messages between processes, in bytes.
-const (
-	// maxMessage is the longest message: a report of quotas.
-	maxMessage = 1 << 20
-	// smallMessage is the length up to which a message needs no room, so that bodies can't keep it out.
-	smallMessage = 8 << 10
-)
-
-// receiveMessage reads the message of another process within the memory for bodies, since any client can send one. It answers the request
-// and returns false if the message is too long or there is no memory for it. The caller must call free when the message is no longer needed.
-func (n *Node) receiveMessage(w http.ResponseWriter, r *http.Request) (free func(), ok bool) {
-	if r.ContentLength == 0 {
-		return func() {}, true
-	}
-	arrival := n.bodies.Receive(r.Body, http.NewResponseController(w).SetReadDeadline)
-	data, more, err := arrival.ReadUpTo(maxMessage, false, smallMessage)
-	switch {
-	case err == nil && more:
-		http.Error(w, "message is longer than any of this version; run the same version everywhere", http.StatusRequestEntityTooLarge)
-		return arrival.Close, false
-	case err != nil:
-		http.Error(w, "message was not received: "+err.Error(), http.StatusServiceUnavailable)
-		return arrival.Close, false
-	}
-	r.Body = io.NopCloser(bytes.NewReader(data))
-	return arrival.Close, true
-}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -236,12 +236,6 @@
 			calls.ServeHTTP(w, r)
 			return
 		}
-		proxy.LimitUnreadBody(w, r)
-		free, ok := n.receiveMessage(w, r)
-		defer free()
-		if !ok {
-			return
-		}
 		if proxy.IsQuarantineNotice(r) {
 			notices.ServeHTTP(w, r)
 			return
