--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -41,9 +41,10 @@
 type Limits struct {
 	// HeadBytes is the longest head of a request, in bytes.
 	HeadBytes int64
-	// HeadTimeout is the time between the first byte of a head and its last one. It is also the time for which a new connection may be
-	// silent.
+	// HeadTimeout is the time between the first byte of a head and its last one.
 	HeadTimeout time.Duration
+	// SilentTimeout is the time for which a new connection may be silent.
+	SilentTimeout time.Duration
 	// IdleTimeout is the time for which a connection may be idle between requests.
 	IdleTimeout time.Duration
 }
@@ -124,7 +125,7 @@
 		}
 	}
 	l.conns[c] = struct{}{}
-	c.setDeadline(l.config.Limits().HeadTimeout)
+	c.setDeadline(l.config.Limits().SilentTimeout)
 	return c
 }
 
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -82,7 +82,7 @@
 
 // callerLimits returns the limits of callers in force.
 func (n *Node) callerLimits() connlimit.Limits {
-	l := connlimit.Limits{HeadBytes: maxHeadBytes, HeadTimeout: headTimeout, IdleTimeout: idleTimeout}
+	l := connlimit.Limits{HeadBytes: maxHeadBytes, HeadTimeout: headTimeout, SilentTimeout: headTimeout, IdleTimeout: idleTimeout}
 	config := n.holder.Load().Config
 	if config == nil {
 		return l
@@ -94,7 +94,7 @@
 		l.HeadTimeout = config.Limits.HeadTimeout + headTimeoutSlack
 	}
 	if config.Limits.IdleTimeout > 0 {
-		l.IdleTimeout = config.Limits.IdleTimeout
+		l.IdleTimeout, l.SilentTimeout = config.Limits.IdleTimeout, max(config.Limits.IdleTimeout, headTimeout)
 	}
 	return l
 }
@@ -103,7 +103,7 @@
 func (n *Node) peerLimits() connlimit.Limits {
 	l := n.callerLimits()
 	l.HeadBytes += hopHeadBytes
-	l.HeadTimeout, l.IdleTimeout = headTimeout, idleTimeout
+	l.HeadTimeout, l.SilentTimeout, l.IdleTimeout = headTimeout, headTimeout, idleTimeout
 	return l
 }
 
