balance: unbound requests no longer leave a full region

What stays is the share of refusals for each service and region, which decides whether bodies are announced.

--- a/balance/balance.go
+++ b/balance/balance.go
@@ -172,8 +172,8 @@
 	rng      *rand.Rand
 	targets  map[string]*targetStats
 	routes   map[string]routeStats
-	// rooms holds the rooms of each service, by region.
-	rooms map[string][]*room
+	// refusals holds the refusals of each service, by region.
+	refusals map[string][]*refusals
 }
 
 // routeStats holds the estimates for the requests of a route.
@@ -185,7 +185,7 @@
 
 // New returns a balancer without statistics.
 func New(location Location, rng *rand.Rand) *Balancer {
-	return &Balancer{location: location, rng: rng, targets: map[string]*targetStats{}, routes: map[string]routeStats{}, rooms: map[string][]*room{}}
+	return &Balancer{location: location, rng: rng, targets: map[string]*targetStats{}, routes: map[string]routeStats{}, refusals: map[string][]*refusals{}}
 }
 
 // Choice is a selected target with the estimates that led to it.
@@ -202,8 +202,6 @@
 	// ExpectContinue is set if the request body must be admitted before it is sent over the link of the target's machine, or if it is not
 	// known whether it must.
 	ExpectContinue bool
-	// LeavesRoom is set if the target is in another region since the nearer one is full and has requests that are bound to it.
-	LeavesRoom bool
 }
 
 // Pick returns the untried, usable target with the lowest cost. If all of them are in back-off it returns the one whose
@@ -213,7 +211,6 @@
 	fallback, fallbackUntil := Choice{}, time.Time{}
 	exploring := b.rng.Float64() < explorationRate
 	route := b.routeStatsFor(a.Route.Name)
-	leave := b.regionsToLeave(a)
 	for _, t := range a.State.Targets(a.Service) {
 		if !a.State.Usable(t) || !a.Route.Allows(t.Region) || !a.Organisation.Allows(t.Region) || slices.Contains(a.Tried, t.ID) || a.Only != "" && a.Only != t.ID {
 			continue
@@ -241,9 +238,6 @@
 			continue
 		}
 		score := score(a, route, stats, distance, delay) * (1 + scoreJitter*b.rng.Float64())
-		if slices.Contains(leave, t.Region) {
-			score += displacedCost
-		}
 		if exploring && moveCost(a, route, distance) < maxExplorationCost {
 			score *= b.rng.Float64()
 		}
@@ -261,7 +255,6 @@
 	best.Transfer = stats.transfer(a, route, best.Distance)
 	best.ExpectContinue = a.Bytes >= pacer.LargeMessageBytes && best.Distance != Local && (stats.loadAt.IsZero() || stats.load.ReserveInbound) ||
 		b.announces(a, best)
-	best.LeavesRoom = best.Distance == OtherRegion && slices.Contains(leave, b.location.Region)
 	best.Due = a.Now.Add(baseRoundTrip[best.Distance] + best.Wait + dueFactor*route.runTime + dueSlack + best.Transfer)
 	return best, true
 }
@@ -430,9 +423,8 @@
 	RoundTrip time.Duration
 }
 
-// Ended records the outcome of an attempt. The choice must be the one passed to Started. It returns a change in what leaves the
-// target's region, or nil.
-func (b *Balancer) Ended(now time.Time, c Choice, e Completion) (change *RoomChange) {
+// Ended records the outcome of an attempt. The choice must be the one passed to Started.
+func (b *Balancer) Ended(now time.Time, c Choice, e Completion) {
 	stats := b.targetStatsFor(now, c.Target)
 	stats.inFlight = max(stats.inFlight-1, 0)
 	stats.removeDue(c.Due)
@@ -443,7 +435,7 @@
 		if e.ResponseBytes < pacer.LargeMessageBytes {
 			stats.observeRoundTrip(now, e.RoundTrip)
 		}
-		change = b.observeRoom(now, c.Target, e.Load, e.Result == Refused)
+		b.observeRefusal(now, c.Target, e.Result == Refused)
 	}
 	switch e.Result {
 	case Succeeded:
@@ -463,7 +455,6 @@
 			stats.observeRoundTrip(now, max(overdueBy, stats.expectedRoundTrip(now)))
 		}
 	}
-	return change
 }
 
 // removeDue removes one due time.
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -65,9 +65,6 @@
 	CallAbandoned         = "call was abandoned"
 	LinkBusy              = "link is busy with responses"
 	RequestQuarantined    = "request is quarantined"
-
-	RegionFull  = "region is full"
-	RegionRoomy = "region has room"
 )
 
 // Event describes one kind of log line. Every line also has the fields time, level, msg (the name) and instance.
@@ -115,8 +112,6 @@
 	{HealthCheckFailed, "the local target failed a health check", []string{"error"}},
 	{TargetCrashed, "the local target broke off requests and refuses connections; fingerprints are those of the requests that may be the cause, of which some are quarantined and the others suspected from now on", []string{"target", "suspects", "quarantined", "fingerprints"}},
 	{RequestQuarantined, "a request has crashed its targets and is refused from now on; crashes is the number of targets, what describes the request", []string{"fingerprint", "crashes", "what"}},
-	{RegionFull, "the targets of a service in a region are nearly full, and requests that are not bound to it begin to go elsewhere; fill is the number of running and waiting requests per slot", []string{"service", "region", "fill"}},
-	{RegionRoomy, "the targets of a service in a region have room again, and the last requests that went elsewhere are back", []string{"service", "region", "fill"}},
 	{RateLimitStated, "the local target states, in a response or a health check (field source), the rate of requests per second that it accepts; before is the limit until then, 0 if none", []string{"target", "rate", "before", "source"}},
 	{RateLimitEnded, "the local target no longer limits the rate of requests", []string{"target", "before", "source"}},
 	{TargetAnnouncedLeaving, "the local target states that it is about to stop", []string{"target", "source"}},
--- a/mesh/config.go
+++ b/mesh/config.go
@@ -98,33 +98,6 @@
 	uploads map[string]bool
 	// downloads is the set of services that routes of kind Download lead to.
 	downloads map[string]bool
-	// boundRegions lists, by service, the regions to which requests for it are bound.
-	boundRegions map[string][]string
-}
-
-// BoundRegions returns the regions to which some of a service's requests are bound, by their route or their organisation. The
-// caller must not modify the slice.
-func (c *Config) BoundRegions(service string) []string { return c.boundRegions[service] }
-
-// addBoundRegions records the home regions of the routes and organisations.
-func (c *Config) addBoundRegions() {
-	add := func(service string, regions []string) {
-		for _, region := range regions {
-			if !slices.Contains(c.boundRegions[service], region) {
-				c.boundRegions[service] = append(c.boundRegions[service], region)
-			}
-		}
-	}
-	for _, r := range c.Routes {
-		for _, part := range r.Parts {
-			add(part.Service, r.HomeRegions)
-		}
-	}
-	for service := range c.Services {
-		for _, o := range c.Organisations {
-			add(service, o.HomeRegions)
-		}
-	}
 }
 
 // ErrConfig is returned for an invalid configuration. It is rejected as a whole, and the one in force stays in force.
@@ -132,7 +105,7 @@
 
 // NewConfig validates a configuration and builds its look-up tables. Errors wrap ErrConfig.
 func NewConfig(version uint64, routes []*Route, services []*Service, limits Limits, organisations ...*Organisation) (*Config, error) {
-	c := &Config{Version: version, Routes: routes, Services: make(map[string]*Service, len(services)), Limits: limits, hosts: map[string][]*Route{}, uploads: map[string]bool{}, downloads: map[string]bool{}, boundRegions: map[string][]string{}}
+	c := &Config{Version: version, Routes: routes, Services: make(map[string]*Service, len(services)), Limits: limits, hosts: map[string][]*Route{}, uploads: map[string]bool{}, downloads: map[string]bool{}}
 	if err := c.addOrganisations(organisations); err != nil {
 		return nil, err
 	}
@@ -158,7 +131,6 @@
 		host := strings.ToLower(r.Host)
 		c.hosts[host] = append(c.hosts[host], r)
 	}
-	c.addBoundRegions()
 	for _, list := range c.hosts {
 		slices.SortStableFunc(list, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
--- a/proxy/frontend.go
+++ b/proxy/frontend.go
@@ -286,11 +286,10 @@
 		req.retryAfter = o.retryAfter
 	}
 	f.observeLink(req, t, choice.Distance, o, took)
-	change := f.balancer.Ended(clock.Now(), choice, balance.Completion{
+	f.balancer.Ended(clock.Now(), choice, balance.Completion{
 		Route: req.route.Name, Result: result, Load: o.load, RunTime: o.took, ResponseBytes: len(o.body), RoundTrip: took - o.gatekeeperTime,
 		TargetLeaving: o.targetLeaving,
 	})
-	f.logRoom(change)
 }
 
 // shouldRetry reports whether another attempt is allowed after o. Attempts that did not reach a target are limited by
