--- a/proxy/frontend.go
+++ b/proxy/frontend.go
@@ -17,6 +17,7 @@
 	"github.com/chervilwell/chervilwell/internal/clock"
 	"github.com/chervilwell/chervilwell/internal/events"
 	"github.com/chervilwell/chervilwell/internal/headers"
+	"github.com/chervilwell/chervilwell/internal/httppool"
 	"github.com/chervilwell/chervilwell/internal/stream"
 	"github.com/chervilwell/chervilwell/mesh"
 	"github.com/chervilwell/chervilwell/quarantine"
@@ -45,8 +46,10 @@
 	ApplyWithin time.Duration
 	// RevokeWithin is the age of the state from which on keys are not accepted any more, or 0 if it does not matter.
 	RevokeWithin time.Duration
-	Metrics      *Metrics
-	Rand         *rand.Rand
+	// Quotas bounds the requests of organisations. It may be nil.
+	Quotas  Quotas
+	Metrics *Metrics
+	Rand    *rand.Rand
 }
 
 // Frontend serves the callers of one instance. It is safe for concurrent use.
@@ -133,8 +136,12 @@
 		f.refuse(w, req, o)
 		return
 	}
-	path, _, _ := strings.Cut(r.RequestURI, "?")
-	req.route = req.state.Config.Match(r.Host, path)
+	target, ok := httppool.OriginForm(r)
+	path, _, _ := strings.Cut(target, "?")
+	if ok {
+		r.RequestURI = target // sent as it was matched
+		req.route = req.state.Config.Match(r.Host, path)
+	}
 	if req.route == nil {
 		if f.cfg.LogBudget.Allow() {
 			f.cfg.Log.Info().Str("request", r.Header.Get(f.cfg.Names.RequestID)).Str("host", r.Host).Str("path", path).
@@ -160,13 +167,18 @@
 		}
 		req.deadline = deadline
 	}
+	if !f.admit(w, req) {
+		return
+	}
 	closeBody, err := f.readBody(w, req)
 	defer closeBody()
+	if err == nil {
+		err = f.identifyRequest(req)
+	}
 	if err != nil {
 		f.refuseBody(w, req, err)
 		return
 	}
-	req.fingerprint = fingerprint(req)
 	abandoned := watchAbandonment(r.Context())
 	defer abandoned.stop()
 	o := f.forward(r.Context(), req)
@@ -357,6 +369,7 @@
 		h[name] = values
 	}
 	f.recordRequest(req, o, o.status, 0)
+	answerEarly(w, req.rest != nil)
 	if err := writeBody(w, o); err != nil {
 		f.cfg.Log.Debug().Err(err).Str("request", req.incoming.Header.Get(f.cfg.Names.RequestID)).Msg(events.ResponseIncomplete)
 		stream.Abort(w, req.incoming)
@@ -373,8 +386,13 @@
 			status = http.StatusGatewayTimeout
 		}
 	case o.reason == reasonQuarantined:
+		f.refund(req)
 		status = http.StatusUnprocessableEntity
 	default:
+		if o.reason == reasonOverQuota {
+			status = http.StatusTooManyRequests
+		}
+		f.refund(req)
 		retryAfter = f.computeRetryAfter(req, o)
 		w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
--- a/proxy/peers.go
+++ b/proxy/peers.go
@@ -144,6 +144,7 @@
 		if o.run != ran {
 			LimitUnreadBody(w, r)
 		}
+		answerEarly(w, o.run == ran && c.rest != nil)
 		w, done := k.paced(r.Context(), w, c, o)
 		defer done()
 		if err := writeOutcome(w, o); err != nil {
