--- a/proxy/regions.go
+++ b/proxy/regions.go
@@ -54,7 +54,7 @@
 		}
 	}
 	count(bytesOfHeads, len(c.method)+len(c.uri)+headerBytes(c.header)+headerBytes(o.header))
-	count(bytesOfResponses, len(o.body))
+	count(bytesOfResponses, int(o.length)) // below 0 for a streamed response without a length
 	switch {
 	case o.run != notRun:
 		count(bytesOfBodies, len(req.body))
