proxy: read whether an attempt runs at home under the lock

With -race, TestTargetReceivesNoMoreThanItsRateLimit reported once that a hedge sets it while the first attempt reads it.

--- a/proxy/frontend.go
+++ b/proxy/frontend.go
@@ -255,7 +255,10 @@
 
 // attempt sends the request to one target and records the outcome.
 func (f *Frontend) attempt(ctx context.Context, req *request, choice balance.Choice) *outcome {
-	c := f.call(req, choice.Target, req.atHome)
+	f.mu.Lock()
+	atHome := req.atHome // a hedge that begins meanwhile sets it again
+	f.mu.Unlock()
+	c := f.call(req, choice.Target, atHome)
 	c.expectContinue = choice.ExpectContinue
 	start := clock.Now()
 	var o *outcome
