--- a/proxy/frontend.go
+++ b/proxy/frontend.go
@@ -255,7 +255,10 @@
 
 // attempt sends the request to one target and records the outcome.
 func (f *Frontend) attempt(ctx context.Context, req *request, choice balance.Choice) *outcome {
-	c := f.call(req, choice.Target, req.atHome)
+	f.mu.Lock()
+	atHome := req.atHome // a hedge that begins meanwhile sets it again
+	f.mu.Unlock()
+	c := f.call(req, choice.Target, atHome)
 	c.expectContinue = choice.ExpectContinue
 	start := clock.Now()
 	var o *outcome
@@ -298,11 +301,10 @@
 		req.retryAfter = o.retryAfter
 	}
 	f.observeLink(req, t, choice.Distance, o, took)
-	change := f.balancer.Ended(clock.Now(), choice, balance.Completion{
+	f.balancer.Ended(clock.Now(), choice, balance.Completion{
 		Route: req.route.Name, Result: result, Load: o.load, RunTime: o.took, ResponseBytes: len(o.body), RoundTrip: took - o.gatekeeperTime,
 		TargetLeaving: o.targetLeaving,
 	})
-	f.logRoom(change)
 }
 
 // shouldRetry reports whether another attempt is allowed after o. Attempts that did not reach a target are limited by
