--- a/review/harness2/rig/client.go
+++ b/review/harness2/rig/client.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -35,7 +36,11 @@
 	return req, nil
 }
 
-// Ask sends one short request on a new connection and returns the status of the answer.
+// attempts counts the requests without an ID of their own.
+var attempts atomic.Int64
+
+// Ask sends one short request on a new connection and returns the status of the answer. The path is that of the prefix and the ID; with an
+// empty ID it is the prefix, and the request gets another ID each time.
 func Ask(addr, prefix, id string) (int, error) {
 	conn, err := net.DialTimeout("tcp4", addr, time.Second)
 	if err != nil {
@@ -47,6 +52,9 @@
 	if err != nil {
 		return 0, err
 	}
+	if id == "" {
+		req.Header.Set(AttemptID, fmt.Sprint("attempt-", attempts.Add(1)))
+	}
 	if err := req.Write(conn); err != nil {
 		return 0, err
 	}
--- a/review/harness2/rig/endpoint.go
+++ b/review/harness2/rig/endpoint.go
@@ -17,7 +17,9 @@
 	Expected    = "Chervilwell-Expected-Instance"
 	NotExecuted = "Chervilwell-Not-Executed"
 	InstanceID  = "Chervilwell-Instance-Id"
-	ColdMs      = "Chervilwell-Cold-Ms"
+	// CallerService names the service of the machine where a request began.
+	CallerService = "Chervilwell-Caller-Service"
+	ColdMs        = "Chervilwell-Cold-Ms"
 )
 
 // Endpoint stands in for an application endpoint beside a process.
@@ -32,7 +34,6 @@
 	server *http.Server
 	mu     sync.Mutex
 	seq    int
-	state  string
 	cold   time.Time
 	// running is the number of requests in progress.
 	running int
@@ -46,7 +47,7 @@
 		return nil, err
 	}
 	e := &Endpoint{
-		ID: id, Born: time.Now().UnixMilli(), Slots: slots, Work: work, node: n, state: "ready", cold: time.Now().Add(cold), stop: make(chan struct{}),
+		ID: id, Born: time.Now().UnixMilli(), Slots: slots, Work: work, node: n, cold: time.Now().Add(cold), stop: make(chan struct{}),
 	}
 	e.server = &http.Server{Handler: e, ReadHeaderTimeout: 5 * time.Second, IdleTimeout: 10 * time.Second}
 	go func() { _ = e.server.Serve(listener) }() // ends with the endpoint
@@ -70,8 +71,8 @@
 func (e *Endpoint) beat() {
 	e.mu.Lock()
 	e.seq++
-	value := fmt.Sprintf(`{"Service":%q,"Address":%q,"Zone":%q,"Version":"v1","Slots":%d,"State":%q,"ColdS":%.3f,"Seq":%d,"born":%d}`,
-		e.node.Service, e.node.App(), e.node.Zone, e.Slots, e.state, max(time.Until(e.cold), 0).Seconds(), e.seq, e.Born)
+	value := fmt.Sprintf(`{"Service":%q,"Address":%q,"Zone":%q,"Version":"v1","Slots":%d,"State":"ready","ColdS":%.3f,"Seq":%d,"born":%d}`,
+		e.node.Service, e.node.App(), e.node.Zone, e.Slots, max(time.Until(e.cold), 0).Seconds(), e.seq, e.Born)
 	e.mu.Unlock()
 	e.node.rig.Store.Put("servers/"+e.ID, value)
 }
@@ -90,13 +91,6 @@
 	e.node.rig.Logf("endpoint %s ends", e.ID)
 }
 
-// Running returns the number of requests in progress.
-func (e *Endpoint) Running() int {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return e.running
-}
-
 func (e *Endpoint) coldFor() time.Duration {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/review/harness2/rig/rig.go
+++ b/review/harness2/rig/rig.go
@@ -14,7 +14,6 @@
 	"path/filepath"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 )
 
@@ -33,9 +32,7 @@
 
 	dir     string
 	storeAt string
-	// closeStore ends the service of the store at storeAt.
-	closeStore func()
-	ports      ports
+	ports   ports
 
 	mu     sync.Mutex
 	start  time.Time
@@ -57,7 +54,7 @@
 		return nil, err
 	}
 	r := &Rig{Store: NewStore(), Trouble: os.Getenv("TROUBLE") != "0", dir: dir, start: time.Now(), record: record}
-	if r.storeAt, r.closeStore, err = r.Store.Listen(); err != nil {
+	if r.storeAt, err = r.Store.Listen(); err != nil {
 		return nil, err
 	}
 	for _, p := range []*int{&r.ports.inbound, &r.ports.outbound, &r.ports.ready, &r.ports.app} {
@@ -93,7 +90,6 @@
 	rig                     *Rig
 	output                  *os.File
 	settings                string
-	machine                 Machine
 	exited                  chan struct{}
 }
 
@@ -114,14 +110,8 @@
 
 // AddMachine writes the settings of a machine. Start starts its process.
 func (r *Rig) AddMachine(m Machine) (*Node, error) {
-	n := &Node{Name: m.Name, IP: m.IP, Zone: m.Zone, Service: m.Service, rig: r, settings: filepath.Join(r.dir, m.Name+".json"), machine: m}
+	n := &Node{Name: m.Name, IP: m.IP, Zone: m.Zone, Service: m.Service, rig: r, settings: filepath.Join(r.dir, m.Name+".json")}
 	r.nodes = append(r.nodes, n)
-	return n, n.writeSettings()
-}
-
-// writeSettings writes the settings file of a node as they are now.
-func (n *Node) writeSettings() error {
-	r, m := n.rig, n.machine
 	at := func(port int) string { return fmt.Sprintf("%s:%d", m.IP, port) }
 	settings := map[string]any{
 		"LocalNode": map[string]any{
@@ -149,9 +139,9 @@
 	}
 	data, err := json.MarshalIndent(settings, "", "  ")
 	if err != nil {
-		return err
+		return nil, err
 	}
-	return os.WriteFile(n.settings, data, 0o600)
+	return n, os.WriteFile(n.settings, data, 0o600)
 }
 
 // Start starts the process of a node with the command of the deploy file.
@@ -177,44 +167,6 @@
 	return nil
 }
 
-// MoveStore makes the store answer at a further address, and changes the settings files of all machines to it. The former address answers
-// until the returned function is called.
-func (r *Rig) MoveStore() (closeFormer func(), err error) {
-	former, formerAt := r.closeStore, r.storeAt
-	if r.storeAt, r.closeStore, err = r.Store.Listen(); err != nil {
-		return nil, err
-	}
-	for _, n := range r.nodes {
-		if err := n.writeSettings(); err != nil {
-			return nil, err
-		}
-	}
-	r.Logf("the store answers at %s too; the settings files of all machines name that address", r.storeAt)
-	return func() {
-		former()
-		r.Logf("the store does not answer at %s any more", formerAt)
-	}, nil
-}
-
-// Signal sends a signal to the process of a node.
-func (n *Node) Signal(s syscall.Signal) {
-	n.rig.Logf("%s: signal %v", n.Name, s)
-	_ = n.Cmd.Process.Signal(s) // fails only if the process has ended
-}
-
-// Exited reports whether the process has ended.
-func (n *Node) Exited() bool {
-	select {
-	case <-n.exited:
-		return true
-	default:
-		return false
-	}
-}
-
-// Wait waits until the process has ended.
-func (n *Node) Wait() { <-n.exited }
-
 // Ready reports whether the process says that it is ready.
 func (n *Node) Ready() bool {
 	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
@@ -280,7 +232,6 @@
 func (r *Rig) Close() {
 	for _, n := range r.nodes {
 		if n.Cmd != nil && n.Cmd.Process != nil {
-			_ = n.Cmd.Process.Signal(syscall.SIGCONT)
 			_ = n.Cmd.Process.Kill()
 			<-n.exited
 			n.output.Close()
@@ -292,11 +243,7 @@
 		}
 	}
 	r.record.Close()
-	if os.Getenv("KEEP") == "" {
-		os.RemoveAll(r.dir)
-	} else {
-		fmt.Println(r.dir)
-	}
+	os.RemoveAll(r.dir)
 }
 
 // Main runs a case and exits with its code.
--- a/review/harness2/rig/store.go
+++ b/review/harness2/rig/store.go
@@ -34,15 +34,15 @@
 	return &Store{revision: 1, items: map[string]item{}, changed: make(chan struct{})}
 }
 
-// Listen makes the store answer at a new address until stop is called.
-func (s *Store) Listen() (addr string, stop func(), err error) {
+// Listen makes the store answer at a free address, which it returns.
+func (s *Store) Listen() (addr string, err error) {
 	listener, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
-		return "", nil, err
+		return "", err
 	}
 	server := &http.Server{Handler: s, ReadHeaderTimeout: 5 * time.Second}
-	go func() { _ = server.Serve(listener) }() // ends with stop
-	return listener.Addr().String(), func() { server.Close() }, nil
+	go func() { _ = server.Serve(listener) }() // ends with the program
+	return listener.Addr().String(), nil
 }
 
 // Put writes an entry and returns its revision.
