node, bodyroom: a body that pauses is ended only in favour of connections at its own listener

Cause: a listener that is full ends the body that has paused for longest in the whole process. That was one of the other listener, so that the new connection came on top; at an eighth above the bound the listener ends nothing any more, and every connection is refused.

Bodies now carry the listener they arrive on, and a listener ends only its own, so that each end frees the connection that it is for.

--- a/internal/bodyroom/bodyroom.go
+++ b/internal/bodyroom/bodyroom.go
@@ -48,6 +48,15 @@
 	refused  uint64
 }
 
+// Origin is the kind of client that sends a body.
+type Origin uint8
+
+// Origins of bodies.
+const (
+	FromCallers Origin = iota
+	FromProcesses
+)
+
 // NewRoom returns room for a number of bytes.
 func NewRoom(bytes int64) *Room { return &Room{bytes: bytes, arriving: map[*Arrival]struct{}{}} }
 
@@ -108,13 +117,13 @@
 	return true
 }
 
-// EndStalled ends the body whose sender has paused for longest, if that is at least pause, or else the slowest one, and reports whether
-// there was any.
-func (r *Room) EndStalled(pause time.Duration) bool {
-	return r.endStalled(pause, func(*Arrival) bool { return true })
+// EndStalled ends the body of an origin whose sender has paused for longest, if that is at least pause, or else the slowest one, and
+// reports whether there was any.
+func (r *Room) EndStalled(origin Origin, pause time.Duration) bool {
+	return r.endStalled(pause, func(a *Arrival) bool { return a.origin == origin })
 }
 
-// EndStreamed is like EndStalled, but considers only the bodies that are sent on while they arrive.
+// EndStreamed is like EndStalled, but considers only the bodies that are sent on while they arrive, of any origin.
 func (r *Room) EndStreamed(pause time.Duration) bool {
 	return r.endStalled(pause, func(a *Arrival) bool { return a.streamed })
 }
@@ -171,6 +180,7 @@
 // Arrival is a request body that is being received. Its methods must not be called concurrently, except for SetReadDeadline.
 type Arrival struct {
 	room            *Room
+	origin          Origin
 	body            io.Reader
 	setReadDeadline func(time.Time) error
 
@@ -187,8 +197,8 @@
 }
 
 // Receive returns the arrival of a body, whose reads setReadDeadline interrupts. The caller must call Close.
-func (r *Room) Receive(body io.Reader, setReadDeadline func(time.Time) error) *Arrival {
-	a := &Arrival{room: r, body: body, setReadDeadline: setReadDeadline}
+func (r *Room) Receive(body io.Reader, origin Origin, setReadDeadline func(time.Time) error) *Arrival {
+	a := &Arrival{room: r, body: body, origin: origin, setReadDeadline: setReadDeadline}
 	r.mu.Lock()
 	r.arriving[a] = struct{}{}
 	r.mu.Unlock()
--- a/internal/bodyroom/bodyroom_test.go
+++ b/internal/bodyroom/bodyroom_test.go
@@ -16,7 +16,7 @@
 func TestTotalSizeIsLimited(t *testing.T) {
 	r := NewRoom(5 * firstPiece)
 	whole := strings.Repeat("x", 2*firstPiece)
-	first := r.Receive(strings.NewReader(whole), noDeadline)
+	first := r.Receive(strings.NewReader(whole), FromCallers, noDeadline)
 	if data, more, err := first.ReadUpTo(int64(len(whole)), true, 0); err != nil || more || string(data) != whole {
 		t.Fatalf("%d bytes, more %v, %v", len(data), more, err)
 	}
@@ -24,13 +24,13 @@
 		t.Errorf("%d bytes are held", held)
 	}
 	rest := strings.NewReader(strings.Repeat("y", 4*firstPiece))
-	second := r.Receive(rest, noDeadline)
+	second := r.Receive(rest, FromCallers, noDeadline)
 	data, more, err := second.ReadUpTo(4*firstPiece, true, 0)
 	if !errors.Is(err, ErrFull) || !more || len(data)+rest.Len() != 4*firstPiece {
 		t.Errorf("got %v, %d bytes are read, %d left", err, len(data), rest.Len())
 	}
 	second.Close()
-	early := r.Receive(strings.NewReader("short"), noDeadline)
+	early := r.Receive(strings.NewReader("short"), FromCallers, noDeadline)
 	if _, _, err := early.ReadUpTo(10, true, 0); !errors.Is(err, io.ErrUnexpectedEOF) {
 		t.Errorf("got %v", err)
 	}
@@ -62,7 +62,7 @@
 func TestPausedBodyGivesItsRoomBack(t *testing.T) {
 	r := NewRoom(firstPiece)
 	p := &pausing{sent: strings.NewReader("x"), ended: make(chan struct{})}
-	a := r.Receive(p, func(time.Time) error { close(p.ended); return nil })
+	a := r.Receive(p, FromCallers, func(time.Time) error { close(p.ended); return nil })
 	result := make(chan error, 1)
 	go func() { _, _, err := a.ReadUpTo(firstPiece, true, 0); result <- err }()
 	for r.Usage().Held == 0 {
@@ -85,11 +85,11 @@
 
 func TestBodyThatMovesIsNotEnded(t *testing.T) {
 	r := NewRoom(1)
-	a := r.Receive(strings.NewReader("x"), func(time.Time) error { t.Error("ended"); return nil })
+	a := r.Receive(strings.NewReader("x"), FromCallers, func(time.Time) error { t.Error("ended"); return nil })
 	if _, _, err := a.ReadUpTo(1, true, 0); err != nil {
 		t.Fatal(err)
 	}
-	if r.TryAcquire(1) || r.EndStalled(0) {
+	if r.TryAcquire(1) || r.EndStalled(FromCallers, 0) {
 		t.Error("room of a body that has arrived was taken")
 	}
 }
@@ -99,7 +99,7 @@
 	now := time.Now()
 	r := NewRoom(1)
 	add := func(received int64, waited time.Duration) *Arrival {
-		a := r.Receive(nil, noDeadline)
+		a := r.Receive(nil, FromCallers, noDeadline)
 		a.received, a.waited, a.waitingSince = received, waited, now
 		return a
 	}
@@ -115,3 +115,28 @@
 		t.Errorf("got %+v", a)
 	}
 }
+
+// Guards against a body of one listener that is ended in favour of a connection at another.
+func TestStalledBodyIsEndedForItsListenerOnly(t *testing.T) {
+	r := NewRoom(1)
+	ended := make(chan struct{})
+	a := r.Receive(&pausing{sent: strings.NewReader(""), ended: ended}, FromProcesses, func(time.Time) error { close(ended); return nil })
+	defer a.Close()
+	result := make(chan error, 1)
+	go func() { _, err := a.Read(make([]byte, 1)); result <- err }()
+	for {
+		r.mu.Lock()
+		waiting := !a.waitingSince.IsZero()
+		r.mu.Unlock()
+		if waiting {
+			break
+		}
+		time.Sleep(time.Millisecond)
+	}
+	if r.EndStalled(FromCallers, 0) {
+		t.Error("a body of another process was ended in favour of callers")
+	}
+	if !r.EndStalled(FromProcesses, 0) || <-result != ErrStalled {
+		t.Error("the body was not ended")
+	}
+}
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -9,6 +9,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/chervilwell/chervilwell/internal/bodyroom"
 	"github.com/chervilwell/chervilwell/internal/connlimit"
 )
 
@@ -67,6 +68,8 @@
 	memoryShare, descriptorShare float64
 	into                         **connlimit.Listener
 	limits                       func() connlimit.Limits
+	// origin is that of the bodies that it receives.
+	origin bodyroom.Origin
 }
 
 // limitClients bounds the connections of a listener.
@@ -74,7 +77,7 @@
 	s := n.settings
 	l := connlimit.New(inner, connlimit.Config{
 		MaxConns: maxConns(s.MemoryBytes, s.Descriptors, c.memoryShare, c.descriptorShare), HeadMemory: int64(headShare * memoryOr(s.MemoryBytes)),
-		Limits: c.limits, EndRequest: func() bool { return n.bodies.EndStalled(pauseForConn) },
+		Limits: c.limits, EndRequest: func() bool { return n.bodies.EndStalled(c.origin, pauseForConn) },
 	})
 	*c.into = l
 	return l
@@ -115,7 +118,7 @@
 			next.ServeHTTP(w, r)
 			return
 		}
-		body := n.bodies.Receive(r.Body, http.NewResponseController(w).SetReadDeadline)
+		body := n.bodies.Receive(r.Body, bodyroom.FromProcesses, http.NewResponseController(w).SetReadDeadline)
 		defer body.Close()
 		if err := body.SetReadDeadline(time.Now().Add(messageTimeout)); err != nil {
 			return // the connection is closed
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -185,8 +185,8 @@
 	}
 	monitor := disconnect.NewMonitor(func(err error) { n.log.Error().Err(err).Msg(events.PollFailed) })
 	listeners := []listener{
-		{n.settings.Callers, monitor.Handler(n.frontend), &clientListener{callerMemoryShare, callerDescriptorShare, &n.callers, n.callerLimits}},
-		{n.settings.Peers, n.peerHandler(monitor), &clientListener{peerMemoryShare, peerDescriptorShare, &n.peers, n.peerLimits}},
+		{n.settings.Callers, monitor.Handler(n.frontend), &clientListener{callerMemoryShare, callerDescriptorShare, &n.callers, n.callerLimits, bodyroom.FromCallers}},
+		{n.settings.Peers, n.peerHandler(monitor), &clientListener{peerMemoryShare, peerDescriptorShare, &n.peers, n.peerLimits, bodyroom.FromProcesses}},
 		{n.settings.Ready, http.HandlerFunc(n.serveReady), nil},
 	}
 	if port := n.options.MetricsPort; port != 0 {
--- a/proxy/peers.go
+++ b/proxy/peers.go
@@ -133,7 +133,7 @@
 		delete(r.Header, hopHeader)
 		delete(r.Header, "Expect")
 		if r.ContentLength != 0 {
-			c.rest = k.bodies.Receive(r.Body, http.NewResponseController(w).SetReadDeadline)
+			c.rest = k.bodies.Receive(r.Body, bodyroom.FromProcesses, http.NewResponseController(w).SetReadDeadline)
 			defer c.rest.Close()
 			c.setReadDeadline = c.rest.SetReadDeadline
 			if err := c.setReadDeadline(time.Now().Add(remaining(c.deadline) + deadlineSlack)); err != nil {
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -85,7 +85,7 @@
 	if limit := req.state.Config.Limits.BodyBytes; limit > 0 && r.ContentLength < 0 {
 		r.Body = http.MaxBytesReader(w, r.Body, limit)
 	}
-	body := f.bodies().Receive(r.Body, http.NewResponseController(w).SetReadDeadline)
+	body := f.bodies().Receive(r.Body, bodyroom.FromCallers, http.NewResponseController(w).SetReadDeadline)
 	req.setReadDeadline = body.SetReadDeadline
 	if err := req.setReadDeadline(time.Now().Add(remaining(req.deadline))); err != nil {
 		return body.Close, err
