proxy, node: requests refused without their bodies are answered at once, and the rest of a body keeps no connection

Cause: net/http sends a response only after it has received the rest of the body, up to 256 KB, for which it waited 5 s. Until then the connection has a request in progress, which internal/connlimit never displaces, and the body is none that internal/bodyroom could end.

Such requests (no route, no configuration, too long, unknown key, over quota, stopping) are now answered before the rest arrives (internal/unreadbody). The rest is received for 5 s as before, so that the connection can carry the next request, but the connection counts as displaceable meanwhile. If the rest does not come, the connection is closed, since its end would be read as the next request. The state for other processes uses the same handler. A refused call of another process still receives a short rest first, as its sender would give up the connection; now as a body that can be ended.

TestRequestWithoutRouteIsAnsweredAtOnce failed on (Connection: close, after 5 s) and passes.

--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"context"
 	"net"
 	"net/http"
 	"sync"
@@ -62,7 +63,7 @@
 }
 
 // Listener accepts connections within the limits. At the largest number of connections it closes the one that has waited longest without
-// a request in progress. It is safe for concurrent use. The server must use ConnState.
+// a request in progress. It is safe for concurrent use. The server must use ConnState and ConnContext.
 type Listener struct {
 	net.Listener
 	config Config
@@ -137,7 +138,7 @@
 func (l *Listener) displace(except *conn, kind func(*conn) bool) bool {
 	var oldest *conn
 	for c := range l.conns {
-		if c.waiting.Load() && c != except && kind(c) && (oldest == nil || c.since.Before(oldest.since)) {
+		if (c.waiting.Load() || c.answered) && c != except && kind(c) && (oldest == nil || c.since.Before(oldest.since)) {
 			oldest = c
 		}
 	}
@@ -177,6 +178,7 @@
 	case http.StateIdle:
 		l.headMemory -= c.charged
 		c.since, c.headBytes, c.headCost, c.charged = clock.Now(), 0, 0, 0
+		c.answered = false
 		c.waiting.Store(true)
 		c.setDeadline(l.config.Limits().IdleTimeout)
 	case http.StateClosed, http.StateHijacked:
@@ -192,8 +194,10 @@
 	// waiting is set while no request is in progress. It is changed with listener.mu held.
 	waiting atomic.Bool
 
-	// The fields below are guarded by listener.mu. since is when waiting was set.
+	// The fields below are guarded by listener.mu. since is when waiting or answered was set.
 	since time.Time
+	// answered is set while the rest of the body of a request that has been answered is received.
+	answered bool
 	// displaced is set once the connection was closed in favour of another.
 	displaced bool
 	// headBytes is the length of the head so far, headCost the memory that it takes, charged the part of it that counts towards
@@ -260,3 +264,25 @@
 	}
 	return c.Conn.SetReadDeadline(t)
 }
+
+type contextKey struct{}
+
+// ConnContext makes the connection known to Answered. It is a value for http.Server.ConnContext.
+func ConnContext(ctx context.Context, nc net.Conn) context.Context {
+	if c, ok := nc.(*conn); ok {
+		return context.WithValue(ctx, contextKey{}, c)
+	}
+	return ctx
+}
+
+// Answered records that the request with the given context has been answered while a part of its body is missing. Its connection may be
+// closed in favour of others from then on.
+func Answered(ctx context.Context) {
+	c, ok := ctx.Value(contextKey{}).(*conn)
+	if !ok {
+		return
+	}
+	c.listener.mu.Lock()
+	defer c.listener.mu.Unlock()
+	c.answered, c.since = true, clock.Now()
+}
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -13,6 +13,12 @@
 
 // start serves with the limits and returns the listener.
 func start(t *testing.T, config Config) *Listener {
+	t.Helper()
+	return startHandler(t, config, func(w http.ResponseWriter, r *http.Request) { _, _ = io.Copy(w, r.Body) })
+}
+
+// startHandler is start with a handler.
+func startHandler(t *testing.T, config Config, handler http.HandlerFunc) *Listener {
 	t.Helper()
 	inner, err := net.Listen("tcp4", "127.0.0.1:0")
 	if err != nil {
@@ -22,9 +28,7 @@
 		config.EndRequest = func() bool { return false }
 	}
 	l := New(inner, config)
-	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		_, _ = io.Copy(w, r.Body)
-	}), ConnState: l.ConnState}
+	server := &http.Server{Handler: handler, ConnState: l.ConnState, ConnContext: ConnContext}
 	go func() { _ = server.Serve(l) }()
 	t.Cleanup(func() { server.Close() })
 	return l
@@ -130,3 +134,28 @@
 		t.Error("an unfinished head or a silent connection is kept")
 	}
 }
+
+// Guards against requests that have been answered and keep their connections with the rest of a body.
+func TestAnsweredConnectionIsDisplaced(t *testing.T) {
+	l := startHandler(t, Config{MaxConns: 1, HeadMemory: 1 << 20, Limits: func() Limits { return Limits{} }}, func(w http.ResponseWriter, r *http.Request) {
+		control := http.NewResponseController(w)
+		_ = control.EnableFullDuplex()
+		w.Header().Set("Content-Length", "0")
+		_ = control.Flush()
+		Answered(r.Context())
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			panic(http.ErrAbortHandler)
+		}
+	})
+	paused := dial(t, l)
+	_, _ = io.WriteString(paused, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 2\r\n\r\nx")
+	if resp, err := http.ReadResponse(bufio.NewReader(paused), nil); err != nil || resp.StatusCode != http.StatusOK {
+		t.Fatalf("not answered: %v", err)
+	}
+	if get(dial(t, l), "") != http.StatusOK {
+		t.Fatal("a new connection is locked out")
+	}
+	if !closed(paused, time.Second) {
+		t.Error("the answered connection is kept")
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -24,6 +24,7 @@
 	"github.com/chervilwell/chervilwell/internal/connlimit"
 	"github.com/chervilwell/chervilwell/internal/disconnect"
 	"github.com/chervilwell/chervilwell/internal/events"
+	"github.com/chervilwell/chervilwell/internal/unreadbody"
 	"github.com/chervilwell/chervilwell/mesh"
 	"github.com/chervilwell/chervilwell/pacer"
 	"github.com/chervilwell/chervilwell/platform"
@@ -221,16 +222,21 @@
 // that is no target's.
 func newServer(handler http.Handler) *http.Server {
 	return &http.Server{
-		Handler: handler, ConnContext: disconnect.ConnContext, DisableGeneralOptionsHandler: true,
+		Handler: handler, ConnContext: connContext, DisableGeneralOptionsHandler: true,
 		ReadHeaderTimeout: headTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeadBytes,
 	}
 }
 
+// connContext makes a connection known to the handlers of its requests.
+func connContext(ctx context.Context, conn net.Conn) context.Context {
+	return connlimit.ConnContext(disconnect.ConnContext(ctx, conn), conn)
+}
+
 // peerHandler returns the handler for other processes: it serves their requests for the local target, their notices and their queries of
 // the state.
 func (n *Node) peerHandler(monitor *disconnect.Monitor) http.Handler {
 	calls, notices := monitor.Handler(proxy.PeerHandler(n.gatekeeper)), n.receiveMessage(proxy.QuarantineHandler(n.gatekeeper))
-	quotas := n.receiveMessage(n.quotas)
+	quotas, state := n.receiveMessage(n.quotas), unreadbody.Handler(n.follower)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		if proxy.IsCall(r) {
 			calls.ServeHTTP(w, r)
@@ -244,8 +250,7 @@
 			quotas.ServeHTTP(w, r)
 			return
 		}
-		proxy.LimitUnreadBody(w, r)
-		n.follower.ServeHTTP(w, r)
+		state.ServeHTTP(w, r)
 	})
 }
 
--- a/proxy/body.go
+++ b/proxy/body.go
@@ -6,10 +6,13 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/chervilwell/chervilwell/internal/unreadbody"
 )
 
 // Limits of connections between instances and to local targets.
@@ -24,13 +27,32 @@
 	keepAliveCount    = 2
 )
 
-// LimitUnreadBody limits the time for which the server reads a body that no handler reads, so that it can be answered.
-func LimitUnreadBody(w http.ResponseWriter, r *http.Request) {
-	if r.ContentLength != 0 {
-		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(unreadBodyTimeout)) // fails only if the connection is closed
+// maxDiscardedBody is the number of bytes up to which the body of a refused call is received so that its connection can be kept.
+const maxDiscardedBody = 256 << 10
+
+// discardRest receives the rest of the body of a refused call, if it is short, before the refusal is sent: a process that is still sending
+// gives up its connection. The call may be ended meanwhile in favour of others, as any call whose body arrives.
+func (c *call) discardRest() {
+	if c.rest == nil || c.length > int64(len(c.body))+maxDiscardedBody {
+		return
+	}
+	if c.setReadDeadline(time.Now().Add(unreadBodyTimeout)) == nil { // else it was ended, or the connection is closed
+		_, _ = io.CopyN(io.Discard, c.rest, maxDiscardedBody) // on an error, the server closes the connection
 	}
 }
 
+// respondText answers a request whose body may be unread with a text.
+func respondText(w http.ResponseWriter, r *http.Request, status int, text string) {
+	unreadbody.Respond(w, r)
+	text += "\n"
+	h := w.Header()
+	h.Set("Content-Type", "text/plain; charset=utf-8")
+	h.Set("X-Content-Type-Options", "nosniff")
+	h.Set("Content-Length", strconv.Itoa(len(text)))
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, text) // fails only if the connection is closed
+}
+
 // setBody sets the body of req to the body of c.
 func setBody(req *http.Request, c *call) {
 	switch {
--- a/proxy/frontend.go
+++ b/proxy/frontend.go
@@ -19,6 +19,7 @@
 	"github.com/chervilwell/chervilwell/internal/headers"
 	"github.com/chervilwell/chervilwell/internal/httppool"
 	"github.com/chervilwell/chervilwell/internal/stream"
+	"github.com/chervilwell/chervilwell/internal/unreadbody"
 	"github.com/chervilwell/chervilwell/mesh"
 	"github.com/chervilwell/chervilwell/quarantine"
 	"github.com/chervilwell/chervilwell/retrybudget"
@@ -106,9 +107,7 @@
 	smallBody = 8 << 10
 	// roomRetryAfter is the retry-after of a request for whose body there is no room.
 	roomRetryAfter = 500 * time.Millisecond
-	// refusedBodyTimeout is how long the rest of a refused body is read.
-	refusedBodyTimeout = 500 * time.Millisecond
-	// unreadBodyTimeout is how long the body of a request that is answered before its body has been read may still arrive.
+	// unreadBodyTimeout is how long the body of a refused call may still arrive.
 	unreadBodyTimeout = 5 * time.Second
 	// responseSlack is the time after the request's deadline within which the response of the last target may still arrive.
 	responseSlack = 60 * time.Millisecond
@@ -122,14 +121,24 @@
 
 // ServeHTTP implements http.Handler for callers.
 func (f *Frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body := r.Body
+	req := &request{incoming: r, arrived: clock.Now(), state: f.cfg.Holder.Load()}
+	f.serve(w, req)
+	if !req.received {
+		unreadbody.Receive(w, r, body)
+	}
+}
+
+// serve answers a request.
+func (f *Frontend) serve(w http.ResponseWriter, req *request) {
+	r := req.incoming
 	f.active.Add(1)
 	defer f.active.Add(-1)
 	window := f.window.Load()
 	if window != nil {
 		w.Header().Set("Connection", "close")
 	}
-	req := &request{incoming: r, arrived: clock.Now(), state: f.cfg.Holder.Load()}
-	LimitUnreadBody(w, r)
+	unreadbody.Limit(w, r)
 	if req.state.Config == nil {
 		o := noResponse(notRun, reasonNoConfig)
 		o.retryAfter = noConfigRetryAfter
@@ -148,7 +157,7 @@
 				Uint64("config", req.configVersion()).Dur("age", f.cfg.StoreAge()).Msg(events.NoRoute)
 		}
 		f.cfg.Metrics.observeRequest(kindNone, "404", reasonNoRoute, clock.Now().Sub(req.arrived))
-		http.Error(w, "no route takes this host and path; check them against the configuration", http.StatusNotFound)
+		respondText(w, r, http.StatusNotFound, "no route takes this host and path; check them against the configuration")
 		return
 	}
 	if !f.identify(w, req) {
@@ -358,9 +367,6 @@
 // writeResponse writes an outcome to the caller.
 func (f *Frontend) writeResponse(w http.ResponseWriter, req *request, o *outcome) {
 	if o.run != ran {
-		if req.rest != nil {
-			LimitUnreadBody(w, req.incoming)
-		}
 		f.refuse(w, req, o)
 		return
 	}
@@ -400,6 +406,9 @@
 		w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', 3, 64))
 	}
 	f.recordRequest(req, o, status, retryAfter)
+	if !req.received {
+		unreadbody.Respond(w, req.incoming)
+	}
 	h := w.Header()
 	h["Content-Length"] = []string{"0"}
 	h["Content-Type"] = nil
--- a/proxy/longbody.go
+++ b/proxy/longbody.go
@@ -73,7 +73,7 @@
 		req.body = req.body[:len(req.body)+n]
 		switch {
 		case int64(len(req.body)) == req.length, err == io.EOF && req.length < 0:
-			req.rest = nil
+			req.rest, req.received = nil, true
 			return true, req.setReadDeadline(time.Time{})
 		case err == io.EOF:
 			return false, io.ErrUnexpectedEOF
--- a/proxy/organisation.go
+++ b/proxy/organisation.go
@@ -33,7 +33,7 @@
 			Uint64("config", req.configVersion()).Dur("age", age).Msg(events.KeyRefused)
 	}
 	f.cfg.Metrics.observeRequest(kindNames[req.route.Kind], "401", reasonUnknownKey, clock.Now().Sub(req.arrived))
-	http.Error(w, "no organisation holds the key of this request; check it against the configuration", http.StatusUnauthorized)
+	respondText(w, req.incoming, http.StatusUnauthorized, "no organisation holds the key of this request; check it against the configuration")
 	return false
 }
 
--- a/proxy/peers.go
+++ b/proxy/peers.go
@@ -16,6 +16,7 @@
 	"github.com/chervilwell/chervilwell/internal/events"
 	"github.com/chervilwell/chervilwell/internal/httppool"
 	"github.com/chervilwell/chervilwell/internal/stream"
+	"github.com/chervilwell/chervilwell/internal/unreadbody"
 	"github.com/chervilwell/chervilwell/mesh"
 )
 
@@ -122,12 +123,14 @@
 func PeerHandler(k *Gatekeeper) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c := &call{method: r.Method, uri: r.RequestURI, host: r.Host, header: r.Header, length: r.ContentLength, lifetime: r.Context(), fromPeer: true}
-		LimitUnreadBody(w, r)
+		unreadbody.Limit(w, r)
 		if err := parseCall(r.Header.Get(hopHeader), clock.Now(), c); err != nil {
 			k.cfg.Log.Warn().Err(err).Str("from", r.RemoteAddr).Msg(events.PeerMalformed)
-			http.Error(w, err.Error(), http.StatusBadRequest)
+			respondText(w, r, http.StatusBadRequest, err.Error())
+			unreadbody.Receive(w, r, r.Body)
 			return
 		}
+		expectsContinue := r.Header.Get("Expect") != ""
 		c.notice = takeQuarantineNotice(r.Header)
 		c.atHome = c.notice != nil
 		delete(r.Header, hopHeader)
@@ -141,15 +144,24 @@
 			}
 		}
 		o := k.do(r.Context(), c)
-		if o.run != ran {
-			LimitUnreadBody(w, r)
+		if o.run != ran && !expectsContinue { // reading would ask for the body
+			c.discardRest()
 		}
-		answerEarly(w, o.run == ran && c.rest != nil)
-		w, done := k.paced(r.Context(), w, c, o)
-		defer done()
-		if err := writeOutcome(w, o); err != nil {
-			k.cfg.Log.Debug().Err(err).Msg(events.PeerDisconnected)
-			stream.Abort(w, r)
+		early := o.run == ran && c.rest != nil
+		answerEarly(w, early)
+		k.writeResponse(w, r, c, o)
+		if early {
+			unreadbody.Receive(w, r, r.Body)
 		}
 	})
 }
+
+// writeResponse writes the response to a call of another process.
+func (k *Gatekeeper) writeResponse(w http.ResponseWriter, r *http.Request, c *call, o *outcome) {
+	w, done := k.paced(r.Context(), w, c, o)
+	defer done()
+	if err := writeOutcome(w, o); err != nil {
+		k.cfg.Log.Debug().Err(err).Msg(events.PeerDisconnected)
+		stream.Abort(w, r)
+	}
+}
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -34,6 +34,8 @@
 	// rest is the part of the body that has not been read, or nil.
 	rest   *bodyroom.Arrival
 	length int64
+	// received is set once the whole body has been received.
+	received bool
 	// fingerprint identifies the request over the attempts of its caller. It is set once the body has been read.
 	fingerprint quarantine.Fingerprint
 	// head is the fingerprint of the request without its body. It is set if the body was too long to be read completely.
@@ -80,6 +82,7 @@
 	r := req.incoming
 	req.length = r.ContentLength
 	if r.ContentLength == 0 {
+		req.received = true
 		return func() {}, nil
 	}
 	if limit := req.state.Config.Limits.BodyBytes; limit > 0 && r.ContentLength < 0 {
@@ -110,7 +113,7 @@
 		req.rest = body
 		return body.Close, nil
 	}
-	req.length = int64(len(req.body))
+	req.length, req.received = int64(len(req.body)), true
 	return body.Close, req.setReadDeadline(time.Time{})
 }
 
@@ -129,8 +132,6 @@
 	if errors.Is(err, bodyroom.ErrFull) || errors.Is(err, bodyroom.ErrStalled) {
 		o.reason, o.retryAfter = bodyReason(err), roomRetryAfter
 		w.Header().Set("Connection", "close")
-		// Reading on for a short time lets the refusal reach a caller that is still sending.
-		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(refusedBodyTimeout)) // fails only if the connection is closed
 	}
 	f.refuse(w, req, o)
 }
@@ -138,7 +139,7 @@
 // refuseLongBody answers a request whose body is longer than the configuration allows.
 func (f *Frontend) refuseLongBody(w http.ResponseWriter, req *request) {
 	f.cfg.Metrics.observeRequest(kindNames[req.route.Kind], "413", reasonBodyTooLong, clock.Now().Sub(req.arrived))
-	http.Error(w, "body is longer than the configuration allows", http.StatusRequestEntityTooLarge)
+	respondText(w, req.incoming, http.StatusRequestEntityTooLarge, "body is longer than the configuration allows")
 }
 
 // bodyReason returns the reason of a refusal for want of memory.
