proxy, connlimit, bodyroom: responses that nobody reads are ended while others need what they hold

Cause: a write to a client has no deadline, and a handler that is blocked in one counts as a request in progress, which nothing ended. It keeps its connection, its part of the memory for bodies, and, for a response that is passed on as it arrives, one of the 64 connections to the target or of those to the other process, also after the request's deadline.

A response is now ended if its client has acknowledged nothing for 2 s (TCP_INFO) while a write waits for it, and only for the sake of others: by the listener for a new connection, when no other can be closed; by the memory for bodies; and by a pool of connections that a request waits for. The client that has read nothing for longest goes first, so that one that reads slowly gets its response. Clients are observed from three quarters of the connections on, and while others wait.

--- a/internal/bodyroom/bodyroom.go
+++ b/internal/bodyroom/bodyroom.go
@@ -1,7 +1,8 @@
 // Package bodyroom owns the memory of a process for the bodies of requests and responses.
 //
 // Memory is taken as bytes arrive, not as they are announced. If there is none left, the bodies whose senders have paused for longest are
-// ended, and then the slowest ones, so that senders that stop just short of the end don't keep out others.
+// ended, and then the slowest ones, so that senders that stop just short of the end don't keep out others. Responses whose clients do not read
+// them are ended for want of memory as well, and for want of the connections that they hold.
 package bodyroom
 
 import (
@@ -44,8 +45,11 @@
 	arriving map[*Arrival]struct{}
 	// streamed is the number of them that are sent on while they arrive.
 	streamed int
-	stalled  uint64
-	refused  uint64
+	// deliveries are the responses that are being written.
+	deliveries map[*Delivery]struct{}
+	stalled    uint64
+	unread     uint64
+	refused    uint64
 }
 
 // Origin is the kind of client that sends a body.
@@ -58,21 +62,24 @@
 )
 
 // NewRoom returns room for a number of bytes.
-func NewRoom(bytes int64) *Room { return &Room{bytes: bytes, arriving: map[*Arrival]struct{}{}} }
+func NewRoom(bytes int64) *Room {
+	return &Room{bytes: bytes, arriving: map[*Arrival]struct{}{}, deliveries: map[*Delivery]struct{}{}}
+}
 
 // Usage is the use of a Room.
 type Usage struct {
 	// Held are the bytes in use, Bytes all.
 	Held, Bytes int64
-	// Stalled counts the bodies ended since their senders had paused, Refused the attempts to take room when there was none.
-	Stalled, Refused uint64
+	// Stalled counts the bodies ended since their senders had paused, Unread the responses ended since their clients did not read them,
+	// Refused the attempts to take room when there was none.
+	Stalled, Unread, Refused uint64
 }
 
 // Usage returns the present use.
 func (r *Room) Usage() Usage {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return Usage{Held: r.held, Bytes: r.bytes, Stalled: r.stalled, Refused: r.refused}
+	return Usage{Held: r.held, Bytes: r.bytes, Stalled: r.stalled, Unread: r.unread, Refused: r.refused}
 }
 
 // TryAcquire takes room for a number of bytes, and reports whether there was any. It may end bodies whose senders have paused.
@@ -111,6 +118,7 @@
 		r.end(a)
 	}
 	if r.held+bytes > r.bytes {
+		r.freeUnread(now, bytes)
 		r.refused++
 		return false
 	}
--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/chervilwell/chervilwell/internal/clock"
+	"github.com/chervilwell/chervilwell/internal/socket"
 )
 
 // Errors of reads from a connection, which the server then closes.
@@ -38,6 +39,16 @@
 	overflowShare = 8
 )
 
+const (
+	// UnreadPause is the time for which a client must have read nothing of a response that waits for it before its connection is closed in
+	// favour of others. It covers two lost packets in a row.
+	UnreadPause = 2 * time.Second
+	// crowdedShare is the fraction of MaxConns, as a divisor of it, that has to be free for the clients not to be observed.
+	crowdedShare = 4
+	// observeInterval is the least time between two observations of all clients.
+	observeInterval = 100 * time.Millisecond
+)
+
 // Limits are the limits that may change while connections are open. A value of 0 means no limit.
 type Limits struct {
 	// HeadBytes is the longest head of a request, in bytes.
@@ -63,7 +74,8 @@
 }
 
 // Listener accepts connections within the limits. At the largest number of connections it closes the one that has waited longest without
-// a request in progress. It is safe for concurrent use. The server must use ConnState and ConnContext.
+// a request in progress, or else the one whose client has not read its response for longest. It is safe for concurrent use. The server must
+// use ConnState and ConnContext.
 type Listener struct {
 	net.Listener
 	config Config
@@ -72,13 +84,15 @@
 	conns      map[*conn]struct{}
 	headMemory int64
 	closed     Closed
+	// observedAt is when the clients were last observed.
+	observedAt time.Time
 }
 
 // Closed counts connections that were closed by their cause.
 type Closed struct {
 	// Displaced were closed for new ones, Refused since all others were in use. LongHead had a head beyond the limit, HeadMemory one
-	// for which there was no memory.
-	Displaced, Refused, LongHead, HeadMemory uint64
+	// for which there was no memory. Unread had a response of which the client read nothing.
+	Displaced, Refused, LongHead, HeadMemory, Unread uint64
 }
 
 // New returns a listener that accepts the connections of inner.
@@ -119,17 +133,27 @@
 	c.waiting.Store(true)
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if len(l.conns) >= l.config.MaxConns && !l.displace(nil, anyHead) {
-		if len(l.conns) >= l.config.MaxConns+l.config.MaxConns/overflowShare || !l.config.EndRequest() {
-			l.closed.Refused++
-			return nil
-		}
+	if len(l.conns) >= l.config.MaxConns-l.config.MaxConns/crowdedShare {
+		l.observeClients(c.since)
+	}
+	if len(l.conns) >= l.config.MaxConns && !l.makeRoom(c.since) {
+		l.closed.Refused++
+		return nil
 	}
 	l.conns[c] = struct{}{}
 	c.setDeadline(l.config.Limits().SilentTimeout)
 	return c
 }
 
+// makeRoom closes a connection, or ends a request, in favour of a new connection, and reports whether there was any to close. Connections on
+// which a request or response would be lost go last. It must be called with l.mu held.
+func (l *Listener) makeRoom(now time.Time) bool {
+	if l.displace(nil, anyHead) || l.displaceUnread(now) {
+		return true
+	}
+	return len(l.conns) < l.config.MaxConns+l.config.MaxConns/overflowShare && l.config.EndRequest()
+}
+
 func anyHead(*conn) bool       { return true }
 func chargedHead(c *conn) bool { return c.charged > 0 }
 
@@ -152,6 +176,36 @@
 	return true
 }
 
+// displaceUnread closes the connection whose client has read nothing for longest of a response that waits for it, if that is at least
+// UnreadPause, and reports whether there was one. It must be called with l.mu held.
+func (l *Listener) displaceUnread(now time.Time) bool {
+	var longest *conn
+	most := UnreadPause
+	for c := range l.conns {
+		if unread := c.UnreadFor(now); unread >= most {
+			longest, most = c, unread
+		}
+	}
+	if longest == nil {
+		return false
+	}
+	l.closed.Unread++
+	longest.Disconnect()
+	l.remove(longest)
+	return true
+}
+
+// observeClients records what the clients have read, unless it was recorded shortly before. It must be called with l.mu held.
+func (l *Listener) observeClients(now time.Time) {
+	if now.Sub(l.observedAt) < observeInterval {
+		return
+	}
+	l.observedAt = now
+	for c := range l.conns {
+		c.UnreadFor(now)
+	}
+}
+
 // remove forgets a connection. It must be called with l.mu held.
 func (l *Listener) remove(c *conn) {
 	delete(l.conns, c)
@@ -203,6 +257,20 @@
 	// headBytes is the length of the head so far, headCost the memory that it takes, charged the part of it that counts towards
 	// Config.HeadMemory.
 	headBytes, headCost, charged int64
+
+	client clientState
+}
+
+// clientState is what is known of the reading of a client.
+type clientState struct {
+	// writing is set during a write, and writes counts them.
+	writing atomic.Bool
+	writes  atomic.Uint64
+
+	mu sync.Mutex
+	// observed is what was last observed during a write, since when it was first observed; the latter is zero if there was no write.
+	observed struct{ writes, acked uint64 }
+	since    time.Time
 }
 
 // NetConn returns the connection of the system.
@@ -265,9 +333,53 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
+// Write implements io.Writer.
+func (c *conn) Write(p []byte) (int, error) {
+	c.client.writes.Add(1)
+	c.client.writing.Store(true)
+	defer c.client.writing.Store(false)
+	return c.Conn.Write(p)
+}
+
+// Client is the client of a connection.
+type Client interface {
+	// UnreadFor returns the time for which the client is known to have read nothing of a response that waits for it. What it did before the
+	// first call is not known.
+	UnreadFor(now time.Time) time.Duration
+	// Disconnect resets the connection.
+	Disconnect()
+}
+
+// UnreadFor implements Client.
+func (c *conn) UnreadFor(now time.Time) time.Duration {
+	s := &c.client
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.writing.Load() {
+		s.since = time.Time{}
+		return 0
+	}
+	observed := s.observed
+	observed.writes = s.writes.Load()
+	acked, ok := socket.AckedBytes(c.Conn)
+	if !ok {
+		return 0
+	}
+	if observed.acked = acked; s.since.IsZero() || observed != s.observed {
+		s.observed, s.since = observed, now
+	}
+	return now.Sub(s.since)
+}
+
+// Disconnect implements Client.
+func (c *conn) Disconnect() {
+	socket.ResetOnClose(c.Conn) // a response that is not read would stay in the memory of the kernel
+	c.Conn.Close()
+}
+
 type contextKey struct{}
 
-// ConnContext makes the connection known to Answered. It is a value for http.Server.ConnContext.
+// ConnContext makes the connection known to ClientOf and Answered. It is a value for http.Server.ConnContext.
 func ConnContext(ctx context.Context, nc net.Conn) context.Context {
 	if c, ok := nc.(*conn); ok {
 		return context.WithValue(ctx, contextKey{}, c)
@@ -275,6 +387,14 @@
 	return ctx
 }
 
+// ClientOf returns the client of a request with the given context, or nil if it is not known.
+func ClientOf(ctx context.Context) Client {
+	if c, ok := ctx.Value(contextKey{}).(*conn); ok {
+		return c
+	}
+	return nil
+}
+
 // Answered records that the request with the given context has been answered while a part of its body is missing. Its connection may be
 // closed in favour of others from then on.
 func Answered(ctx context.Context) {
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -159,3 +159,52 @@
 		t.Error("the answered connection is kept")
 	}
 }
+
+// Guards against clients that do not read their responses and keep the connections, and against ending those that are only slow.
+func TestClientThatReadsNothingIsDisplaced(t *testing.T) {
+	l := startHandler(t, Config{MaxConns: 1, HeadMemory: 1 << 20, Limits: func() Limits { return Limits{} }}, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write(make([]byte, 64<<20))
+	})
+	client := dial(t, l)
+	_, _ = io.WriteString(client, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	var c *conn
+	now := time.Now()
+	stalled := func() bool { // the kernel accepts no more
+		if c == nil || !c.client.writing.Load() {
+			return false
+		}
+		c.UnreadFor(now)
+		time.Sleep(50 * time.Millisecond)
+		return c.UnreadFor(now.Add(1)) == 1
+	}
+	for !stalled() {
+		time.Sleep(time.Millisecond)
+		l.mu.Lock()
+		for c = range l.conns {
+		}
+		l.mu.Unlock()
+	}
+	displaced := func() bool {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return l.makeRoom(now)
+	}
+	if now = now.Add(UnreadPause - 1); displaced() {
+		t.Fatal("a client that has paused for a short time is disconnected")
+	}
+	if _, err := io.CopyN(io.Discard, client, 16<<20); err != nil {
+		t.Fatal(err)
+	}
+	if now = now.Add(time.Hour); displaced() {
+		t.Fatal("a client that reads slowly is disconnected")
+	}
+	for now = now.Add(UnreadPause); !displaced(); now = now.Add(UnreadPause) {
+		time.Sleep(10 * time.Millisecond) // what the client has read may still be acknowledged
+	}
+	if _, _, causes := l.Usage(); causes.Unread != 1 {
+		t.Errorf("%+v", causes)
+	}
+	if _, err := io.Copy(io.Discard, client); err == nil {
+		t.Error("a part of the response looks complete")
+	}
+}
--- a/internal/httppool/pool.go
+++ b/internal/httppool/pool.go
@@ -22,6 +22,8 @@
 	Dial func(ctx context.Context) (net.Conn, error)
 	// MaxConns limits the connections in use; further requests wait for one.
 	MaxConns int
+	// Exhausted, if not nil, is called when a request has to wait for a connection; stop is called when the wait is over.
+	Exhausted func() (stop func())
 	// MaxIdle limits the idle connections kept open for reuse.
 	MaxIdle int
 	// IdleTimeout is the time after which an idle connection is closed.
@@ -108,8 +110,13 @@
 // acquire returns an idle connection that is still open, if reuse is set, or a new one. It waits while MaxConns connections are in
 // use.
 func (p *Pool) acquire(ctx context.Context, reuse bool) (*conn, error) {
-	if err := p.inUse.Acquire(ctx, 1); err != nil {
-		return nil, err
+	if !p.inUse.TryAcquire(1) {
+		if p.config.Exhausted != nil {
+			defer p.config.Exhausted()()
+		}
+		if err := p.inUse.Acquire(ctx, 1); err != nil {
+			return nil, err
+		}
 	}
 	for reuse {
 		c := p.popIdle()
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -154,6 +154,7 @@
 	bodyLimitDesc   = prometheus.NewDesc("chervilwell_body_limit_bytes", "Memory that bodies of requests and responses may hold.", nil, nil)
 	bodyRefusedDesc = prometheus.NewDesc("chervilwell_body_refused_total", "Attempts to hold a body when there was no memory for it.", nil, nil)
 	bodyStalledDesc = prometheus.NewDesc("chervilwell_body_stalled_total", "Requests ended in the middle of the body, since their senders paused while others needed the room.", nil, nil)
+	unreadDesc      = prometheus.NewDesc("chervilwell_response_unread_total", "Responses ended since their clients read nothing while others needed the memory or the connection.", nil, nil)
 	connsDesc       = prometheus.NewDesc("chervilwell_client_connections", "Open connections of clients.", []string{"listener"}, nil)
 	connsLimitDesc  = prometheus.NewDesc("chervilwell_client_connections_limit", "Largest number of connections of clients.", []string{"listener"}, nil)
 	headBytesDesc   = prometheus.NewDesc("chervilwell_head_bytes", "Memory held by heads of unusual length.", []string{"listener"}, nil)
@@ -164,7 +165,7 @@
 // Describe implements prometheus.Collector.
 func (c clientCollector) Describe(out chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{
-		bodyBytesDesc, bodyLimitDesc, bodyRefusedDesc, bodyStalledDesc, connsDesc, connsLimitDesc, headBytesDesc, headLimitDesc, connsClosedDesc,
+		bodyBytesDesc, bodyLimitDesc, bodyRefusedDesc, bodyStalledDesc, unreadDesc, connsDesc, connsLimitDesc, headBytesDesc, headLimitDesc, connsClosedDesc,
 	} {
 		out <- d
 	}
@@ -183,6 +184,7 @@
 	gauge(bodyLimitDesc, float64(u.Bytes))
 	counter(bodyRefusedDesc, u.Refused)
 	counter(bodyStalledDesc, u.Stalled)
+	counter(unreadDesc, u.Unread)
 	for name, l := range map[string]*connlimit.Listener{"callers": c.node.callers, "peers": c.node.peers} {
 		if l == nil {
 			continue
@@ -196,5 +198,6 @@
 		counter(connsClosedDesc, closed.Refused, name, "refused")
 		counter(connsClosedDesc, closed.LongHead, name, "long-head")
 		counter(connsClosedDesc, closed.HeadMemory, name, "head-memory")
+		counter(connsClosedDesc, closed.Unread, name, "unread")
 	}
 }
--- a/internal/socket/socket.go
+++ b/internal/socket/socket.go
@@ -4,6 +4,8 @@
 import (
 	"net"
 	"syscall"
+
+	"golang.org/x/sys/unix"
 )
 
 // ResetOnClose makes Close of a plain or TLS connection reset it and discard the bytes that have not been sent. Connections of other
@@ -32,3 +34,19 @@
 	}
 	return raw
 }
+
+// AckedBytes returns the number of bytes sent on a TCP connection that the other side has acknowledged, and false if it is not known. It
+// stops rising soon after the other side stops reading.
+func AckedBytes(nc net.Conn) (uint64, bool) {
+	raw := Raw(nc)
+	if raw == nil {
+		return 0, false
+	}
+	var info *unix.TCPInfo
+	var optErr error
+	err := raw.Control(func(fd uintptr) { info, optErr = unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO) })
+	if err != nil || optErr != nil {
+		return 0, false
+	}
+	return info.Bytes_acked, true
+}
--- a/proxy/call.go
+++ b/proxy/call.go
@@ -17,6 +17,7 @@
 
 	"github.com/chervilwell/chervilwell/gate"
 	"github.com/chervilwell/chervilwell/internal/bodyroom"
+	"github.com/chervilwell/chervilwell/internal/httppool"
 	"github.com/chervilwell/chervilwell/mesh"
 	"github.com/chervilwell/chervilwell/quarantine"
 )
@@ -134,9 +135,10 @@
 	arrived bool
 	status  int
 	header  http.Header
-	// body is the whole body of the response unless stream is set.
+	// body is the whole body of the response unless stream is set, which is read from a connection of the pool via.
 	body   []byte
 	stream io.ReadCloser
+	via    *httppool.Pool
 	length int64
 
 	// target is the ID of the target of the attempt; err is the cause of a missing response, for the log.
--- a/proxy/frontend.go
+++ b/proxy/frontend.go
@@ -379,6 +379,7 @@
 	}
 	f.recordRequest(req, o, o.status, 0)
 	answerEarly(w, req.rest != nil)
+	defer deliver(req.incoming.Context(), f.bodies(), o)()
 	if err := writeBody(w, o); err != nil {
 		f.cfg.Log.Debug().Err(err).Str("request", req.incoming.Header.Get(f.cfg.Names.RequestID)).Msg(events.ResponseIncomplete)
 		stream.Abort(w, req.incoming)
--- a/proxy/gatekeeper.go
+++ b/proxy/gatekeeper.go
@@ -128,6 +128,7 @@
 	k.pool = httppool.New(httppool.Config{
 		Dial:           func(ctx context.Context) (net.Conn, error) { return dial(ctx, cfg.Addr.String(), targetDialTimeout) },
 		MaxConns:       maxTargetConns,
+		Exhausted:      func() (stop func()) { return k.bodies.EndUnread(k.pool) },
 		MaxIdle:        maxTargetConns,
 		IdleTimeout:    targetIdleTimeout,
 		MaxHeaderBytes: maxResponseHeaderBytes,
@@ -461,7 +462,7 @@
 	if resp.StatusCode != http.StatusMisdirectedRequest { // from another target than the one that the call names
 		k.noteNotice(sourceResponse, sent, c.incarnation(), resp.Header)
 	}
-	o := &outcome{run: ran, arrived: true, status: resp.StatusCode, header: resp.Header}
+	o := &outcome{run: ran, arrived: true, status: resp.StatusCode, header: resp.Header, via: k.pool}
 	if k.refusedByTarget(resp, o) {
 		resp.Body.Close()
 		cancel()
--- a/proxy/hop.go
+++ b/proxy/hop.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strconv"
@@ -10,7 +11,9 @@
 	"github.com/pkg/errors"
 
 	"github.com/chervilwell/chervilwell/gate"
+	"github.com/chervilwell/chervilwell/internal/bodyroom"
 	"github.com/chervilwell/chervilwell/internal/clock"
+	"github.com/chervilwell/chervilwell/internal/connlimit"
 	"github.com/chervilwell/chervilwell/quarantine"
 )
 
@@ -195,6 +198,20 @@
 	return err
 }
 
+// deliver records that the response to the request with the given context is being written, if it holds memory of room or the connection
+// that it is read from. The caller must call done after the last write.
+func deliver(ctx context.Context, room *bodyroom.Room, o *outcome) (done func()) {
+	client := connlimit.ClientOf(ctx)
+	switch {
+	case client == nil || o.run != ran:
+	case o.stream != nil:
+		return room.Deliver(client, 0, o.via).Close
+	case len(o.body) > smallResponse:
+		return room.Deliver(client, int64(len(o.body)), nil).Close
+	}
+	return func() {}
+}
+
 // answerEarly makes the server send a response at once although the rest of the request's body may not have been read, if there is any. By
 // default it waits for a sender that pauses. The rest is discarded, and the connection closed if it is long.
 func answerEarly(w http.ResponseWriter, rest bool) {
--- a/proxy/peers.go
+++ b/proxy/peers.go
@@ -70,6 +70,7 @@
 	pool = httppool.New(httppool.Config{
 		Dial:           func(ctx context.Context) (net.Conn, error) { return dial(ctx, to, peerDialTimeout) },
 		MaxConns:       maxPeerConns,
+		Exhausted:      func() (stop func()) { return p.responses.shared.EndUnread(pool) },
 		MaxIdle:        maxPeerConns,
 		IdleTimeout:    peerIdleTimeout,
 		MaxHeaderBytes: maxResponseHeaderBytes,
@@ -85,11 +86,12 @@
 	if c.expectContinue {
 		c.header["Expect"] = []string{httppool.ExpectContinue}
 	}
-	resp, err := p.pool(t.Addr.Addr()).Do(newRequest(ctx, c, netip.AddrPortFrom(t.Addr.Addr(), p.port).String()))
+	pool := p.pool(t.Addr.Addr())
+	resp, err := pool.Do(newRequest(ctx, c, netip.AddrPortFrom(t.Addr.Addr(), p.port).String()))
 	if err != nil {
 		return peerFailure(ctx, err)
 	}
-	o := &outcome{status: resp.StatusCode, header: resp.Header}
+	o := &outcome{status: resp.StatusCode, header: resp.Header, via: pool}
 	if err := parseOutcome(resp.Header.Get(hopResponseHeader), o); err != nil {
 		resp.Body.Close()
 		return noResponse(unknown, reasonPeerBroken)
@@ -160,6 +162,7 @@
 func (k *Gatekeeper) writeResponse(w http.ResponseWriter, r *http.Request, c *call, o *outcome) {
 	w, done := k.paced(r.Context(), w, c, o)
 	defer done()
+	defer deliver(r.Context(), k.bodies, o)()
 	if err := writeOutcome(w, o); err != nil {
 		k.cfg.Log.Debug().Err(err).Msg(events.PeerDisconnected)
 		stream.Abort(w, r)
