follow, node: the memory for responses with the state is bounded

Seen: 150 clients of the listener of other processes that ask for the whole state of a mesh of 20,000 targets and read nothing take a process whose machine has 96 MB to 909.0 MB (TestStatesThatAreNotRead on; 47.4 MB before the crowd). No client has to be another process.

Cause: each request encodes the state for itself, at a multiple of its size, and holds the encoding for as long as the client does not read.

Updates are now encoded one at a time, and an encoding needs memory of its own share, 8 % of the machine's and 8 MiB at least, apart from that for bodies, so that uploads can't keep the state from other processes. Updates of up to 8 KiB need none. A process that is refused asks the next one, as after any failure of its parent.

--- a/follow/exchange.go
+++ b/follow/exchange.go
@@ -1,6 +1,7 @@
 package follow
 
 import (
+	"bytes"
 	"cmp"
 	"context"
 	"io"
@@ -84,7 +85,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "encode state update")
 	}
-	return s2.Encode(nil, data), nil
+	return bytes.Clone(s2.Encode(nil, data)), nil // Encode returns a part of a buffer for incompressible data
 }
 
 // decodeStateUpdate decodes the reply of a peer. The error wraps ErrFormat.
@@ -145,18 +146,21 @@
 	}
 	f.waitForChange(r.Context(), q)
 	begin := clock.Now()
-	update := f.updateSince(after)
-	update.Away = f.cfg.Source.Remote()
-	f.updateLinks()
-	if update.LinksDigest = f.links.digest(); update.LinksDigest != digest {
-		update.Links = f.links.all()
+	update, data, err := f.encodeUpdate(r.Context(), after, digest, received)
+	if errors.Is(err, errNoMemory) {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
 	}
-	update.HeldUs = clock.Now().Sub(received).Microseconds()
-	data, err := update.encode()
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
+	release, ok := f.reserve(r.Context(), int64(len(data)))
+	if !ok {
+		http.Error(w, errNoMemory.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	defer release()
 	w.Header().Set("Content-Length", strconv.Itoa(len(data)))
 	if _, err := w.Write(data); err != nil {
 		f.cfg.Log.Debug().Err(err).Msg(events.PeerDisconnected)
@@ -216,6 +220,47 @@
 	}
 }
 
+// encodeUpdate returns the update since a position, and its encoding, for a requester that knows the reports of links with a digest. It
+// encodes one update at a time: until it is encoded, an update with the whole state takes a multiple of its size.
+func (f *Follower) encodeUpdate(ctx context.Context, after mesh.Position, digest uint64, received time.Time) (*stateUpdate, []byte, error) {
+	select {
+	case f.encoding <- struct{}{}:
+		defer func() { <-f.encoding }()
+	case <-ctx.Done():
+		return nil, nil, ctx.Err()
+	}
+	update := f.updateSince(after)
+	if update.Full {
+		release, ok := f.reserve(ctx, f.fullBytes)
+		if !ok {
+			return nil, nil, errNoMemory
+		}
+		release() // the encoding has another length
+	}
+	update.Away = f.cfg.Source.Remote()
+	f.updateLinks()
+	if update.LinksDigest = f.links.digest(); update.LinksDigest != digest {
+		update.Links = f.links.all()
+	}
+	update.HeldUs = clock.Now().Sub(received).Microseconds()
+	data, err := update.encode()
+	if update.Full {
+		f.fullBytes = int64(len(data))
+	}
+	return update, data, err
+}
+
+// errNoMemory is returned if there is no memory for an update.
+var errNoMemory = errors.New("no memory for the update; ask another process")
+
+// reserve calls Config.Reserve.
+func (f *Follower) reserve(ctx context.Context, bytes int64) (release func(), ok bool) {
+	if f.cfg.Reserve == nil {
+		return func() {}, true
+	}
+	return f.cfg.Reserve(ctx, bytes)
+}
+
 // updateSince returns the changes after a position, or the full state if the history does not reach back that far.
 func (f *Follower) updateSince(after mesh.Position) *stateUpdate {
 	f.mu.Lock()
--- a/follow/follow.go
+++ b/follow/follow.go
@@ -142,6 +142,9 @@
 	// LinkRate returns the rate, in bytes per second, that the link of this instance has for the state of other processes; 0 if
 	// unknown. It may be nil.
 	LinkRate func() float64
+	// Reserve reserves memory for a response of a number of bytes to the request with the given context; release returns it. The request is
+	// refused if there is none. Reserve may be nil.
+	Reserve func(ctx context.Context, bytes int64) (release func(), ok bool)
 	// ApplyWithin is the time within which a change has to be in force.
 	ApplyWithin time.Duration
 	// Changed, if not nil, is called after each change of the state.
@@ -161,6 +164,10 @@
 	replica *mesh.Replica
 	// changed is closed and replaced at each change of the state and each contact with the store.
 	changed chan struct{}
+	// encoding holds a value while an update is being encoded.
+	encoding chan struct{}
+	// fullBytes is the length of the encoding of the last update with the full state. It is guarded by encoding.
+	fullBytes int64
 	// patches holds the patches encoded last.
 	patches map[patchID]cbor.RawMessage
 	// links holds what is known of the links of all processes.
@@ -194,7 +201,7 @@
 		cfg.Metrics = NewMetrics(nil)
 	}
 	f := &Follower{
-		cfg: cfg, replica: mesh.NewReplica(), changed: make(chan struct{}), unavailableSince: clock.Now(),
+		cfg: cfg, replica: mesh.NewReplica(), changed: make(chan struct{}), encoding: make(chan struct{}, 1), unavailableSince: clock.Now(),
 		ejected: map[netip.Addr]time.Time{}, awayUntil: map[string]time.Time{}, links: newLinks(cfg.Self),
 		patches: map[patchID]cbor.RawMessage{},
 	}
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -26,6 +27,9 @@
 	// one, for a connection to the target or to another process; the rest is for the store and for listeners.
 	callerDescriptorShare = 0.26
 	peerDescriptorShare   = 0.2
+	// stateShare is the fraction of the memory for responses that hold the state, minStateMemory its minimum in bytes.
+	stateShare     = 0.08
+	minStateMemory = 8 << 20
 	// defaultMemoryBytes and defaultDescriptors apply if the settings have none.
 	defaultMemoryBytes = 256 << 20
 	defaultDescriptors = 4096
@@ -54,6 +58,24 @@
 // bodyMemory returns the memory for bodies of a machine with the given memory, both in bytes.
 func bodyMemory(bytes int64) int64 { return max(int64(bodyShare*memoryOr(bytes)), minBodyMemory) }
 
+// stateMemory returns the memory for responses that hold the state, of a machine with the given memory, both in bytes.
+func stateMemory(bytes int64) int64 { return max(int64(stateShare*memoryOr(bytes)), minStateMemory) }
+
+// reserveState reserves memory for a response that holds the state. It disconnects clients that do not read theirs if there is none.
+func (n *Node) reserveState(ctx context.Context, bytes int64) (release func(), ok bool) {
+	if bytes <= smallMessageBytes {
+		return func() {}, true
+	}
+	if !n.states.TryAcquire(bytes) {
+		return nil, false
+	}
+	done := func() {}
+	if client := connlimit.ClientOf(ctx); client != nil {
+		done = n.states.Deliver(client, bytes, nil).Close
+	}
+	return func() { done(); n.states.Release(bytes) }, true
+}
+
 // maxConns returns the largest number of connections at a listener with the given shares of a machine.
 func maxConns(memoryBytes int64, descriptors int, memoryShare, descriptorShare float64) int {
 	if descriptors <= 0 {
@@ -150,22 +172,25 @@
 type clientCollector struct{ node *Node }
 
 var (
-	bodyBytesDesc   = prometheus.NewDesc("chervilwell_body_bytes", "Memory held by bodies of requests and responses.", nil, nil)
-	bodyLimitDesc   = prometheus.NewDesc("chervilwell_body_limit_bytes", "Memory that bodies of requests and responses may hold.", nil, nil)
-	bodyRefusedDesc = prometheus.NewDesc("chervilwell_body_refused_total", "Attempts to hold a body when there was no memory for it.", nil, nil)
-	bodyStalledDesc = prometheus.NewDesc("chervilwell_body_stalled_total", "Requests ended in the middle of the body, since their senders paused while others needed the room.", nil, nil)
-	unreadDesc      = prometheus.NewDesc("chervilwell_response_unread_total", "Responses ended since their clients read nothing while others needed the memory or the connection.", nil, nil)
-	connsDesc       = prometheus.NewDesc("chervilwell_client_connections", "Open connections of clients.", []string{"listener"}, nil)
-	connsLimitDesc  = prometheus.NewDesc("chervilwell_client_connections_limit", "Largest number of connections of clients.", []string{"listener"}, nil)
-	headBytesDesc   = prometheus.NewDesc("chervilwell_head_bytes", "Memory held by heads of unusual length.", []string{"listener"}, nil)
-	headLimitDesc   = prometheus.NewDesc("chervilwell_head_limit_bytes", "Memory that heads of unusual length may hold.", []string{"listener"}, nil)
-	connsClosedDesc = prometheus.NewDesc("chervilwell_client_connections_closed_total", "Connections of clients closed by a limit.", []string{"listener", "cause"}, nil)
+	bodyBytesDesc    = prometheus.NewDesc("chervilwell_body_bytes", "Memory held by bodies of requests and responses.", nil, nil)
+	bodyLimitDesc    = prometheus.NewDesc("chervilwell_body_limit_bytes", "Memory that bodies of requests and responses may hold.", nil, nil)
+	bodyRefusedDesc  = prometheus.NewDesc("chervilwell_body_refused_total", "Attempts to hold a body when there was no memory for it.", nil, nil)
+	bodyStalledDesc  = prometheus.NewDesc("chervilwell_body_stalled_total", "Requests ended in the middle of the body, since their senders paused while others needed the room.", nil, nil)
+	stateBytesDesc   = prometheus.NewDesc("chervilwell_state_response_bytes", "Memory held by responses with the state for other processes.", nil, nil)
+	stateLimitDesc   = prometheus.NewDesc("chervilwell_state_response_limit_bytes", "Memory that responses with the state may hold.", nil, nil)
+	stateRefusedDesc = prometheus.NewDesc("chervilwell_state_response_refused_total", "Responses with the state that were refused for want of memory.", nil, nil)
+	unreadDesc       = prometheus.NewDesc("chervilwell_response_unread_total", "Responses ended since their clients read nothing while others needed the memory or the connection.", nil, nil)
+	connsDesc        = prometheus.NewDesc("chervilwell_client_connections", "Open connections of clients.", []string{"listener"}, nil)
+	connsLimitDesc   = prometheus.NewDesc("chervilwell_client_connections_limit", "Largest number of connections of clients.", []string{"listener"}, nil)
+	headBytesDesc    = prometheus.NewDesc("chervilwell_head_bytes", "Memory held by heads of unusual length.", []string{"listener"}, nil)
+	headLimitDesc    = prometheus.NewDesc("chervilwell_head_limit_bytes", "Memory that heads of unusual length may hold.", []string{"listener"}, nil)
+	connsClosedDesc  = prometheus.NewDesc("chervilwell_client_connections_closed_total", "Connections of clients closed by a limit.", []string{"listener", "cause"}, nil)
 )
 
 // Describe implements prometheus.Collector.
 func (c clientCollector) Describe(out chan<- *prometheus.Desc) {
 	for _, d := range []*prometheus.Desc{
-		bodyBytesDesc, bodyLimitDesc, bodyRefusedDesc, bodyStalledDesc, unreadDesc, connsDesc, connsLimitDesc, headBytesDesc, headLimitDesc, connsClosedDesc,
+		bodyBytesDesc, bodyLimitDesc, bodyRefusedDesc, bodyStalledDesc, stateBytesDesc, stateLimitDesc, stateRefusedDesc, unreadDesc, connsDesc, connsLimitDesc, headBytesDesc, headLimitDesc, connsClosedDesc,
 	} {
 		out <- d
 	}
@@ -184,7 +209,11 @@
 	gauge(bodyLimitDesc, float64(u.Bytes))
 	counter(bodyRefusedDesc, u.Refused)
 	counter(bodyStalledDesc, u.Stalled)
-	counter(unreadDesc, u.Unread)
+	s := c.node.states.Usage()
+	gauge(stateBytesDesc, float64(s.Held))
+	gauge(stateLimitDesc, float64(s.Bytes))
+	counter(stateRefusedDesc, s.Refused)
+	counter(unreadDesc, u.Unread+s.Unread)
 	for name, l := range map[string]*connlimit.Listener{"callers": c.node.callers, "peers": c.node.peers} {
 		if l == nil {
 			continue
--- a/internal/node/clients_test.go
+++ b/internal/node/clients_test.go
@@ -39,6 +39,25 @@
 	}
 }
 
+// Guards against states that are sent without bound, and against small updates that are refused for them.
+func TestStatesNeedRoom(t *testing.T) {
+	n := New(&platform.Settings{}, Options{}, zerolog.Nop())
+	release, ok := n.reserveState(t.Context(), stateMemory(0))
+	if !ok {
+		t.Fatal("no memory")
+	}
+	if _, ok := n.reserveState(t.Context(), smallMessageBytes+1); ok {
+		t.Error("memory beyond the bound")
+	}
+	if _, ok := n.reserveState(t.Context(), smallMessageBytes); !ok {
+		t.Error("a small update is refused")
+	}
+	release()
+	if _, ok := n.reserveState(t.Context(), stateMemory(0)); !ok {
+		t.Error("memory is not returned")
+	}
+}
+
 func TestLimitsOfTheConfigurationAreInForce(t *testing.T) {
 	n := New(&platform.Settings{}, Options{}, zerolog.Nop())
 	if got, want := n.callerLimits(), (connlimit.Limits{HeadBytes: maxHeadBytes, HeadTimeout: headTimeout, SilentTimeout: headTimeout, IdleTimeout: idleTimeout}); got != want {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -68,6 +68,8 @@
 	leaving    atomic.Bool
 	servers    []*http.Server
 	bodies     *bodyroom.Room
+	// states is the memory for responses that hold the state.
+	states *bodyroom.Room
 	// callers and peers bound the connections of callers and of other processes.
 	callers, peers *connlimit.Listener
 }
@@ -90,7 +92,7 @@
 	n.registry.MustRegister(clientCollector{n})
 	rng := func() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 	names, metrics := platform.Headers(), proxy.NewMetrics(n.registry)
-	n.bodies = bodyroom.NewRoom(bodyMemory(s.MemoryBytes))
+	n.bodies, n.states = bodyroom.NewRoom(bodyMemory(s.MemoryBytes)), bodyroom.NewRoom(stateMemory(s.MemoryBytes))
 	peers := proxy.NewPeers(s.Peers.Port())
 	peers.ShareMemory(n.bodies)
 	decoder := platform.Decoder{Regions: s.Regions}
@@ -115,7 +117,7 @@
 		Source: platform.NewStore(s.Store, decoder, func(err error) { log.Warn().Err(err).Msg(events.EntryIgnored) }),
 		Peers:  follow.NewPeerClient(s.Peers.Port()), Decode: decoder.Decode, Self: s.Target.Addr(), Region: s.Region,
 		Holder: n.holder, ApplyWithin: s.ApplyWithin, Changed: n.stateChanged, Log: log, Metrics: follow.NewMetrics(n.registry), Rand: rng(),
-		LinkRate: n.stateLinkRate,
+		LinkRate: n.stateLinkRate, Reserve: n.reserveState,
 	})
 	n.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "chervilwell_state_age_seconds", Help: "Time since the last known contact with the store, of this process or the peers that it follows.",
