node: the connections to the addresses of readiness probes and of metrics are bounded

Its descriptors are then gone for callers, other processes and the store.

Cause: only the listeners of callers and of other processes had a bound.

Both addresses now have one, from the same package: 2 % of the descriptors and 1 % of the memory for probes, an eighth of that memory for metrics, 4 connections at least; heads of up to 16 KiB. Connections without a request give way to new ones, as do requests that were answered while their bodies are missing and responses that nobody reads.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -17,7 +17,7 @@
 // Shares of the machine that clients may take.
 const (
 	// bodyShare and headShare are the fractions of the memory for the bodies of requests and responses, and for heads of unusual length at
-	// each listener.
+	// the listeners of callers and of other processes each.
 	bodyShare = 0.2
 	headShare = 0.04
 	// callerMemoryShare and peerMemoryShare are the fractions of the memory for the connections of callers and of other processes.
@@ -27,6 +27,13 @@
 	// one, for a connection to the target or to another process; the rest is for the store and for listeners.
 	callerDescriptorShare = 0.26
 	peerDescriptorShare   = 0.2
+	// readyMemoryShare, metricsMemoryShare and operatorDescriptorShare are those for readiness probes and for metrics. A request for metrics
+	// takes some eight times the memory of a probe. Each listener takes minOperatorConns at least.
+	readyMemoryShare        = 0.01
+	metricsMemoryShare      = readyMemoryShare / 8
+	operatorDescriptorShare = 0.02
+	operatorHeadShare       = 0.01
+	minOperatorConns        = 4
 	// stateShare is the fraction of the memory for responses that hold the state, minStateMemory its minimum in bytes.
 	stateShare     = 0.08
 	minStateMemory = 8 << 20
@@ -37,6 +44,8 @@
 	minBodyMemory = 12 << 20
 	// headTimeoutSlack is the time that the network may take for a head beside the caller, with two lost packets.
 	headTimeoutSlack = 2 * time.Second
+	// maxOperatorHeadBytes is the longest head of a readiness probe or of an operator's request, in bytes.
+	maxOperatorHeadBytes = 16 << 10
 	// hopHeadBytes is what a process may add to a caller's head, in bytes.
 	hopHeadBytes = 8 << 10
 	// smallMessageBytes is the size up to which a message needs no room among the longer bodies.
@@ -86,20 +95,49 @@
 
 // clientListener describes a listener that clients can reach.
 type clientListener struct {
-	// memoryShare and descriptorShare are its fractions of the machine.
-	memoryShare, descriptorShare float64
-	into                         **connlimit.Listener
-	limits                       func() connlimit.Limits
-	// origin is that of the bodies that it receives.
-	origin bodyroom.Origin
+	// memoryShare, headShare and descriptorShare are its fractions of the machine.
+	memoryShare, headShare, descriptorShare float64
+	into                                    **connlimit.Listener
+	limits                                  func() connlimit.Limits
+	// endRequest is connlimit.Config.EndRequest.
+	endRequest func() bool
+}
+
+// callerListener describes the listener of callers.
+func (n *Node) callerListener() clientListener {
+	return clientListener{
+		memoryShare: callerMemoryShare, headShare: headShare, descriptorShare: callerDescriptorShare,
+		into: &n.callers, limits: n.callerLimits, endRequest: n.endRequest(bodyroom.FromCallers),
+	}
+}
+
+// peerListener describes the listener of other processes.
+func (n *Node) peerListener() clientListener {
+	return clientListener{
+		memoryShare: peerMemoryShare, headShare: headShare, descriptorShare: peerDescriptorShare,
+		into: &n.peers, limits: n.peerLimits, endRequest: n.endRequest(bodyroom.FromProcesses),
+	}
+}
+
+// operatorListener describes a listener of readiness probes or of operators.
+func operatorListener(memoryShare float64, into **connlimit.Listener) clientListener {
+	return clientListener{
+		memoryShare: memoryShare, headShare: operatorHeadShare, descriptorShare: operatorDescriptorShare,
+		into: into, limits: operatorLimits, endRequest: func() bool { return false },
+	}
+}
+
+// endRequest returns a function that ends a request of an origin whose sender has paused, and reports whether there was one.
+func (n *Node) endRequest(origin bodyroom.Origin) func() bool {
+	return func() bool { return n.bodies.EndStalled(origin, pauseForConn) }
 }
 
 // limitClients bounds the connections of a listener.
-func (n *Node) limitClients(inner net.Listener, c *clientListener) *connlimit.Listener {
+func (n *Node) limitClients(inner net.Listener, c clientListener) *connlimit.Listener {
 	s := n.settings
 	l := connlimit.New(inner, connlimit.Config{
-		MaxConns: maxConns(s.MemoryBytes, s.Descriptors, c.memoryShare, c.descriptorShare), HeadMemory: int64(headShare * memoryOr(s.MemoryBytes)),
-		Limits: c.limits, EndRequest: func() bool { return n.bodies.EndStalled(c.origin, pauseForConn) },
+		MaxConns: max(maxConns(s.MemoryBytes, s.Descriptors, c.memoryShare, c.descriptorShare), minOperatorConns), HeadMemory: int64(c.headShare * memoryOr(s.MemoryBytes)),
+		Limits: c.limits, EndRequest: c.endRequest,
 	})
 	*c.into = l
 	return l
@@ -132,6 +170,11 @@
 	return l
 }
 
+// operatorLimits returns the limits of readiness probes and of operators who read metrics.
+func operatorLimits() connlimit.Limits {
+	return connlimit.Limits{HeadBytes: maxOperatorHeadBytes, HeadTimeout: headTimeout, SilentTimeout: headTimeout, IdleTimeout: idleTimeout}
+}
+
 // receiveMessage returns a handler that receives the body of a message of another process, within the memory for bodies, before it calls
 // next. Without room, or if the sender pauses while others need it, the answer is 503.
 func (n *Node) receiveMessage(next http.Handler) http.Handler {
@@ -214,7 +257,7 @@
 	gauge(stateLimitDesc, float64(s.Bytes))
 	counter(stateRefusedDesc, s.Refused)
 	counter(unreadDesc, u.Unread+s.Unread)
-	for name, l := range map[string]*connlimit.Listener{"callers": c.node.callers, "peers": c.node.peers} {
+	for name, l := range map[string]*connlimit.Listener{"callers": c.node.callers, "peers": c.node.peers, "ready": c.node.ready, "metrics": c.node.metrics} {
 		if l == nil {
 			continue
 		}
--- a/internal/node/clients_test.go
+++ b/internal/node/clients_test.go
@@ -39,6 +39,30 @@
 	}
 }
 
+func TestOperatorsTakeTheirShareOfTheMachine(t *testing.T) {
+	for _, c := range []struct {
+		memory         int64
+		descriptors    int
+		ready, metrics int
+		states         int64
+	}{
+		{0, 0, 81, 10, 256 << 20 * 8 / 100},
+		{96 << 20, 200, 4, 4, minStateMemory},
+		{134 << 20, 3900, 42, 5, 134 << 20 * 8 / 100},
+	} {
+		n := New(&platform.Settings{MemoryBytes: c.memory, Descriptors: c.descriptors}, Options{}, zerolog.Nop())
+		if got := n.limitClients(nil, operatorListener(readyMemoryShare, &n.ready)).MaxConns(); got != c.ready {
+			t.Errorf("%+v: %d connections of probes", c, got)
+		}
+		if got := n.limitClients(nil, operatorListener(metricsMemoryShare, &n.metrics)).MaxConns(); got != c.metrics {
+			t.Errorf("%+v: %d connections for metrics", c, got)
+		}
+		if got := stateMemory(c.memory); got != c.states {
+			t.Errorf("%+v: %d bytes for states", c, got)
+		}
+	}
+}
+
 // Guards against states that are sent without bound, and against small updates that are refused for them.
 func TestStatesNeedRoom(t *testing.T) {
 	n := New(&platform.Settings{}, Options{}, zerolog.Nop())
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -70,8 +70,8 @@
 	bodies     *bodyroom.Room
 	// states is the memory for responses that hold the state.
 	states *bodyroom.Room
-	// callers and peers bound the connections of callers and of other processes.
-	callers, peers *connlimit.Listener
+	// These bound the connections of callers, of other processes, of readiness probes, and of operators who read metrics; metrics may be nil.
+	callers, peers, ready, metrics *connlimit.Listener
 }
 
 // Options are the settings of the daemon that do not come from the platform.
@@ -184,13 +184,13 @@
 	type listener struct {
 		addr    netip.AddrPort
 		handler http.Handler
-		clients *clientListener
+		clients clientListener
 	}
 	monitor := disconnect.NewMonitor(func(err error) { n.log.Error().Err(err).Msg(events.PollFailed) })
 	listeners := []listener{
-		{n.settings.Callers, monitor.Handler(n.frontend), &clientListener{callerMemoryShare, callerDescriptorShare, &n.callers, n.callerLimits, bodyroom.FromCallers}},
-		{n.settings.Peers, n.peerHandler(monitor), &clientListener{peerMemoryShare, peerDescriptorShare, &n.peers, n.peerLimits, bodyroom.FromProcesses}},
-		{n.settings.Ready, http.HandlerFunc(n.serveReady), nil},
+		{n.settings.Callers, monitor.Handler(n.frontend), n.callerListener()},
+		{n.settings.Peers, n.peerHandler(monitor), n.peerListener()},
+		{n.settings.Ready, unreadbody.Handler(http.HandlerFunc(n.serveReady)), operatorListener(readyMemoryShare, &n.ready)},
 	}
 	if port := n.options.MetricsPort; port != 0 {
 		addr := netip.AddrPortFrom(n.settings.Target.Addr(), port)
@@ -198,21 +198,18 @@
 		mux.Handle(proxy.HeldPath, proxy.HeldHandler(n.gatekeeper))
 		mux.Handle(exchange.StatusPath, n.quotas.StatusHandler())
 		mux.Handle("/", promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{}))
-		listeners = append(listeners, listener{addr, mux, nil})
+		listeners = append(listeners, listener{addr, unreadbody.Handler(mux), operatorListener(metricsMemoryShare, &n.metrics)})
 	}
 	for _, l := range listeners {
 		listener, err := net.Listen("tcp4", l.addr.String())
 		if err != nil {
 			return errors.Wrapf(err, "cannot listen on %s; release the port or correct the address in the settings", l.addr)
 		}
-		server := newServer(l.handler)
-		if l.clients != nil {
-			limited := n.limitClients(listener, l.clients)
-			listener, server.ConnState, server.MaxHeaderBytes = limited, limited.ConnState, http.DefaultMaxHeaderBytes
-		}
+		server, limited := newServer(l.handler), n.limitClients(listener, l.clients)
+		server.ConnState, server.MaxHeaderBytes = limited.ConnState, http.DefaultMaxHeaderBytes
 		n.servers = append(n.servers, server)
 		go func() {
-			if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			if err := server.Serve(limited); !errors.Is(err, http.ErrServerClosed) {
 				n.log.Error().Str("listener", l.addr.String()).Err(err).Msg(events.ListenerFailed)
 			}
 		}()
