connlimit: silent connections give way before those that are idle between requests

Seen: at the largest number of connections, a crowd that connects and says nothing displaces the idle connections of ordinary clients, as these have waited longer (TestSilentConnectionGoesBeforeIdleOne fails without this change). Each loses a connection that it was going to reuse, and the crowd none.

A connection that has never carried a request, or whose request has been answered while the rest of its body is missing, now goes first once it has been so for a second. Younger ones are kept as before, so that simultaneous new clients don't displace each other.

--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -43,6 +43,9 @@
 	// UnreadPause is the time for which a client must have read nothing of a response that waits for it before its connection is closed in
 	// favour of others. It covers two lost packets in a row.
 	UnreadPause = 2 * time.Second
+	// obstructingAfter is the time after which a connection that has never carried a request, or whose request has been answered while the
+	// rest of its body is missing, is closed before connections that are idle between requests.
+	obstructingAfter = time.Second
 	// crowdedShare is the fraction of MaxConns, as a divisor of it, that has to be free for the clients not to be observed.
 	crowdedShare = 4
 	// observeInterval is the least time between two observations of all clients.
@@ -145,10 +148,11 @@
 	return c
 }
 
-// makeRoom closes a connection, or ends a request, in favour of a new connection, and reports whether there was any to close. Connections on
-// which a request or response would be lost go last. It must be called with l.mu held.
+// makeRoom closes a connection, or ends a request, in favour of a new connection, and reports whether there was any to close. Connections
+// that keep ordinary clients waiting go first, those on which a request or response would be lost last. It must be called with l.mu held.
 func (l *Listener) makeRoom(now time.Time) bool {
-	if l.displace(nil, anyHead) || l.displaceUnread(now) {
+	obstructs := func(c *conn) bool { return (!c.used || c.answered) && now.Sub(c.since) >= obstructingAfter }
+	if l.displace(nil, obstructs) || l.displace(nil, anyHead) || l.displaceUnread(now) {
 		return true
 	}
 	return len(l.conns) < l.config.MaxConns+l.config.MaxConns/overflowShare && l.config.EndRequest()
@@ -228,6 +232,7 @@
 			panic(http.ErrAbortHandler)
 		}
 		c.waiting.Store(false)
+		c.used = true
 		_ = c.Conn.SetReadDeadline(time.Time{}) // fails only on a closed connection
 	case http.StateIdle:
 		l.headMemory -= c.charged
@@ -250,6 +255,8 @@
 
 	// The fields below are guarded by listener.mu. since is when waiting or answered was set.
 	since time.Time
+	// used is set once the connection has carried a request.
+	used bool
 	// answered is set while the rest of the body of a request that has been answered is received.
 	answered bool
 	// displaced is set once the connection was closed in favour of another.
--- a/internal/connlimit/connlimit_test.go
+++ b/internal/connlimit/connlimit_test.go
@@ -135,6 +135,32 @@
 	}
 }
 
+// Guards against a crowd of silent connections that displaces the idle ones of ordinary clients.
+func TestSilentConnectionGoesBeforeIdleOne(t *testing.T) {
+	l := start(t, Config{MaxConns: 2, HeadMemory: 1 << 20, Limits: func() Limits { return Limits{} }})
+	idle := dial(t, l)
+	if get(idle, "") != http.StatusOK {
+		t.Fatal("not served")
+	}
+	silent := dial(t, l)
+	for conns, _, _ := l.Usage(); conns < 2; conns, _, _ = l.Usage() {
+		time.Sleep(time.Millisecond)
+	}
+	l.mu.Lock()
+	for c := range l.conns {
+		if c.since = c.since.Add(-obstructingAfter); c.used {
+			c.since = c.since.Add(-obstructingAfter) // idle for longer than the other one is silent
+		}
+	}
+	l.mu.Unlock()
+	if get(dial(t, l), "") != http.StatusOK {
+		t.Fatal("a new connection is locked out")
+	}
+	if !closed(silent, time.Second) || get(idle, "") != http.StatusOK {
+		t.Error("the silent connection had to be closed, and the idle one kept")
+	}
+}
+
 // Guards against requests that have been answered and keep their connections with the rest of a body.
 func TestAnsweredConnectionIsDisplaced(t *testing.T) {
 	l := startHandler(t, Config{MaxConns: 1, HeadMemory: 1 << 20, Limits: func() Limits { return Limits{} }}, func(w http.ResponseWriter, r *http.Request) {
