--- a/follow/exchange.go
+++ b/follow/exchange.go
@@ -85,7 +85,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "encode state update")
 	}
-	return bytes.Clone(s2.Encode(nil, data)), nil // Encode returns a part of a buffer for incompressible data
+	return bytes.Clone(s2.Encode(nil, data)), nil // the buffer of Encode is longer than its data
 }
 
 // decodeStateUpdate decodes the reply of a peer. The error wraps ErrFormat.
--- a/proxy/body.go
+++ b/proxy/body.go
@@ -30,8 +30,8 @@
 // maxDiscardedBody is the number of bytes up to which the body of a refused call is received so that its connection can be kept.
 const maxDiscardedBody = 256 << 10
 
-// discardRest receives the rest of the body of a refused call, if it is short, before the refusal is sent: a process that is still sending
-// gives up its connection. The call may be ended meanwhile in favour of others, as any call whose body arrives.
+// discardRest receives the rest of the body of a refused call, if it is short, before the refusal is sent: a process that gets a response while
+// it is still sending closes the connection. The call may be ended meanwhile in favour of others, as any call whose body arrives.
 func (c *call) discardRest() {
 	if c.rest == nil || c.length > int64(len(c.body))+maxDiscardedBody {
 		return
