proxy: the caller's service is part of what identifies a request that crashes targets

Each crash failed requests that ran beside it. The other way round, once such a request was quarantined, the proper requests of other callers got 422 for an hour.

Cause: the fingerprint covered method, host, path, query and body, but not the caller's service, which each target is told and may act on. Two requests that a target can tell apart had one identity. So the answers to the harmless one kept the other from being suspected (answeredLately) and cleared it (End), and the verdict on the deadly one applied to both. Long bodies had the same fault in the fingerprint of their head.

Evidence: TestSameRequestOfAnotherSender on the code before: 5 crashes for 5 sends with the harmless request beside it, and 5 of 5 harmless requests refused with 422 after it, both without a body and with one over 4 MB.

Fix: both fingerprints start from identity, which holds the caller. The home, the trial, clearances, notices and the record of answers follow from the fingerprint. A request that comes again at another instance of the same service is still the same one: after the fix the test counts 2 crashes, then 422, over two instances.

The scaffolding of the crash tests named another caller for each process, and sent one request at all of them; under one identity for each caller these are four requests. Their processes now belong to one service; bounds are unchanged.

--- a/proxy/crash.go
+++ b/proxy/crash.go
@@ -50,10 +50,16 @@
 	f(t.list, clock.Now())
 }
 
-// fingerprint identifies a request by its method, host, path, query and body, which is in memory. The caller's service does not count: it is that of the instance, and a caller may send a request again at any instance.
-func fingerprint(req *request) quarantine.Fingerprint {
+// identity returns what identifies a request over the attempts of its caller, without its body. A resent request may arrive at another
+// instance, but at one of the same service, since its targets are told the service of the instance as the caller.
+func identity(req *request) quarantine.Request {
 	in := req.incoming
-	r := quarantine.Request{Route: in.Host, Method: in.Method, Target: in.RequestURI}
+	return quarantine.Request{Caller: req.caller, Route: in.Host, Method: in.Method, Target: in.RequestURI}
+}
+
+// fingerprint identifies a request whose whole body is in memory.
+func fingerprint(req *request) quarantine.Fingerprint {
+	r := identity(req)
 	if len(req.body) > 0 {
 		r.BodyDigest = xxhash.Sum64(req.body) + uint64(req.length)
 	}
--- a/proxy/crash_test.go
+++ b/proxy/crash_test.go
@@ -85,9 +85,7 @@
 	next := *c.replica.State().TargetAt(target.addr)
 	next.StartedMs++
 	next.ID = fmt.Sprintf("t%d-%d", i, next.StartedMs)
-	revision := c.replica.Position().Revision + 1
-	c.replica.Apply(time.Now(), []mesh.Entry{{Key: fmt.Sprintf("127.0.0.%d", i+1), Revision: revision, Target: &next}}, mesh.Position{Revision: revision})
-	c.publish()
+	c.applyTarget(i, &next)
 }
 
 // get sends a request to a process as its caller and returns the status, or 0 without a response.
@@ -116,9 +114,10 @@
 	restartDelay = 300 * time.Millisecond
 )
 
-// startCrashingCluster starts processes whose targets crash at requests for /bad and are back after restartDelay.
+// startCrashingCluster starts processes of one service whose targets crash at requests for /bad and are back after restartDelay.
 func startCrashingCluster(t *testing.T, kind mesh.Kind, size int) (c *cluster, crashes *atomic.Int64) {
 	c, crashes = startClusterOf(t, kind, size), &atomic.Int64{}
+	c.setCallers("caller0")
 	var restarts sync.WaitGroup
 	t.Cleanup(restarts.Wait)
 	for i, n := range c.nodes {
--- a/proxy/frontend.go
+++ b/proxy/frontend.go
@@ -122,7 +122,7 @@
 // ServeHTTP implements http.Handler for callers.
 func (f *Frontend) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	body := r.Body
-	req := &request{incoming: r, arrived: clock.Now(), state: f.cfg.Holder.Load()}
+	req := &request{incoming: r, arrived: clock.Now(), state: f.cfg.Holder.Load(), caller: f.cfg.Service}
 	f.serve(w, req)
 	if !req.received {
 		unreadbody.Receive(w, r, body)
--- /dev/null
+++ b/proxy/identity_test.go
@@ -0,0 +1,111 @@
+package proxy
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/chervilwell/chervilwell/mesh"
+)
+
+// crashOn makes the targets crash at the requests for which deadly returns true, and answer all others. They are back after restartDelay.
+func (c *cluster) crashOn(t *testing.T, deadly func(got received) bool) (crashes *atomic.Int64) {
+	crashes = &atomic.Int64{}
+	var restarts sync.WaitGroup
+	t.Cleanup(restarts.Wait)
+	for i, n := range c.nodes {
+		n.target.set(func(conn net.Conn, r *http.Request, got received) bool {
+			n.target.forget()
+			if !deadly(got) {
+				return respondOK(conn, r, got)
+			}
+			if n.target.crash() {
+				crashes.Add(1)
+				restarts.Go(func() {
+					time.Sleep(restartDelay)
+					c.restart(t, i)
+				})
+			}
+			return false
+		})
+	}
+	return crashes
+}
+
+// depot sends the request of these tests to a process. It returns the status, or 0 without a whole response.
+func (n *node) depot(t *testing.T, body string) int {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, n.callers.URL+"/depot/17", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	req.Host = "h.example"
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		return 0
+	}
+	return resp.StatusCode
+}
+
+// TestSameRequestOfAnotherSender guards against a request that crashes one target after the other without end, since the same request is
+// answered for another sender, and against the refusal of the other sender's requests.
+func TestSameRequestOfAnotherSender(t *testing.T) {
+	const rounds = 5
+	for _, tc := range []struct {
+		name string
+		// callers are the services of the processes. The first two processes send the deadly request, the others the harmless one.
+		callers [4]string
+		deadly  func(got received) bool
+	}{
+		{
+			name: "another caller", callers: [4]string{"portal", "portal", "stock", "stock"},
+			deadly: func(got received) bool { return got.caller == "portal" },
+		},
+	} {
+		for _, size := range []int{0, maxBufferedBody + 1} {
+			for _, harmlessBeside := range []bool{true, false} {
+				t.Run(fmt.Sprintf("%s, %d bytes, harmless beside %v", tc.name, size, harmlessBeside), func(t *testing.T) {
+					c := startClusterOf(t, mesh.Upload, len(tc.callers))
+					c.setRoute(t, &mesh.Route{Kind: mesh.Upload, Timeout: 5 * time.Second, Objective: 5 * time.Second})
+					c.setCallers(tc.callers[:]...)
+					crashes := c.crashOn(t, tc.deadly)
+					body := strings.Repeat("x", size)
+					deadly := map[int]int{}
+					harmless := map[int]int{}
+					sendDeadly := func(i int) {
+						deadly[c.nodes[i%2].depot(t, body)]++
+						time.Sleep(restartDelay + 100*time.Millisecond)
+					}
+					sendHarmless := func(i int) { harmless[c.nodes[2+i%2].depot(t, body)]++ }
+					for i := range rounds {
+						if harmlessBeside {
+							sendHarmless(i)
+						}
+						sendDeadly(i)
+					}
+					for i := range rounds {
+						sendHarmless(i)
+					}
+					t.Logf("%d crashes; statuses of the deadly request %v, of the harmless one %v", crashes.Load(), deadly, harmless)
+					if crashes.Load() > 2 || deadly[http.StatusUnprocessableEntity] != rounds-2 {
+						t.Errorf("the deadly request crashed %d targets, want at most 2, and was then refused %d times, want %d",
+							crashes.Load(), deadly[http.StatusUnprocessableEntity], rounds-2)
+					}
+					if len(harmless) != 1 || harmless[http.StatusOK] == 0 {
+						t.Errorf("the harmless request was not served each time: statuses %v", harmless)
+					}
+				})
+			}
+		}
+	}
+}
--- a/proxy/leave_test.go
+++ b/proxy/leave_test.go
@@ -82,16 +82,7 @@
 // setTimeouts replaces the configuration by one whose route has the given timeout and objective.
 func (c *cluster) setTimeouts(t *testing.T, kind mesh.Kind, timeout time.Duration) {
 	t.Helper()
-	config, err := mesh.NewConfig(2, []*mesh.Route{{
-		Name: "route", Host: "h.example", Prefix: "/", Kind: kind, Timeout: timeout, Objective: timeout,
-		MaxTargets: 1, Priority: 1, Parts: []mesh.WeightedService{{Service: testService, Weight: 1}},
-	}}, []*mesh.Service{{Name: testService, HealthPath: "/health", ColdRate: 1000}}, mesh.Limits{})
-	if err != nil {
-		t.Fatal(err)
-	}
-	revision := c.replica.Position().Revision + 1
-	c.replica.Apply(time.Now(), []mesh.Entry{{Key: "config", Revision: revision, Config: config}}, mesh.Position{Revision: revision})
-	c.publish()
+	c.setRoute(t, &mesh.Route{Kind: kind, Timeout: timeout, Objective: timeout})
 }
 
 // waitFor waits until condition holds, and fails the test if it does not within some seconds.
--- a/proxy/longbody.go
+++ b/proxy/longbody.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"io"
-	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
@@ -22,9 +21,9 @@
 // headOnly is the bit of a call's fingerprint that states that it covers only the head of the request.
 const headOnly quarantine.Fingerprint = 1
 
-// headFingerprint identifies a request by its method, host, path and query.
-func headFingerprint(r *http.Request) quarantine.Fingerprint {
-	return quarantine.FingerprintOf(quarantine.Request{Route: r.Host, Method: r.Method, Target: r.RequestURI}) | headOnly
+// headFingerprint identifies a request by all but its body.
+func headFingerprint(req *request) quarantine.Fingerprint {
+	return quarantine.FingerprintOf(identity(req)) | headOnly
 }
 
 // identifyRequest sets the fingerprint of a request whose body has been read as far as readBody does.
@@ -33,7 +32,7 @@
 		req.fingerprint = fingerprint(req)
 		return nil
 	}
-	req.head = headFingerprint(req.incoming)
+	req.head = headFingerprint(req)
 	req.fingerprint = req.head
 	known := false
 	f.crashes().withList(func(l *quarantine.List, now time.Time) { known = len(l.Prefixes(now, req.head)) > 0 })
--- a/proxy/longbody_test.go
+++ b/proxy/longbody_test.go
@@ -46,9 +46,10 @@
 	s.received = nil
 }
 
-// startUploadCluster starts processes whose targets crash at a body that begins with "P", and are back after restartDelay.
+// startUploadCluster starts processes of one service whose targets crash at a body that begins with "P", and are back after restartDelay.
 func startUploadCluster(t *testing.T) (c *cluster, crashes *atomic.Int64) {
 	c, crashes = startClusterOf(t, mesh.Upload, 3), &atomic.Int64{}
+	c.setCallers("caller0")
 	c.setTimeouts(t, mesh.Upload, 5*time.Second)
 	var restarts sync.WaitGroup
 	t.Cleanup(restarts.Wait)
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -268,10 +269,28 @@
 // setConfig puts a configuration with one route for all requests, and organisations, in force.
 func (c *cluster) setConfig(t testing.TB, version uint64, kind mesh.Kind, public bool, organisations ...*mesh.Organisation) {
 	t.Helper()
-	config, err := mesh.NewConfig(version, []*mesh.Route{{
-		Name: "route", Host: "h.example", Prefix: "/", Kind: kind, Timeout: time.Second, Objective: 500 * time.Millisecond,
-		MaxTargets: 2, Priority: 1, Parts: []mesh.WeightedService{{Service: testService, Weight: 1}}, Public: public,
-	}}, []*mesh.Service{{Name: testService, HealthPath: "/health", ColdRate: 1000}}, mesh.Limits{}, organisations...)
+	c.applyConfig(t, version, &mesh.Route{Kind: kind, Timeout: time.Second, Objective: 500 * time.Millisecond, MaxTargets: 2, Public: public}, organisations)
+}
+
+// setRoute replaces the configuration by one with the given route for all requests, and organisations.
+func (c *cluster) setRoute(t testing.TB, route *mesh.Route, organisations ...*mesh.Organisation) {
+	t.Helper()
+	c.applyConfig(t, 2, route, organisations)
+}
+
+// applyConfig puts a configuration with one route for all requests in force. Of the route it sets what is the same in all tests, and the
+// target limit and the service if they are missing.
+func (c *cluster) applyConfig(t testing.TB, version uint64, route *mesh.Route, organisations []*mesh.Organisation) {
+	t.Helper()
+	route.Name, route.Host, route.Prefix, route.Priority, route.MaxTargets = "route", "h.example", "/", 1, cmp.Or(route.MaxTargets, 1)
+	if route.Parts == nil {
+		route.Parts = []mesh.WeightedService{{Service: testService, Weight: 1}}
+	}
+	var services []*mesh.Service
+	for _, part := range route.Parts {
+		services = append(services, &mesh.Service{Name: part.Service, HealthPath: "/health", ColdRate: 1000})
+	}
+	config, err := mesh.NewConfig(version, []*mesh.Route{route}, services, mesh.Limits{}, organisations...)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -280,6 +299,20 @@
 	c.publish()
 }
 
+// applyTarget replaces the entry of a target.
+func (c *cluster) applyTarget(i int, entry *mesh.Target) {
+	revision := c.replica.Position().Revision + 1
+	c.replica.Apply(time.Now(), []mesh.Entry{{Key: fmt.Sprintf("127.0.0.%d", i+1), Revision: revision, Target: entry}}, mesh.Position{Revision: revision})
+	c.publish()
+}
+
+// setCallers sets the services of the processes, which their targets are told as the caller: one for each process, or one for all.
+func (c *cluster) setCallers(services ...string) {
+	for i, n := range c.nodes {
+		n.frontend.cfg.Service = services[i%len(services)]
+	}
+}
+
 // newServer returns a server for the callers or the peers of a process.
 func (c *cluster) newServer(h http.Handler) *http.Server {
 	return &http.Server{Handler: c.monitor.Handler(h), ConnContext: disconnect.ConnContext, DisableGeneralOptionsHandler: true}
@@ -348,9 +381,7 @@
 func (c *cluster) markLeaving(i int) {
 	old := *c.replica.State().TargetAt(c.nodes[i].target.addr)
 	old.Leaving = true
-	revision := c.replica.Position().Revision + 1
-	c.replica.Apply(time.Now(), []mesh.Entry{{Key: fmt.Sprintf("127.0.0.%d", i+1), Revision: revision, Target: &old}}, mesh.Position{Revision: revision})
-	c.publish()
+	c.applyTarget(i, &old)
 }
 
 func TestFailedAndForeignResponses(t *testing.T) {
--- a/proxy/request.go
+++ b/proxy/request.go
@@ -21,6 +21,8 @@
 	incoming *http.Request
 	state    *mesh.State
 	route    *mesh.Route
+	// caller is the service that sent the request.
+	caller string
 	// organisation is that of the caller's key, or nil.
 	organisation *mesh.Organisation
 	// admitted is set once the request is counted towards the quota of its organisation.
@@ -193,7 +195,7 @@
 		method: req.incoming.Method, uri: req.incoming.RequestURI, host: req.incoming.Host, header: h, body: req.body, rest: req.rest, length: req.length,
 		setReadDeadline: req.setReadDeadline, lifetime: req.incoming.Context(),
 		targetID: t.ID, startedMs: t.StartedMs, route: req.route.Name, priority: f.rank(req),
-		retryable: req.route.Kind.Retryable(), caller: f.cfg.Service, softDeadline: req.softDeadline, deadline: req.deadline,
+		retryable: req.route.Kind.Retryable(), caller: req.caller, softDeadline: req.softDeadline, deadline: req.deadline,
 		fingerprint: req.hopFingerprint(), atHome: atHome,
 	}
 	if atHome {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -68,10 +68,13 @@
 // String returns the fingerprint as 16 hexadecimal digits.
 func (f Fingerprint) String() string { return fmt.Sprintf("%016x", uint64(f)) }
 
-// Request holds the properties from which a fingerprint is computed.
+// Request holds the properties from which a fingerprint is computed: all that a target can tell apart, except what changes when the caller
+// sends the request again.
 type Request struct {
 	// Organisation is the organisation that sent the request, or empty.
 	Organisation string
+	// Caller is the service that sent the request, or empty if targets are not told.
+	Caller string
 	// Route is the name of the route, or the host if routes have no lasting names.
 	Route  string
 	Method string
@@ -87,7 +90,7 @@
 func FingerprintOf(r Request) Fingerprint {
 	var d xxhash.Digest
 	d.Reset()
-	for _, part := range [...]string{r.Organisation, r.Route, r.Method, r.Target, r.Key} {
+	for _, part := range [...]string{r.Organisation, r.Caller, r.Route, r.Method, r.Target, r.Key} {
 		_, _ = d.WriteString(part)
 		_, _ = d.Write([]byte{0})
 	}
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -223,14 +223,17 @@
 }
 
 func TestFingerprintsDiffer(t *testing.T) {
-	base := Request{"org", "route", "POST", "/x", "key", 1}
+	base := Request{"org", "caller", "route", "POST", "/x", "key", 1}
 	seen := map[Fingerprint]bool{FingerprintOf(base): true}
 	for _, r := range []Request{
-		{"orgroute", "", "POST", "/x", "key", 1},
-		{"org", "route", "PUT", "/x", "key", 1},
-		{"org", "route", "POST", "/y", "key", 1},
-		{"org", "route", "POST", "/x", "yek", 1},
-		{"org", "route", "POST", "/x", "key", 2},
+		{"orgcaller", "", "route", "POST", "/x", "key", 1},
+		{"org", "callerroute", "", "POST", "/x", "key", 1},
+		{"gro", "caller", "route", "POST", "/x", "key", 1},
+		{"org", "other", "route", "POST", "/x", "key", 1},
+		{"org", "caller", "route", "PUT", "/x", "key", 1},
+		{"org", "caller", "route", "POST", "/y", "key", 1},
+		{"org", "caller", "route", "POST", "/x", "yek", 1},
+		{"org", "caller", "route", "POST", "/x", "key", 2},
 	} {
 		if f := FingerprintOf(r); seen[f] {
 			t.Errorf("%+v has a fingerprint seen before", r)
