proxy: the organisation is part of what identifies a request that crashes targets

What callers saw: with organisations, a request of one organisation that crashes its targets was never stopped while another organisation got answers to the same one, and once it was stopped, the other organisation got 422 for an hour. One organisation could so have the requests of all others refused.

Cause: as for the caller's service. Targets are told the organisation of a request, and the fingerprint left it out.

Operators are shown the organisation of a request that is held, since two entries may differ in nothing else.

--- a/proxy/gatekeeper.go
+++ b/proxy/gatekeeper.go
@@ -280,14 +280,23 @@
 // gateRequest returns the gate's request for a call.
 func (k *Gatekeeper) gateRequest(c *call) *gate.Request {
 	r := &gate.Request{Route: c.route, Priority: c.priority, SoftDeadline: c.softDeadline.Add(-c.transfer), Deadline: c.deadline}
-	if config := k.cfg.Holder.Load().Config; config != nil && config.HasOrganisations() {
-		if names := c.header[k.cfg.Names.Organisation]; len(names) > 0 {
-			r.Flow, r.Weight = names[0], config.ShareOf(names[0])
-		}
+	config := k.cfg.Holder.Load().Config
+	if name := k.organisationOf(config, c); name != "" {
+		r.Flow, r.Weight = name, config.ShareOf(name)
 	}
 	return r
 }
 
+// organisationOf returns the name of the organisation that sent a call, or "" if there is none or the configuration, which may be nil, has
+// no organisations.
+func (k *Gatekeeper) organisationOf(config *mesh.Config, c *call) string {
+	names := c.header[k.cfg.Names.Organisation]
+	if config == nil || !config.HasOrganisations() || len(names) == 0 {
+		return ""
+	}
+	return names[0]
+}
+
 // admit waits for a slot and runs the call.
 func (k *Gatekeeper) admit(ctx context.Context, c *call) *outcome {
 	endTrial, o := k.awaitTrial(ctx, c)
--- a/proxy/identity_test.go
+++ b/proxy/identity_test.go
@@ -38,14 +38,17 @@
 	return crashes
 }
 
-// depot sends the request of these tests to a process. It returns the status, or 0 without a whole response.
-func (n *node) depot(t *testing.T, body string) int {
+// sendAs sends a request with a key, or without one if it is empty, to a process. It returns the status, or 0 without a whole response.
+func (n *node) sendAs(t *testing.T, key, body string) int {
 	t.Helper()
 	req, err := http.NewRequestWithContext(t.Context(), http.MethodPost, n.callers.URL+"/depot/17", strings.NewReader(body))
 	if err != nil {
 		t.Fatal(err)
 	}
 	req.Host = "h.example"
+	if key != "" {
+		req.Header.Set("X-Key", key)
+	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
 		return 0
@@ -64,29 +67,40 @@
 	for _, tc := range []struct {
 		name string
 		// callers are the services of the processes. The first two processes send the deadly request, the others the harmless one.
-		callers [4]string
-		deadly  func(got received) bool
+		callers                [4]string
+		organisations          []*mesh.Organisation
+		deadlyKey, harmlessKey string
+		deadly                 func(got received) bool
+		// label describes the deadly request to operators.
+		label string
 	}{
 		{
 			name: "another caller", callers: [4]string{"portal", "portal", "stock", "stock"},
 			deadly: func(got received) bool { return got.caller == "portal" },
+			label:  "POST h.example/depot/17 from portal",
+		},
+		{
+			name: "another organisation", callers: [4]string{"stock", "stock", "stock", "stock"}, deadlyKey: "k1", harmlessKey: "k2",
+			organisations: []*mesh.Organisation{{Name: "o1", Keys: []string{"k1"}}, {Name: "o2", Keys: []string{"k2"}}},
+			deadly:        func(got received) bool { return got.organisation == "o1" },
+			label:         "POST h.example/depot/17 from stock, organisation o1",
 		},
 	} {
 		for _, size := range []int{0, maxBufferedBody + 1} {
 			for _, harmlessBeside := range []bool{true, false} {
 				t.Run(fmt.Sprintf("%s, %d bytes, harmless beside %v", tc.name, size, harmlessBeside), func(t *testing.T) {
 					c := startClusterOf(t, mesh.Upload, len(tc.callers))
-					c.setRoute(t, &mesh.Route{Kind: mesh.Upload, Timeout: 5 * time.Second, Objective: 5 * time.Second})
+					c.setRoute(t, &mesh.Route{Kind: mesh.Upload, Timeout: 5 * time.Second, Objective: 5 * time.Second}, tc.organisations...)
 					c.setCallers(tc.callers[:]...)
 					crashes := c.crashOn(t, tc.deadly)
 					body := strings.Repeat("x", size)
 					deadly := map[int]int{}
 					harmless := map[int]int{}
 					sendDeadly := func(i int) {
-						deadly[c.nodes[i%2].depot(t, body)]++
+						deadly[c.nodes[i%2].sendAs(t, tc.deadlyKey, body)]++
 						time.Sleep(restartDelay + 100*time.Millisecond)
 					}
-					sendHarmless := func(i int) { harmless[c.nodes[2+i%2].depot(t, body)]++ }
+					sendHarmless := func(i int) { harmless[c.nodes[2+i%2].sendAs(t, tc.harmlessKey, body)]++ }
 					for i := range rounds {
 						if harmlessBeside {
 							sendHarmless(i)
@@ -97,6 +111,9 @@
 						sendHarmless(i)
 					}
 					t.Logf("%d crashes; statuses of the deadly request %v, of the harmless one %v", crashes.Load(), deadly, harmless)
+					if held := c.nodes[0].gatekeeper.Held(); len(held) != 1 || held[0].Request != tc.label {
+						t.Errorf("operators are shown %+v, want one request %q", held, tc.label)
+					}
 					if crashes.Load() > 2 || deadly[http.StatusUnprocessableEntity] != rounds-2 {
 						t.Errorf("the deadly request crashed %d targets, want at most 2, and was then refused %d times, want %d",
 							crashes.Load(), deadly[http.StatusUnprocessableEntity], rounds-2)
