proxy, gatekeeper: the service asked is part of what identifies a request that crashes targets

What callers saw: on a route that is split between two services, a request that crashes the targets of one of them and is answered by the other crashed a target each time that it came to the first, and was never stopped. After a quarantine, a route that moves to another service would still have had the request refused there for an hour.

Cause: verdicts are about a request at the targets of one service, but the fingerprint left the service out. A suspect's home was chosen among the targets of whichever service the split gave, and the answer of a target that runs other code cleared the suspicion. The larger product has no splits; its fingerprint kept a verdict when a route moved.

A request that crashes the targets of several services is now counted for each of them. Operators are shown the service.

--- a/internal/gatekeeper/crash.go
+++ b/internal/gatekeeper/crash.go
@@ -65,10 +65,7 @@
 	if refused != nil {
 		return nil, refused
 	}
-	run := &trackedRun{Run: quarantine.Run{Fingerprint: quarantine.FingerprintOf(quarantine.Request{
-		Organisation: call.Organisation, Route: route.Name, Method: call.Request.Method, Target: call.Request.URL.RequestURI(),
-		Key: call.Request.Header.Get(headers.IdempotencyKey), BodyDigest: digest,
-	})}}
+	run := &trackedRun{Run: quarantine.Run{Fingerprint: quarantine.FingerprintOf(identity(call, route, digest))}}
 	var verdict quarantine.Verdict
 	g.crashTracker.withLock(func(l *quarantine.List, now time.Time) { verdict = l.Lookup(now, run.Fingerprint) })
 	switch verdict {
@@ -80,6 +77,15 @@
 	return run, nil
 }
 
+// identity returns what identifies a request over the attempts of its caller. digest is that of its body. The host does not count: it may
+// be the address of the instance to which the attempt was sent.
+func identity(call *Call, route *snapshot.Route, digest uint64) quarantine.Request {
+	return quarantine.Request{
+		Organisation: call.Organisation, Service: route.Service, Route: route.Name, Method: call.Request.Method, Target: call.Request.URL.RequestURI(),
+		Key: call.Request.Header.Get(headers.IdempotencyKey), BodyDigest: digest,
+	}
+}
+
 // awaitTrial waits until the suspect may run if this instance is its home, and refuses it otherwise.
 func (g *Gatekeeper) awaitTrial(ctx context.Context, route *snapshot.Route, run *trackedRun) *refusal.Refusal {
 	if home := g.homeInstance(route, run.Fingerprint); home != g.config.Instance {
--- a/proxy/crash.go
+++ b/proxy/crash.go
@@ -54,7 +54,7 @@
 // instance, but at one of the same service, since its targets are told the service of the instance as the caller.
 func identity(req *request) quarantine.Request {
 	in := req.incoming
-	r := quarantine.Request{Caller: req.caller, Route: in.Host, Method: in.Method, Target: in.RequestURI}
+	r := quarantine.Request{Caller: req.caller, Service: req.service, Route: in.Host, Method: in.Method, Target: in.RequestURI}
 	if req.organisation != nil {
 		r.Organisation = req.organisation.Name
 	}
@@ -71,11 +71,11 @@
 }
 
 // callLabel describes the request of a call to operators. It does not refer to the call, whose body would stay in memory with it.
-type callLabel struct{ method, host, uri, caller, organisation string }
+type callLabel struct{ method, host, uri, caller, service, organisation string }
 
 // String implements fmt.Stringer.
 func (l *callLabel) String() string {
-	label := l.method + " " + l.host + l.uri + " from " + l.caller
+	label := l.method + " " + l.host + l.uri + " from " + l.caller + " to " + l.service
 	if l.organisation != "" {
 		label += ", organisation " + l.organisation
 	}
@@ -143,7 +143,7 @@
 // beginRun records that a call is about to be sent to the target. It returns the outcome if the call is refused, since its state has
 // changed while it waited.
 func (k *Gatekeeper) beginRun(c *call) (*quarantine.Run, *outcome) {
-	label := &callLabel{c.method, c.host, c.uri, c.caller, k.organisationOf(k.cfg.Holder.Load().Config, c)}
+	label := &callLabel{c.method, c.host, c.uri, c.caller, k.cfg.Service, k.organisationOf(k.cfg.Holder.Load().Config, c)}
 	run := &quarantine.Run{Fingerprint: c.fingerprint, Body: c.digest, Prefix: c.prefix, Label: label}
 	var v quarantine.Verdict
 	k.crashes.withList(func(l *quarantine.List, now time.Time) { v = l.Begin(now, run, c.atHome) })
--- a/proxy/crash_test.go
+++ b/proxy/crash_test.go
@@ -47,7 +47,7 @@
 	c.markLeaving(1)
 	c.send(t, "GET", "/bad", "")
 	held := n.gatekeeper.Held()
-	if len(held) != 1 || held[0].Request != "GET h.example/bad from caller0" || held[0].State != "suspected" {
+	if len(held) != 1 || held[0].Request != "GET h.example/bad from caller0 to s" || held[0].State != "suspected" {
 		t.Fatalf("suspects %+v", held)
 	}
 }
--- a/proxy/identity_test.go
+++ b/proxy/identity_test.go
@@ -14,15 +14,16 @@
 	"github.com/chervilwell/chervilwell/mesh"
 )
 
-// crashOn makes the targets crash at the requests for which deadly returns true, and answer all others. They are back after restartDelay.
-func (c *cluster) crashOn(t *testing.T, deadly func(got received) bool) (crashes *atomic.Int64) {
+// crashOn makes the targets of a service crash at the requests for which deadly returns true, and answer all others. They are back after
+// restartDelay.
+func (c *cluster) crashOn(t *testing.T, deadly func(service string, got received) bool) (crashes *atomic.Int64) {
 	crashes = &atomic.Int64{}
 	var restarts sync.WaitGroup
 	t.Cleanup(restarts.Wait)
 	for i, n := range c.nodes {
 		n.target.set(func(conn net.Conn, r *http.Request, got received) bool {
 			n.target.forget()
-			if !deadly(got) {
+			if !deadly(n.gatekeeper.cfg.Service, got) {
 				return respondOK(conn, r, got)
 			}
 			if n.target.crash() {
@@ -77,13 +78,13 @@
 		{
 			name: "another caller", callers: [4]string{"portal", "portal", "stock", "stock"},
 			deadly: func(got received) bool { return got.caller == "portal" },
-			label:  "POST h.example/depot/17 from portal",
+			label:  "POST h.example/depot/17 from portal to s",
 		},
 		{
 			name: "another organisation", callers: [4]string{"stock", "stock", "stock", "stock"}, deadlyKey: "k1", harmlessKey: "k2",
 			organisations: []*mesh.Organisation{{Name: "o1", Keys: []string{"k1"}}, {Name: "o2", Keys: []string{"k2"}}},
 			deadly:        func(got received) bool { return got.organisation == "o1" },
-			label:         "POST h.example/depot/17 from stock, organisation o1",
+			label:         "POST h.example/depot/17 from stock to s, organisation o1",
 		},
 	} {
 		for _, size := range []int{0, maxBufferedBody + 1} {
@@ -92,7 +93,7 @@
 					c := startClusterOf(t, mesh.Upload, len(tc.callers))
 					c.setRoute(t, &mesh.Route{Kind: mesh.Upload, Timeout: 5 * time.Second, Objective: 5 * time.Second}, tc.organisations...)
 					c.setCallers(tc.callers[:]...)
-					crashes := c.crashOn(t, tc.deadly)
+					crashes := c.crashOn(t, func(_ string, got received) bool { return tc.deadly(got) })
 					body := strings.Repeat("x", size)
 					deadly := map[int]int{}
 					harmless := map[int]int{}
@@ -126,3 +127,27 @@
 		}
 	}
 }
+
+// TestSameRequestToAnotherService guards against a request that crashes the targets of one service of a split without end, since those of
+// the other service answer it, and against its refusal by the other service.
+func TestSameRequestToAnotherService(t *testing.T) {
+	const rounds, otherService = 12, "s2"
+	c := startServices(t, mesh.Once, testService, testService, otherService, otherService)
+	c.setRoute(t, &mesh.Route{
+		Kind: mesh.Once, Timeout: 5 * time.Second, Objective: 5 * time.Second,
+		Parts: []mesh.WeightedService{{Service: testService, Weight: 1}, {Service: otherService, Weight: 1}},
+	})
+	crashes := c.crashOn(t, func(service string, _ received) bool { return service == testService })
+	statuses := map[int]int{}
+	for range rounds {
+		statuses[c.nodes[0].sendAs(t, "", "")]++
+		time.Sleep(restartDelay + 100*time.Millisecond)
+	}
+	t.Logf("%d crashes, statuses %v", crashes.Load(), statuses)
+	if crashes.Load() > 2 || statuses[http.StatusUnprocessableEntity] != rounds/2-2 {
+		t.Errorf("the request crashed %d targets, want at most 2, and was refused with 422 %d times, want %d", crashes.Load(), statuses[http.StatusUnprocessableEntity], rounds/2-2)
+	}
+	if statuses[http.StatusOK] != rounds/2 {
+		t.Errorf("%d requests were served, want %d", statuses[http.StatusOK], rounds/2)
+	}
+}
--- a/proxy/proxy_test.go
+++ b/proxy/proxy_test.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -228,16 +229,22 @@
 func startCluster(t testing.TB, kind mesh.Kind) *cluster { return startClusterOf(t, kind, 2) }
 
 func startClusterOf(t testing.TB, kind mesh.Kind, size int) *cluster {
+	t.Helper()
+	return startServices(t, kind, slices.Repeat([]string{testService}, size)...)
+}
+
+// startServices starts processes whose targets run the given services, in separate failure domains.
+func startServices(t testing.TB, kind mesh.Kind, services ...string) *cluster {
 	t.Helper()
 	c := &cluster{replica: mesh.NewReplica(), monitor: disconnect.NewMonitor(func(err error) { t.Error(err) })}
-	listeners := listenOnOnePort(t, size)
+	listeners := listenOnOnePort(t, len(services))
 	port := uint16(listeners[0].Addr().(*net.TCPAddr).Port)
 	for i, l := range listeners {
 		ip := fmt.Sprintf("127.0.0.%d", i+1)
 		n := &node{target: startFakeTarget(t, ip), peerAddr: l.Addr().String()}
 		holder, peers := &mesh.Holder{}, NewPeers(port)
 		n.gatekeeper = NewGatekeeper(GatekeeperConfig{
-			Addr: n.target.addr, Service: testService, Peers: peers, Holder: holder, Names: names, DecodeNotice: decodeNotice, Log: zerolog.Nop(), LogBudget: events.NewBudget(1), Metrics: NewMetrics(nil),
+			Addr: n.target.addr, Service: services[i], Peers: peers, Holder: holder, Names: names, DecodeNotice: decodeNotice, Log: zerolog.Nop(), LogBudget: events.NewBudget(1), Metrics: NewMetrics(nil),
 		})
 		n.frontend = NewFrontend(FrontendConfig{
 			Service: "caller" + strconv.Itoa(i), FailureDomain: "d" + strconv.Itoa(i), Region: "r", Holder: holder, Gatekeeper: n.gatekeeper,
@@ -259,7 +266,7 @@
 		t.Cleanup(func() { n.callers.Close(); server.Close() })
 		c.nodes = append(c.nodes, n)
 		c.replica.Apply(time.Now(), []mesh.Entry{{Key: ip, Revision: uint64(i + 1), Target: &mesh.Target{
-			ID: "t" + strconv.Itoa(i), Service: testService, Addr: n.target.addr, FailureDomain: "d" + strconv.Itoa(i), Region: "r", Slots: 18, StartedMs: 1,
+			ID: "t" + strconv.Itoa(i), Service: services[i], Addr: n.target.addr, FailureDomain: "d" + strconv.Itoa(i), Region: "r", Slots: 18, StartedMs: 1,
 		}}}, mesh.Position{Revision: uint64(i + 1)})
 	}
 	c.setConfig(t, 1, kind, false)
--- a/quarantine/example_test.go
+++ b/quarantine/example_test.go
@@ -10,7 +10,7 @@
 func Example() {
 	now := time.Unix(1_700_000_000, 0)
 	list := quarantine.New("obb-muc-1")
-	f := quarantine.FingerprintOf(quarantine.Request{Organisation: "haulier-a", Route: "order", Method: "POST", Target: "/orders", Key: "k1"})
+	f := quarantine.FingerprintOf(quarantine.Request{Organisation: "haulier-a", Service: "orders", Route: "order", Method: "POST", Target: "/orders", Key: "k1"})
 
 	run := &quarantine.Run{Fingerprint: f}
 	list.Begin(now, run, false)
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -75,6 +75,8 @@
 	Organisation string
 	// Caller is the service that sent the request, or empty if targets are not told.
 	Caller string
+	// Service is the service that is asked to run the request.
+	Service string
 	// Route is the name of the route, or the host if routes have no lasting names.
 	Route  string
 	Method string
@@ -90,7 +92,7 @@
 func FingerprintOf(r Request) Fingerprint {
 	var d xxhash.Digest
 	d.Reset()
-	for _, part := range [...]string{r.Organisation, r.Caller, r.Route, r.Method, r.Target, r.Key} {
+	for _, part := range [...]string{r.Organisation, r.Caller, r.Service, r.Route, r.Method, r.Target, r.Key} {
 		_, _ = d.WriteString(part)
 		_, _ = d.Write([]byte{0})
 	}
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -223,17 +223,20 @@
 }
 
 func TestFingerprintsDiffer(t *testing.T) {
-	base := Request{"org", "caller", "route", "POST", "/x", "key", 1}
+	base := Request{"org", "caller", "service", "route", "POST", "/x", "key", 1}
 	seen := map[Fingerprint]bool{FingerprintOf(base): true}
 	for _, r := range []Request{
-		{"orgcaller", "", "route", "POST", "/x", "key", 1},
-		{"org", "callerroute", "", "POST", "/x", "key", 1},
-		{"gro", "caller", "route", "POST", "/x", "key", 1},
-		{"org", "other", "route", "POST", "/x", "key", 1},
-		{"org", "caller", "route", "PUT", "/x", "key", 1},
-		{"org", "caller", "route", "POST", "/y", "key", 1},
-		{"org", "caller", "route", "POST", "/x", "yek", 1},
-		{"org", "caller", "route", "POST", "/x", "key", 2},
+		{"orgcaller", "", "service", "route", "POST", "/x", "key", 1},
+		{"org", "callerservice", "", "route", "POST", "/x", "key", 1},
+		{"org", "caller", "serviceroute", "", "POST", "/x", "key", 1},
+		{"gro", "caller", "service", "route", "POST", "/x", "key", 1},
+		{"org", "other", "service", "route", "POST", "/x", "key", 1},
+		{"org", "caller", "other", "route", "POST", "/x", "key", 1},
+		{"org", "caller", "service", "other", "POST", "/x", "key", 1},
+		{"org", "caller", "service", "route", "PUT", "/x", "key", 1},
+		{"org", "caller", "service", "route", "POST", "/y", "key", 1},
+		{"org", "caller", "service", "route", "POST", "/x", "yek", 1},
+		{"org", "caller", "service", "route", "POST", "/x", "key", 2},
 	} {
 		if f := FingerprintOf(r); seen[f] {
 			t.Errorf("%+v has a fingerprint seen before", r)
