proxy: test that verdicts of an earlier version refuse nothing of this one

During a rolling update, processes of the version before send notices and calls whose fingerprints leave out the sender and the service. The test quarantines such a fingerprint at all processes.

--- a/proxy/identity_test.go
+++ b/proxy/identity_test.go
@@ -11,7 +11,10 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/chervilwell/chervilwell/mesh"
+	"github.com/chervilwell/chervilwell/quarantine"
 )
 
 // crashOn makes the targets of a service crash at the requests for which deadly returns true, and answer all others. They are back after
@@ -151,3 +154,21 @@
 		t.Errorf("%d requests were served, want %d", statuses[http.StatusOK], rounds/2)
 	}
 }
+
+// Guards against requests that are refused beside processes of an earlier version, whose fingerprints left out the sender and the service.
+func TestVerdictOfEarlierVersionRefusesNothing(t *testing.T) {
+	c := startCluster(t, mesh.Once)
+	d := xxhash.New()
+	_, _ = d.WriteString("\x00h.example\x00POST\x00/depot/17\x00\x00")
+	_, _ = d.Write(make([]byte, 8))
+	earlier := quarantine.Fingerprint(d.Sum64()) &^ headOnly
+	for _, n := range c.nodes {
+		n.gatekeeper.crashes.apply(&quarantine.Notice{Records: []quarantine.Record{{Fingerprint: earlier, Quarantined: true, ExpiresInMs: 60_000}}})
+		if v := n.gatekeeper.crashes.lookup(earlier); v != quarantine.Quarantined {
+			t.Fatalf("verdict %d on the fingerprint of the earlier version", v)
+		}
+	}
+	if status := c.nodes[0].sendAs(t, "", ""); status != http.StatusOK {
+		t.Errorf("status %d, want %d", status, http.StatusOK)
+	}
+}
